Set down the folders and the core types

Cause: the shape of the code has to stand before anything is built on it. Change: a virtual workspace with one crate an area. model holds Event, Effect and the words they share; findings reads JSON documents and reports every fault with its place; settings and note are read through it. Conclusion: events borrow what they carry and effects own it, so the reducer copies only what it stores.

--- /dev/null
+++ b/crates/findings/src/finding.rs
@@ -0,0 +1,63 @@
+//! One fault of a document, and the list that collects them.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// A fault of a document and where it is.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Finding {
+    /// JSON path of the faulty value, such as `$.fleet.zones[2].name`.
+    pub path: String,
+    /// Line in the document, counted from 1, if known.
+    pub line: Option<u32>,
+    /// Column in the line, counted from 1, if known.
+    pub column: Option<u32>,
+    /// What is wrong and what is expected.
+    pub message: String,
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match (self.line, self.column) {
+            (Some(line), Some(column)) => {
+                write!(f, "{line}:{column}: {}: {}", self.path, self.message)
+            }
+            _ => write!(f, "{}: {}", self.path, self.message),
+        }
+    }
+}
+
+/// All faults found so far.
+#[derive(Clone, Debug, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Findings {
+    /// The faults in the order they were found.
+    pub list: Vec<Finding>,
+}
+
+impl Findings {
+    /// Adds a fault whose line and column are not known.
+    pub fn add(&mut self, path: &str, message: impl Into<String>) {
+        let finding = Finding {
+            path: path.to_owned(),
+            line: None,
+            column: None,
+            message: message.into(),
+        };
+        self.list.push(finding);
+    }
+
+    /// Tells whether no fault was found.
+    pub fn is_empty(&self) -> bool {
+        self.list.is_empty()
+    }
+}
+
+impl fmt::Display for Findings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for finding in &self.list {
+            writeln!(f, "{finding}")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/model/src/effect.rs
@@ -0,0 +1,147 @@
+//! Everything that an instance can do.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::{Answer, CallKey, CallerKey, LogLine, Message, Snapshot, TargetKey, Timer};
+
+/// One call to one target.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetCall {
+    /// Key that the reply or the failure repeats.
+    pub call: CallKey,
+    /// The target.
+    pub target: TargetKey,
+    /// The target's address.
+    pub address: SocketAddr,
+    /// Identifier of the caller's request, for the target's logs.
+    pub request_id: Arc<str>,
+    /// Snapshot to read from; `None` for a call that runs once and reads the current state.
+    pub snapshot: Option<Snapshot>,
+    /// Time that the target may take.
+    pub timeout: Duration,
+    /// Whether the target may see the call more than once.
+    pub is_idempotent: bool,
+    /// Opaque query.
+    pub body: Bytes,
+}
+
+/// A read of the platform's configuration service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PlatformRead {
+    /// Wait until the published configuration is newer than a version, then return it.
+    WatchNote {
+        /// Version of the last value seen, or 0.
+        after_version: u64,
+    },
+    /// Return the list of instances.
+    Instances,
+}
+
+/// Counters that the shell exports as metrics.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Counter {
+    /// Requests that callers sent.
+    Requests,
+    /// Answers with full coverage.
+    CompleteAnswers,
+    /// Answers with some services missing.
+    PartialAnswers,
+    /// Requests refused without running.
+    Refusals,
+    /// First calls to a service on behalf of a query.
+    PrimaryCalls,
+    /// Calls sent because another one is late.
+    HedgeCalls,
+    /// Calls sent because another one failed.
+    RetryCalls,
+    /// Replies that belong to no running call.
+    StaleReplies,
+    /// Cancellations sent to targets.
+    Cancels,
+    /// Queries restarted on another snapshot.
+    SnapshotRestarts,
+    /// Messages sent to other instances.
+    PeerMessages,
+    /// Reads of the platform.
+    PlatformReads,
+    /// Published configurations that were not accepted.
+    RejectedNotes,
+    /// Pauses of the process that the reducer noticed.
+    Pauses,
+}
+
+/// One thing for the shell to do.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Effect {
+    /// Send a call to a target.
+    Call(TargetCall),
+    /// Tell a target that a call is no longer wanted.
+    Cancel {
+        /// The call.
+        call: CallKey,
+        /// The target that executes it.
+        target: TargetKey,
+    },
+    /// Answer a caller.
+    Answer {
+        /// The caller.
+        caller: CallerKey,
+        /// The answer.
+        answer: Box<Answer>,
+    },
+    /// Hand tickets to a caller; an empty list is a refusal.
+    Tickets {
+        /// The caller.
+        caller: CallerKey,
+        /// The tickets.
+        tickets: Vec<String>,
+    },
+    /// Keep at most this many connections to a target; 0 closes them once they are idle.
+    Pool {
+        /// The target.
+        target: TargetKey,
+        /// The target's address.
+        address: SocketAddr,
+        /// Limit of connections, idle ones included.
+        connections_count: u32,
+    },
+    /// Ask a target for its load report over this many connections at once, which opens them.
+    AskLoad {
+        /// The target.
+        target: TargetKey,
+        /// Number of connections to use.
+        connections_count: u32,
+    },
+    /// Send a message to another instance.
+    Send {
+        /// Address of the other instance's peers' port.
+        address: SocketAddr,
+        /// The message.
+        message: Message,
+    },
+    /// Read from the platform.
+    ReadPlatform(PlatformRead),
+    /// Deliver a timer event after a delay.
+    SetTimer {
+        /// The event's content.
+        timer: Timer,
+        /// The delay.
+        after: Duration,
+    },
+    /// Write one line to the log.
+    Log(LogLine),
+    /// Add to a counter.
+    Count {
+        /// The counter.
+        counter: Counter,
+        /// The amount.
+        amount_count: u64,
+    },
+    /// End the process with exit code 0; everything is answered.
+    Exit,
+}
--- /dev/null
+++ b/crates/model/src/key.rs
@@ -0,0 +1,23 @@
+//! Generational keys of everything that a reducer refers to.
+
+use slotmap::new_key_type;
+
+new_key_type! {
+    /// A caller's connection and request, as the shell numbers them.
+    pub struct CallerKey;
+
+    /// A query that is running or waiting in the reducer.
+    pub struct QueryKey;
+
+    /// One call to one target on behalf of a query.
+    pub struct CallKey;
+
+    /// A target of the accepted configuration.
+    pub struct TargetKey;
+
+    /// A service of the accepted configuration. Each service holds one shard of a front.
+    pub struct ServiceKey;
+
+    /// An availability zone of the accepted configuration.
+    pub struct ZoneKey;
+}
--- /dev/null
+++ b/crates/model/src/timer.rs
@@ -0,0 +1,18 @@
+//! Timers that a reducer sets for itself.
+
+use serde::{Deserialize, Serialize};
+
+use crate::QueryKey;
+
+/// What is due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Timer {
+    /// A query, waiting or running, has reached its deadline.
+    Deadline(QueryKey),
+    /// A running query has calls that may be late enough for a hedge.
+    Hedge(QueryKey),
+    /// The regular tick: pause detection, gossip, probes, connection shares, freshness.
+    Tick,
+    /// The next read of the platform.
+    Platform,
+}
--- /dev/null
+++ b/crates/note/src/lib.rs
@@ -0,0 +1,14 @@
+//! The release note: the configuration that operators publish through the platform.
+//!
+//! A note is self-contained: it states its revision, what it adds, changes and withdraws, and the
+//! whole resulting fleet.
+//!
+//! Invariants:
+//! - a [`Note`] that was read is consistent: every reference resolves and every name is unique;
+//! - a faulty note yields every finding at once and no [`Note`].
+
+mod fleet;
+mod read;
+
+pub use fleet::{Fleet, Front, Note, Service, ShardMap, Target, TargetState, Zone, ZoneState};
+pub use read::read;
--- /dev/null
+++ b/crates/note/src/read.rs
@@ -0,0 +1,166 @@
+//! The checked reading of a release note.
+
+use findings::{Fields, Findings, Node, with_document};
+
+use crate::{Fleet, Front, Note, Service, ShardMap, Target, TargetState, Zone, ZoneState};
+
+const MAX_COUNT: u32 = 1_000_000;
+
+/// Reads a release note from its published form.
+///
+/// Returns `None` if there is any finding.
+pub fn read(document: &str, findings: &mut Findings) -> Option<Note> {
+    let note = with_document(document, findings, read_note)?;
+    findings.is_empty().then_some(note)
+}
+
+fn read_note(root: Node<'_>, findings: &mut Findings) -> Option<Note> {
+    let mut fields = root.fields(findings)?;
+    let revision = fields
+        .required("revision", findings)
+        .and_then(|n| n.number(1..=u64::MAX, findings));
+    let added = read_list(&mut fields, "added", findings, read_name);
+    let changed = read_list(&mut fields, "changed", findings, read_name);
+    let withdrawn = read_list(&mut fields, "withdrawn", findings, read_name);
+    let fleet = fields
+        .required("fleet", findings)
+        .and_then(|n| read_fleet(n, findings));
+    fields.finish(findings);
+    Some(Note {
+        revision: revision?,
+        added,
+        changed,
+        withdrawn,
+        fleet: fleet?,
+    })
+}
+
+fn read_fleet(node: Node<'_>, findings: &mut Findings) -> Option<Fleet> {
+    let mut fields = node.fields(findings)?;
+    let zones = read_list(&mut fields, "zones", findings, read_zone);
+    let fronts = read_list(&mut fields, "fronts", findings, read_front);
+    let services = read_list(&mut fields, "services", findings, read_service);
+    let released_fingerprints = read_list(
+        &mut fields,
+        "released_fingerprints",
+        findings,
+        |node, findings| node.number(0..=u64::MAX, findings),
+    );
+    fields.finish(findings);
+    Some(Fleet {
+        zones,
+        fronts,
+        services,
+        released_fingerprints,
+    })
+}
+
+fn read_zone(node: Node<'_>, findings: &mut Findings) -> Option<Zone> {
+    let mut fields = node.fields(findings)?;
+    let name = required_name(&mut fields, findings);
+    let words = [("in", ZoneState::In), ("out", ZoneState::Out)];
+    let state = fields
+        .required("state", findings)
+        .and_then(|n| n.one_of(&words, findings));
+    fields.finish(findings);
+    Some(Zone {
+        name: name?,
+        state: state?,
+    })
+}
+
+fn read_front(node: Node<'_>, findings: &mut Findings) -> Option<Front> {
+    let mut fields = node.fields(findings)?;
+    let name = required_name(&mut fields, findings);
+    let zones = read_list(&mut fields, "zones", findings, read_name);
+    let shard_maps = read_list(&mut fields, "shard_maps", findings, read_shard_map);
+    fields.finish(findings);
+    Some(Front {
+        name: name?,
+        zones,
+        shard_maps,
+    })
+}
+
+fn read_shard_map(node: Node<'_>, findings: &mut Findings) -> Option<ShardMap> {
+    let mut fields = node.fields(findings)?;
+    let from_snapshot = fields
+        .required("from_snapshot", findings)
+        .and_then(|n| n.number(0..=u64::MAX, findings));
+    let services = read_list(&mut fields, "services", findings, read_name);
+    fields.finish(findings);
+    Some(ShardMap {
+        from_snapshot: from_snapshot?,
+        services,
+    })
+}
+
+fn read_service(node: Node<'_>, findings: &mut Findings) -> Option<Service> {
+    let mut fields = node.fields(findings)?;
+    let name = required_name(&mut fields, findings);
+    let targets = read_list(&mut fields, "targets", findings, read_target);
+    fields.finish(findings);
+    Some(Service {
+        name: name?,
+        targets,
+    })
+}
+
+fn read_target(node: Node<'_>, findings: &mut Findings) -> Option<Target> {
+    let mut fields = node.fields(findings)?;
+    let name = required_name(&mut fields, findings);
+    let zone = fields
+        .required("zone", findings)
+        .and_then(|n| read_name(n, findings));
+    let address = fields
+        .required("address", findings)
+        .and_then(|n| n.address(findings));
+    let slots_count = required_count(&mut fields, "slots_count", findings);
+    let connections_max_count = required_count(&mut fields, "connections_max_count", findings);
+    let cold_bearable_count = required_count(&mut fields, "cold_bearable_count", findings);
+    let words = [("in", TargetState::In), ("leaving", TargetState::Leaving)];
+    let state = fields
+        .required("state", findings)
+        .and_then(|n| n.one_of(&words, findings));
+    fields.finish(findings);
+    Some(Target {
+        name: name?,
+        zone: zone?,
+        address: address?,
+        slots_count: slots_count?,
+        connections_max_count: connections_max_count?,
+        cold_bearable_count: cold_bearable_count?,
+        state: state?,
+    })
+}
+
+fn required_name(fields: &mut Fields<'_>, findings: &mut Findings) -> Option<String> {
+    fields
+        .required("name", findings)
+        .and_then(|node| read_name(node, findings))
+}
+
+fn required_count(fields: &mut Fields<'_>, name: &str, findings: &mut Findings) -> Option<u32> {
+    fields
+        .required(name, findings)
+        .and_then(|node| node.count(1..=MAX_COUNT, findings))
+}
+
+fn read_name(node: Node<'_>, findings: &mut Findings) -> Option<String> {
+    node.text(findings).map(str::to_owned)
+}
+
+fn read_list<T>(
+    fields: &mut Fields<'_>,
+    name: &str,
+    findings: &mut Findings,
+    read: impl Fn(Node<'_>, &mut Findings) -> Option<T>,
+) -> Vec<T> {
+    let Some(node) = fields.required(name, findings) else {
+        return Vec::new();
+    };
+    node.items(findings)
+        .into_iter()
+        .filter_map(|item| read(item, findings))
+        .collect()
+}
--- /dev/null
+++ b/crates/settings/src/areas.rs
@@ -0,0 +1,190 @@
+//! The settings themselves, grouped by the area that uses them.
+
+use std::{net::SocketAddr, time::Duration};
+
+use serde::Serialize;
+
+/// All settings of one instance.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Settings {
+    /// Who the instance is.
+    pub instance: Instance,
+    /// Ports that the instance opens.
+    pub listen: Listen,
+    /// The platform's configuration service.
+    pub platform: Platform,
+    /// Limits of single queries.
+    pub query: Query,
+    /// Choice of targets.
+    pub route: Route,
+    /// Admission under load.
+    pub admit: Admit,
+    /// Requests that run at most once, and quarantine.
+    pub once: Once,
+    /// Membership and the spreading of configurations.
+    pub fleet: Fleet,
+}
+
+/// Who the instance is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Instance {
+    /// Name, unique in the fleet.
+    pub name: String,
+    /// Availability zone.
+    pub zone: String,
+}
+
+/// Ports that the instance opens.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Listen {
+    /// Callers' HTTP port.
+    pub callers: SocketAddr,
+    /// Operators' HTTP port.
+    pub operators: SocketAddr,
+    /// Port for other instances.
+    pub peers: SocketAddr,
+}
+
+/// The platform's configuration service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Platform {
+    /// Address of its HTTP port.
+    pub address: SocketAddr,
+    /// Longest time that one watch waits for a change.
+    pub watch_timeout: Duration,
+}
+
+/// Limits of single queries.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Query {
+    /// Longest timeout that a caller may ask for.
+    pub timeout_max: Duration,
+    /// Largest body that a caller may send.
+    pub body_max_bytes: u32,
+    /// Time reserved out of the caller's timeout for the way back to the caller.
+    pub answer_reserve: Duration,
+    /// Quantile of a service's latency after which a call is late enough for a hedge, 0 to 1.
+    pub hedge_quantile_ratio: f64,
+    /// Hedges allowed per primary call, 0 to 1.
+    pub hedge_budget_ratio: f64,
+    /// Retries allowed per primary call, 0 to 1.
+    pub retry_budget_ratio: f64,
+}
+
+/// Choice of targets.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Route {
+    /// Time after which a target without traffic is asked for its load.
+    pub probe_idle: Duration,
+    /// Successful calls in cold start after which a target's allowance grows by one.
+    pub ramp_success_count: u32,
+}
+
+/// Admission under load.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Admit {
+    /// Queries that run at the same time.
+    pub running_max_count: u32,
+    /// Queries that wait, all priorities together.
+    pub queued_max_count: u32,
+    /// Urgent or normal queries after which one deferrable query is started.
+    pub deferrable_share_count: u32,
+}
+
+/// Requests that run at most once, and quarantine.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Once {
+    /// Time after issue during which a ticket can be used and its outcome is held.
+    pub ticket_retention: Duration,
+    /// Tickets whose outcome is held at the same time.
+    pub tickets_max_count: u32,
+    /// Largest answer that is held with an outcome.
+    pub answer_max_bytes: u32,
+    /// Connections lost while a request executes until the request is quarantined.
+    pub strikes_max_count: u32,
+    /// Time until a quarantine entry expires.
+    pub quarantine_duration: Duration,
+}
+
+/// Membership and the spreading of configurations.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Fleet {
+    /// Time between two ticks of the instance.
+    pub tick: Duration,
+    /// Instances that receive a digest each tick.
+    pub fanout_count: u32,
+    /// Instances per zone that read the platform.
+    pub readers_per_zone_count: u32,
+    /// Age of the newest confirmation after which the configuration counts as stale.
+    pub freshness_limit: Duration,
+    /// Time without a sign of life after which an instance is suspected.
+    pub suspect_after: Duration,
+    /// Time in suspicion after which an instance counts as gone.
+    pub gone_after: Duration,
+    /// Time after the start during which readiness waits for the highest revision.
+    pub join_limit: Duration,
+    /// Time without a new request after which a leaving instance exits.
+    pub leave_quiet: Duration,
+    /// Time beyond a tick's interval after which the process counts as paused.
+    pub pause_threshold: Duration,
+}
+
+impl Default for Query {
+    fn default() -> Query {
+        Query {
+            timeout_max: Duration::from_secs(30),
+            body_max_bytes: 64 * 1024,
+            answer_reserve: Duration::from_millis(2),
+            hedge_quantile_ratio: 0.98,
+            hedge_budget_ratio: 0.02,
+            retry_budget_ratio: 0.1,
+        }
+    }
+}
+
+impl Default for Route {
+    fn default() -> Route {
+        Route {
+            probe_idle: Duration::from_secs(1),
+            ramp_success_count: 20,
+        }
+    }
+}
+
+impl Default for Admit {
+    fn default() -> Admit {
+        Admit {
+            running_max_count: 256,
+            queued_max_count: 1024,
+            deferrable_share_count: 16,
+        }
+    }
+}
+
+impl Default for Once {
+    fn default() -> Once {
+        Once {
+            ticket_retention: Duration::from_secs(600),
+            tickets_max_count: 20_000,
+            answer_max_bytes: 4 * 1024,
+            strikes_max_count: 2,
+            quarantine_duration: Duration::from_secs(600),
+        }
+    }
+}
+
+impl Default for Fleet {
+    fn default() -> Fleet {
+        Fleet {
+            tick: Duration::from_millis(200),
+            fanout_count: 2,
+            readers_per_zone_count: 2,
+            freshness_limit: Duration::from_secs(10),
+            suspect_after: Duration::from_secs(2),
+            gone_after: Duration::from_secs(10),
+            join_limit: Duration::from_secs(5),
+            leave_quiet: Duration::from_secs(2),
+            pause_threshold: Duration::from_millis(500),
+        }
+    }
+}
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,11 @@
+//! Settings of an instance: what may be set, the defaults, and the checked reading of the file.
+//!
+//! Invariants:
+//! - settings that were read are complete and within their bounds;
+//! - a faulty file yields every finding at once and no settings.
+
+mod areas;
+mod read;
+
+pub use areas::{Admit, Fleet, Instance, Listen, Once, Platform, Query, Route, Settings};
+pub use read::read;
