Add the reducer and one query from request to answer

Cause: a thin path through every area shows whether the shape carries. Change: tier::reduce dispatches events to route, query, admit, once and fleet. A test replays a recorded event log and compares the effects.

--- /dev/null
+++ b/crates/admit/src/lib.rs
@@ -0,0 +1,11 @@
+//! Admission: which queries start at once, which wait, and which are refused.
+//!
+//! Invariants:
+//! - running and waiting queries never exceed the limits of the settings;
+//! - a waiting query of a higher priority starts before one of a lower priority, except that
+//!   deferrable queries receive a minimum share;
+//! - a query that left the queue is never started.
+
+mod queue;
+
+pub use queue::{Admission, Verdict, finished, next, offer, withdrawn};
--- /dev/null
+++ b/crates/query/src/answer.rs
@@ -0,0 +1,111 @@
+//! Making the answer of a query.
+
+use std::time::Instant;
+
+use model::{
+    Answer, CallFailure, CallKey, Counter, Coverage, Effect, Missing, MissingReason, QueryKey,
+    ShardResult,
+};
+use route::{CallEnd, Routes};
+
+use crate::{Finished, Queries, Query, ShardState};
+
+/// Removes a query, cancels what it still has in flight, and makes its answer.
+pub(crate) fn finish(
+    queries: &mut Queries,
+    routes: &mut Routes,
+    _now: Instant,
+    key: QueryKey,
+    out: &mut Vec<Effect>,
+) -> Option<Finished> {
+    let mut query = queries.queries.remove(key)?;
+    for shard in &mut query.shards {
+        let calls = std::mem::take(&mut shard.calls);
+        query.evidence.running_count += u32::try_from(calls.len()).unwrap_or(u32::MAX);
+        cancel_calls(queries, routes, &calls, out);
+    }
+    let Query {
+        requester, ticket, ..
+    } = query;
+    let answer = make_answer(
+        &query.request_id,
+        query.snapshot,
+        query.shards,
+        &query.evidence,
+    );
+    let counter = match answer.coverage.missing.is_empty() {
+        true => Counter::CompleteAnswers,
+        false => Counter::PartialAnswers,
+    };
+    out.push(Effect::Count {
+        counter,
+        amount_count: 1,
+    });
+    Some(Finished {
+        requester,
+        ticket,
+        answer,
+    })
+}
+
+/// Cancels calls and forgets them; their replies will be stale.
+pub(crate) fn cancel_calls(
+    queries: &mut Queries,
+    routes: &mut Routes,
+    calls: &[CallKey],
+    out: &mut Vec<Effect>,
+) {
+    for &key in calls {
+        let Some(call) = queries.calls.remove(key) else {
+            continue;
+        };
+        route::call_ended(
+            routes,
+            call.sent_at,
+            call.target,
+            CallEnd::Failed(CallFailure::NotSent),
+        );
+        out.push(Effect::Cancel {
+            call: key,
+            target: call.target,
+        });
+        out.push(Effect::Count {
+            counter: Counter::Cancels,
+            amount_count: 1,
+        });
+    }
+}
+
+fn make_answer(
+    request_id: &str,
+    snapshot: Option<u64>,
+    shards: Vec<crate::Shard>,
+    evidence: &once::Evidence,
+) -> Answer {
+    let total_count = u32::try_from(shards.len()).unwrap_or(u32::MAX);
+    let mut missing = Vec::new();
+    let mut results = Vec::with_capacity(shards.len());
+    for shard in shards {
+        let service = shard.name;
+        match shard.state {
+            ShardState::Answered(body) => results.push(ShardResult { service, body }),
+            ShardState::Missing(reason) => missing.push(Missing { service, reason }),
+            ShardState::Open => missing.push(Missing {
+                service,
+                reason: MissingReason::Late,
+            }),
+        }
+    }
+    let answered_count = u32::try_from(results.len()).unwrap_or(u32::MAX);
+    Answer {
+        request_id: request_id.to_owned(),
+        outcome: once::outcome(evidence),
+        snapshot,
+        coverage: Coverage {
+            answered_count,
+            total_count,
+            missing,
+        },
+        results,
+    }
+}
--- /dev/null
+++ b/crates/tier/src/reduce.rs
@@ -0,0 +1,70 @@
+//! The dispatch of events to the areas.
+
+use std::time::Instant;
+
+use model::{Effect, Event, Timer};
+
+use crate::{State, request, settle};
+
+/// Takes in one event at a time and appends the effects that follow from it.
+pub fn reduce(state: &mut State, now: Instant, event: Event<'_>, out: &mut Vec<Effect>) {
+    match event {
+        Event::Started => fleet::started(&state.fleet, out),
+        Event::Request { caller, request } => request::offered(state, now, caller, &request, out),
+        Event::TicketsWanted { caller, count: _ } => {
+            out.push(Effect::Tickets {
+                caller,
+                tickets: Vec::new(),
+            });
+        }
+        Event::CallerGone { .. } => {}
+        Event::Reply { call, reply } => {
+            let finished = query::replied(
+                &mut state.queries,
+                &mut state.routes,
+                now,
+                call,
+                &reply,
+                out,
+            );
+            settle::settle(state, now, finished, out);
+        }
+        Event::CallFailed { call, failure } => {
+            let finished = query::call_failed(
+                &mut state.queries,
+                &mut state.routes,
+                now,
+                call,
+                failure,
+                out,
+            );
+            settle::settle(state, now, finished, out);
+        }
+        Event::Load { target, report } => {
+            route::load_reported(&mut state.routes, target, &report);
+        }
+        Event::LoadFailed { target, .. } => route::probe_failed(&mut state.routes, target),
+        Event::Timer(timer) => timer_due(state, now, timer, out),
+        Event::Peer { .. } | Event::PeerUnreachable { .. } => {}
+        Event::PlatformNote { version, body } => {
+            let accepted = fleet::note_published(&mut state.fleet, version, body, out);
+            if let Some(note) = accepted {
+                route::apply(&mut state.routes, note, 1, out);
+            }
+        }
+        Event::PlatformInstances { .. } => {}
+        Event::PlatformFailed { .. } => fleet::platform_failed(out),
+        Event::Leave => {
+            state.fleet.is_leaving = true;
+            settle::exit_if_idle(state, out);
+        }
+    }
+}
+
+fn timer_due(state: &mut State, now: Instant, timer: Timer, out: &mut Vec<Effect>) {
+    match timer {
+        Timer::Deadline(key) => request::deadline(state, now, key, out),
+        Timer::Hedge(_) | Timer::Tick => {}
+        Timer::Platform => fleet::started(&state.fleet, out),
+    }
+}
--- /dev/null
+++ b/crates/tier/src/state.rs
@@ -0,0 +1,53 @@
+//! The whole state of an instance.
+
+use admit::Admission;
+use findings::Findings;
+use fleet::FleetState;
+use model::InstanceId;
+use query::Queries;
+use route::Routes;
+use settings::Settings;
+
+/// The whole state of an instance.
+#[derive(Clone, Debug)]
+pub struct State {
+    /// Settings from the file.
+    pub settings: Settings,
+    /// Configuration and membership.
+    pub fleet: FleetState,
+    /// Fronts, services and targets.
+    pub routes: Routes,
+    /// Queries that wait or run.
+    pub queries: Queries,
+    /// The queue.
+    pub admission: Admission,
+}
+
+/// Returns the state of an instance that has just started.
+///
+/// `incarnation` must be larger than that of every earlier run of the instance.
+pub fn open(settings: Settings, incarnation: u64) -> State {
+    let id = InstanceId {
+        name: settings.instance.name.clone(),
+        incarnation,
+    };
+    State {
+        fleet: FleetState {
+            id,
+            note: None,
+            note_body: Default::default(),
+            platform_version: 0,
+            rejected: Findings::default(),
+            is_leaving: false,
+        },
+        routes: Routes::default(),
+        queries: Queries::default(),
+        admission: Admission::default(),
+        settings,
+    }
+}
+
+/// Tells whether the instance should receive new requests.
+pub fn is_ready(state: &State) -> bool {
+    state.fleet.note.is_some() && !state.fleet.is_leaving
+}
--- /dev/null
+++ b/crates/tier/src/tests.rs
@@ -0,0 +1,5 @@
+//! Tests of the whole reducer.
+
+mod fan_out;
+mod fixture;
+mod replay;
--- /dev/null
+++ b/crates/tier/src/tests/replay.rs
@@ -0,0 +1,69 @@
+//! A recorded log of events yields the same effects again.
+
+use std::time::{Duration, Instant};
+
+use model::Event;
+
+use super::fixture::{caller, calls, done, feed, fixture, note, request, settings};
+use crate::{open, reduce};
+
+/// One record of the log: the time since the start and the event.
+type Record<'a> = (Duration, Event<'a>);
+
+#[test]
+fn replaying_a_log_yields_the_same_bytes() {
+    let mut first = fixture(2);
+    feed(
+        &mut first,
+        Event::Request {
+            caller: caller(1),
+            request: request("parts"),
+        },
+    );
+    let running = calls(&first.out);
+    let note = note(1, 2);
+    let targets: Vec<_> = first.state.routes.targets.keys().collect();
+    let mut events = vec![
+        Event::Started,
+        Event::PlatformNote {
+            version: 1,
+            body: note.as_bytes(),
+        },
+    ];
+    let report = super::fixture::report(1);
+    events.extend(
+        targets
+            .into_iter()
+            .map(|target| Event::Load { target, report }),
+    );
+    events.push(Event::Request {
+        caller: caller(1),
+        request: request("parts"),
+    });
+    events.extend(running.iter().map(|call| done(call.call, b"[1]")));
+    events.push(Event::Leave);
+
+    let log: Vec<Vec<u8>> = events
+        .into_iter()
+        .zip(0..)
+        .map(|(event, index)| {
+            let record: Record<'_> = (Duration::from_millis(index), event);
+            postcard::to_stdvec(&record).expect("events can be encoded")
+        })
+        .collect();
+    let recorded = run(&log);
+    assert!(recorded.len() > log.len());
+    assert_eq!(recorded, run(&log));
+}
+
+fn run(log: &[Vec<u8>]) -> Vec<u8> {
+    let origin = Instant::now();
+    let mut state = open(settings(), 7);
+    let mut out = Vec::new();
+    for record in log {
+        let (after, event): Record<'_> =
+            postcard::from_bytes(record).expect("the log can be decoded");
+        reduce(&mut state, origin + after, event, &mut out);
+    }
+    postcard::to_stdvec(&out).expect("effects can be encoded")
+}
