--- /dev/null
+++ b/crates/balsamctl/src/main.rs
@@ -0,0 +1,2 @@
+//! balsamctl
+fn main() {}
--- /dev/null
+++ b/crates/balsamd/src/callers.rs
@@ -0,0 +1,228 @@
+//! The callers' HTTP port.
+
+use std::time::Duration;
+
+use actix::Addr;
+use actix_web::{
+    App, HttpRequest, HttpResponse, HttpServer,
+    http::{StatusCode, header::HeaderMap},
+    web,
+};
+use bytes::Bytes;
+use findings::Findings;
+use model::{Answer, NotRunReason, Outcome, Priority};
+use serde::Serialize;
+use serde_json::value::RawValue;
+use tokio::sync::oneshot;
+
+use crate::{
+    error::StartError,
+    shell::{CallerRequest, Shell},
+};
+
+const REQUEST_ID: &str = "balsam-request-id";
+const TIMEOUT: &str = "balsam-timeout-ms";
+const PRIORITY: &str = "balsam-priority";
+const SERVICE: &str = "balsam-service";
+const TICKET: &str = "balsam-ticket";
+const HEADER_PREFIX: &str = "balsam-";
+const KNOWN_HEADERS: [&str; 5] = [REQUEST_ID, TIMEOUT, PRIORITY, SERVICE, TICKET];
+
+/// Longest timeout that a header can state.
+const MAX_TIMEOUT_MS: u64 = 3_600_000;
+
+#[derive(Clone)]
+struct Context {
+    shell: Addr<Shell>,
+    body_max_bytes: usize,
+}
+
+/// Serves the callers' port until the process ends.
+///
+/// # Errors
+///
+/// Returns an error if the port cannot be opened.
+pub fn spawn(
+    shell: Addr<Shell>,
+    listen: &settings::Listen,
+    limits: &settings::Query,
+) -> Result<(), StartError> {
+    let context = Context {
+        shell,
+        body_max_bytes: limits.body_max_bytes as usize,
+    };
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(web::Data::new(context.clone()))
+            .app_data(web::PayloadConfig::new(context.body_max_bytes))
+            .route("/v1/fronts/{front}/query", web::post().to(query))
+    });
+    let server = server
+        .workers(1)
+        .disable_signals()
+        .bind(listen.callers)
+        .map_err(|error| StartError::Listen("callers", listen.callers, error))?;
+    actix_rt::spawn(server.run());
+    Ok(())
+}
+
+async fn query(
+    context: web::Data<Context>,
+    request: HttpRequest,
+    front: web::Path<String>,
+    body: Bytes,
+) -> HttpResponse {
+    let mut findings = Findings::default();
+    let headers = read_headers(request.headers(), &mut findings);
+    if let Err(error) = serde_json::from_slice::<&RawValue>(&body) {
+        findings.add("body", format!("not a JSON document: {error}"));
+    }
+    let Some(headers) = headers.filter(|_| findings.is_empty()) else {
+        return HttpResponse::BadRequest().json(findings);
+    };
+    let (reply, answer) = oneshot::channel();
+    let request = CallerRequest {
+        front: front.into_inner(),
+        headers,
+        body,
+        reply,
+    };
+    context.shell.do_send(request);
+    match answer.await {
+        Ok(answer) => respond(&answer),
+        Err(_) => HttpResponse::InternalServerError().body("the instance has stopped\n"),
+    }
+}
+
+/// The parameters of a request that its headers carry.
+#[derive(Clone, Debug)]
+pub struct Headers {
+    /// Identifier that the answer repeats.
+    pub request_id: String,
+    /// Time that the caller is willing to wait.
+    pub timeout: Duration,
+    /// Importance under overload.
+    pub priority: Priority,
+    /// The only service to ask.
+    pub service: Option<String>,
+    /// Ticket of a request that runs at most once.
+    pub ticket: Option<String>,
+}
+
+fn read_headers(headers: &HeaderMap, findings: &mut Findings) -> Option<Headers> {
+    report_unknown(headers, findings);
+    let request_id = text(headers, REQUEST_ID, findings).unwrap_or_default();
+    let service = text(headers, SERVICE, findings);
+    let ticket = text(headers, TICKET, findings);
+    let priority = match text(headers, PRIORITY, findings) {
+        None => Priority::Normal,
+        Some(word) => match word {
+            "urgent" => Priority::Urgent,
+            "normal" => Priority::Normal,
+            "deferrable" => Priority::Deferrable,
+            _ => {
+                findings.add(PRIORITY, "expected urgent, normal or deferrable");
+                return None;
+            }
+        },
+    };
+    let timeout_ms = text(headers, TIMEOUT, findings).and_then(|text| text.parse().ok());
+    let Some(timeout_ms) = timeout_ms.filter(|ms| (1..=MAX_TIMEOUT_MS).contains(ms)) else {
+        findings.add(
+            TIMEOUT,
+            format!("expected a whole number from 1 to {MAX_TIMEOUT_MS}"),
+        );
+        return None;
+    };
+    Some(Headers {
+        request_id: request_id.to_owned(),
+        timeout: Duration::from_millis(timeout_ms),
+        priority,
+        service: service.map(str::to_owned),
+        ticket: ticket.map(str::to_owned),
+    })
+}
+
+fn report_unknown(headers: &HeaderMap, findings: &mut Findings) {
+    for name in headers.keys() {
+        let name = name.as_str();
+        if name.starts_with(HEADER_PREFIX) && !KNOWN_HEADERS.contains(&name) {
+            findings.add(name, "unknown header");
+        }
+        if name.starts_with(HEADER_PREFIX) && headers.get_all(name).count() > 1 {
+            findings.add(name, "the header is given more than once");
+        }
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str, findings: &mut Findings) -> Option<&'a str> {
+    let value = headers.get(name)?;
+    let Ok(text) = value.to_str() else {
+        findings.add(name, "not a visible ASCII text");
+        return None;
+    };
+    Some(text)
+}
+
+#[derive(Serialize)]
+struct AnswerBody<'a> {
+    request_id: &'a str,
+    outcome: &'a Outcome,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    message: Option<String>,
+    snapshot: Option<u64>,
+    coverage: &'a model::Coverage,
+    results: Vec<ResultBody<'a>>,
+}
+
+#[derive(Serialize)]
+struct ResultBody<'a> {
+    service: &'a str,
+    body: &'a RawValue,
+}
+
+fn respond(answer: &Answer) -> HttpResponse {
+    let results = answer.results.iter().filter_map(|result| {
+        let body = serde_json::from_slice(&result.body).ok()?;
+        Some(ResultBody {
+            service: &result.service,
+            body,
+        })
+    });
+    let body = AnswerBody {
+        request_id: &answer.request_id,
+        outcome: &answer.outcome,
+        message: message(&answer.outcome),
+        snapshot: answer.snapshot,
+        coverage: &answer.coverage,
+        results: results.collect(),
+    };
+    HttpResponse::build(status(&answer.outcome)).json(body)
+}
+
+fn message(outcome: &Outcome) -> Option<String> {
+    match outcome {
+        Outcome::Ran => None,
+        Outcome::NotRun(reason) => Some(reason.to_string()),
+        Outcome::Unknown(reason) => Some(reason.to_string()),
+    }
+}
+
+fn status(outcome: &Outcome) -> StatusCode {
+    match outcome {
+        Outcome::Ran => StatusCode::OK,
+        Outcome::Unknown(_) => StatusCode::GATEWAY_TIMEOUT,
+        Outcome::NotRun(reason) => match reason {
+            NotRunReason::UnknownFront | NotRunReason::UnknownService => StatusCode::NOT_FOUND,
+            NotRunReason::ServiceRequired | NotRunReason::BadTicket => StatusCode::BAD_REQUEST,
+            NotRunReason::TicketExpired => StatusCode::GONE,
+            NotRunReason::Quarantined => StatusCode::UNPROCESSABLE_ENTITY,
+            NotRunReason::DeadlinePassed => StatusCode::REQUEST_TIMEOUT,
+            NotRunReason::NoConfiguration
+            | NotRunReason::Overloaded
+            | NotRunReason::NoTarget
+            | NotRunReason::Declined
+            | NotRunReason::Leaving => StatusCode::SERVICE_UNAVAILABLE,
+        },
+    }
+}
--- /dev/null
+++ b/crates/balsamd/src/commands.rs
@@ -0,0 +1,93 @@
+//! The command line.
+
+use std::{fs, path::PathBuf, process::ExitCode};
+
+use bpaf::{Parser, construct, long};
+use findings::Findings;
+use settings::Settings;
+
+use crate::{error::StartError, shell};
+
+/// Exit code of a faulty settings file.
+const EXIT_SETTINGS: u8 = 2;
+
+/// What the process is asked to do.
+#[derive(Clone, Debug)]
+pub enum Command {
+    /// Serve until asked to shut down.
+    Run {
+        /// The settings file.
+        settings: PathBuf,
+    },
+    /// Report every finding of a settings file.
+    Check {
+        /// The settings file.
+        settings: PathBuf,
+    },
+}
+
+/// Reads the command line; exits with a message if it is wrong.
+pub fn parse() -> Command {
+    command()
+        .to_options()
+        .version(env!("CARGO_PKG_VERSION"))
+        .descr("Entry instance")
+        .run()
+}
+
+/// Runs a command to its end.
+pub fn run(command: Command) -> ExitCode {
+    let (path, is_check) = match command {
+        Command::Run { settings } => (settings, false),
+        Command::Check { settings } => (settings, true),
+    };
+    let settings = match read_settings(&path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprint!("{error}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if is_check {
+        println!("{}: no findings", path.display());
+        return ExitCode::SUCCESS;
+    }
+    match shell::run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("error: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn command() -> impl Parser<Command> {
+    let check = {
+        let settings = settings_path();
+        construct!(Command::Check { settings })
+            .to_options()
+            .descr("Report every finding of a settings file")
+            .command("check")
+    };
+    let run = {
+        let settings = settings_path();
+        construct!(Command::Run { settings })
+    };
+    construct!([check, run])
+}
+
+fn settings_path() -> impl Parser<PathBuf> {
+    long("settings")
+        .help("Settings file, JSON")
+        .argument::<PathBuf>("FILE")
+}
+
+fn read_settings(path: &PathBuf) -> Result<Settings, StartError> {
+    let document = fs::read_to_string(path)
+        .map_err(|error| StartError::SettingsFile(path.display().to_string(), error))?;
+    let mut findings = Findings::default();
+    match settings::read(&document, &mut findings) {
+        Some(settings) => Ok(settings),
+        None => Err(StartError::Settings(path.display().to_string(), findings)),
+    }
+}
--- /dev/null
+++ b/crates/balsamd/src/effects.rs
@@ -0,0 +1,85 @@
+//! Runs the effects of the reducer.
+
+use actix::{Addr, System};
+use model::Effect;
+
+use crate::{
+    logs, metrics, peers, platform,
+    shell::{CallEnded, Shell},
+    targets,
+};
+
+/// Runs one effect.
+pub fn run(shell: &mut Shell, address: &Addr<Shell>, effect: Effect) {
+    match effect {
+        Effect::Call(call) => match shell.pools.get(call.target) {
+            Some(pool) => targets::spawn_call(address, pool, &call, &shell.origin),
+            None => {
+                let result = Err(model::CallFailure::NotSent);
+                address.do_send(CallEnded {
+                    call: call.call,
+                    result,
+                });
+            }
+        },
+        Effect::Cancel { call, target } => {
+            let Some(pool) = shell.pools.get(target) else {
+                return;
+            };
+            targets::spawn_cancel(pool, call, &shell.origin);
+        }
+        Effect::Answer { caller, answer } => {
+            let Some(reply) = shell.callers.remove(caller) else {
+                return;
+            };
+            // The caller may have closed its connection; then nobody needs the answer.
+            let _ = reply.send(*answer);
+        }
+        Effect::Tickets { .. } => {}
+        Effect::Pool {
+            target,
+            address,
+            connections_count,
+        } => {
+            if connections_count == 0 {
+                shell.pools.remove(target);
+                return;
+            }
+            shell
+                .pools
+                .insert(target, targets::open(address, connections_count));
+        }
+        Effect::AskLoad {
+            target,
+            connections_count,
+        } => {
+            let Some(pool) = shell.pools.get(target) else {
+                return;
+            };
+            targets::spawn_probe(address, pool, target, connections_count);
+        }
+        Effect::Send {
+            address: peer,
+            message,
+        } => {
+            peers::send(&mut shell.outboxes, address, peer, &message);
+        }
+        Effect::ReadPlatform(read) => {
+            let settings = &shell.state.settings.platform;
+            platform::spawn_read(address, &shell.platform, settings, read);
+        }
+        Effect::SetTimer { timer, after } => {
+            let Some(timers) = &shell.timers else { return };
+            // The task that keeps the timers lives as long as the shell.
+            let _ = timers.send((timer, after));
+        }
+        Effect::Log(line) => logs::write(&line),
+        Effect::Count {
+            counter,
+            amount_count,
+        } => {
+            metrics::add(&mut shell.metrics, counter, amount_count);
+        }
+        Effect::Exit => System::current().stop(),
+    }
+}
--- /dev/null
+++ b/crates/balsamd/src/operators.rs
@@ -0,0 +1,74 @@
+//! The operators' HTTP port: liveness, readiness, metrics and the state of the process.
+
+use actix::Addr;
+use actix_web::{App, HttpResponse, HttpServer, web};
+use prometheus::Registry;
+
+use crate::{
+    error::StartError,
+    metrics,
+    shell::{DumpWanted, ReadyWanted, Shell},
+};
+
+#[derive(Clone)]
+struct Context {
+    shell: Addr<Shell>,
+    registry: Registry,
+}
+
+/// Serves the operators' port until the process ends.
+///
+/// # Errors
+///
+/// Returns an error if the port cannot be opened.
+pub fn spawn(
+    shell: Addr<Shell>,
+    registry: Registry,
+    listen: &settings::Listen,
+) -> Result<(), StartError> {
+    let context = Context { shell, registry };
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(web::Data::new(context.clone()))
+            .route("/live", web::get().to(live))
+            .route("/ready", web::get().to(ready))
+            .route("/metrics", web::get().to(export_metrics))
+            .route("/state", web::get().to(state))
+    });
+    let server = server
+        .workers(1)
+        .disable_signals()
+        .bind(listen.operators)
+        .map_err(|error| StartError::Listen("operators", listen.operators, error))?;
+    actix_rt::spawn(server.run());
+    Ok(())
+}
+
+async fn live() -> HttpResponse {
+    HttpResponse::Ok().body("live\n")
+}
+
+async fn ready(context: web::Data<Context>) -> HttpResponse {
+    match context.shell.send(ReadyWanted).await {
+        Ok(true) => HttpResponse::Ok().body("ready\n"),
+        _ => HttpResponse::ServiceUnavailable().body("not ready\n"),
+    }
+}
+
+async fn export_metrics(context: web::Data<Context>) -> HttpResponse {
+    match metrics::export(&context.registry) {
+        Ok(text) => HttpResponse::Ok()
+            .content_type("text/plain; version=0.0.4")
+            .body(text),
+        Err(error) => HttpResponse::InternalServerError().body(error.to_string()),
+    }
+}
+
+async fn state(context: web::Data<Context>) -> HttpResponse {
+    match context.shell.send(DumpWanted).await {
+        Ok(dump) => HttpResponse::Ok()
+            .content_type("application/json")
+            .body(dump),
+        Err(error) => HttpResponse::InternalServerError().body(error.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/balsamd/src/shell.rs
@@ -0,0 +1,340 @@
+//! The actor that owns the reducer's state, and the messages that bring events to it.
+
+use std::{borrow::Cow, net::SocketAddr, time::SystemTime};
+
+use actix::{Actor, AsyncContext, Context, Handler, Message, System};
+use awc::Client;
+use bytes::Bytes;
+use model::{
+    CallFailure, CallKey, CallerKey, Effect, Event, Kind, LoadReport, PlatformFailure,
+    PlatformRead, ReplyView, RequestView, TargetKey, Timer,
+};
+use settings::Settings;
+use slotmap::{SecondaryMap, SlotMap};
+use tier::State;
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+    sync::oneshot,
+};
+
+use crate::{
+    callers::{self, Headers},
+    clock::{self, Clock},
+    effects,
+    error::StartError,
+    logs,
+    metrics::{self, Metrics},
+    operators,
+    peers::{self, Outboxes},
+    targets::{Pool, TargetReply},
+    timers::{self, Timers},
+};
+
+/// The actor: the reducer's state and what its effects need.
+pub struct Shell {
+    pub(crate) state: State,
+    pub(crate) clock: Clock,
+    pub(crate) metrics: Metrics,
+    pub(crate) timers: Option<Timers>,
+    pub(crate) callers: SlotMap<CallerKey, oneshot::Sender<model::Answer>>,
+    pub(crate) pools: SecondaryMap<TargetKey, Pool>,
+    pub(crate) outboxes: Outboxes,
+    pub(crate) platform: Client,
+    pub(crate) origin: String,
+    effects: Vec<Effect>,
+}
+
+/// Serves until the reducer asks for the end of the process.
+///
+/// # Errors
+///
+/// Returns an error if a port cannot be opened.
+pub fn run(settings: Settings) -> Result<(), StartError> {
+    logs::open();
+    let system = System::new();
+    system.block_on(start(settings))?;
+    system.run().map_err(StartError::Serve)
+}
+
+async fn start(settings: Settings) -> Result<(), StartError> {
+    let listen = settings.listen.clone();
+    let limits = settings.query.clone();
+    let metrics = metrics::open()?;
+    let registry = metrics::registry(&metrics);
+    let incarnation = incarnation();
+    let origin = format!("{}:{incarnation}", settings.instance.name);
+    let peers = TcpListener::bind(listen.peers)
+        .await
+        .map_err(|error| StartError::Listen("peers", listen.peers, error))?;
+    let shell = Shell {
+        state: tier::open(settings, incarnation),
+        clock: clock::system(),
+        metrics,
+        timers: None,
+        callers: SlotMap::with_key(),
+        pools: SecondaryMap::new(),
+        outboxes: Outboxes::new(),
+        platform: Client::builder().disable_redirects().finish(),
+        origin,
+        effects: Vec::new(),
+    };
+    let address = shell.start();
+    callers::spawn(address.clone(), &listen, &limits)?;
+    operators::spawn(address.clone(), registry, &listen)?;
+    peers::spawn_listener(address.clone(), peers);
+    spawn_signals(address)
+}
+
+/// Returns a number larger than that of any earlier run, as far as the machine's clock permits.
+fn incarnation() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since_epoch.map_or(1, |age| u64::try_from(age.as_micros()).unwrap_or(u64::MAX))
+}
+
+fn spawn_signals(shell: actix::Addr<Shell>) -> Result<(), StartError> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(StartError::Serve)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(StartError::Serve)?;
+    actix_rt::spawn(async move {
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+            shell.do_send(LeaveWanted);
+        }
+    });
+    Ok(())
+}
+
+impl Actor for Shell {
+    type Context = Context<Shell>;
+
+    fn started(&mut self, context: &mut Self::Context) {
+        self.timers = Some(timers::spawn(context.address()));
+        handle(self, context, Event::Started);
+    }
+}
+
+/// Passes one event to the reducer and runs the effects.
+fn handle(shell: &mut Shell, context: &mut Context<Shell>, event: Event<'_>) {
+    let now = (shell.clock.now)();
+    let mut out = std::mem::take(&mut shell.effects);
+    tier::reduce(&mut shell.state, now, event, &mut out);
+    let address = context.address();
+    for effect in out.drain(..) {
+        effects::run(shell, &address, effect);
+    }
+    shell.effects = out;
+}
+
+/// A caller's request.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct CallerRequest {
+    /// Name of the front.
+    pub front: String,
+    /// Parameters.
+    pub headers: Headers,
+    /// The query.
+    pub body: Bytes,
+    /// Where the answer goes.
+    pub reply: oneshot::Sender<model::Answer>,
+}
+
+impl Handler<CallerRequest> for Shell {
+    type Result = ();
+
+    fn handle(&mut self, message: CallerRequest, context: &mut Self::Context) {
+        let caller = self.callers.insert(message.reply);
+        let headers = &message.headers;
+        let kind = match headers.ticket.as_deref() {
+            None => Kind::Idempotent,
+            Some(ticket) => Kind::Once { ticket },
+        };
+        let request = RequestView {
+            request_id: &headers.request_id,
+            front: &message.front,
+            service: headers.service.as_deref(),
+            priority: headers.priority,
+            kind,
+            timeout: headers.timeout,
+            body: &message.body,
+        };
+        handle(self, context, Event::Request { caller, request });
+    }
+}
+
+/// The end of a call to a target.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct CallEnded {
+    /// The call.
+    pub call: CallKey,
+    /// The reply or the failure.
+    pub result: Result<TargetReply, CallFailure>,
+}
+
+impl Handler<CallEnded> for Shell {
+    type Result = ();
+
+    fn handle(&mut self, message: CallEnded, context: &mut Self::Context) {
+        let call = message.call;
+        match &message.result {
+            Ok(reply) => {
+                let reply = ReplyView {
+                    status: reply.status,
+                    snapshot: reply.snapshot,
+                    body: &reply.body,
+                    load: reply.load,
+                };
+                handle(self, context, Event::Reply { call, reply });
+            }
+            &Err(failure) => handle(self, context, Event::CallFailed { call, failure }),
+        }
+    }
+}
+
+/// The end of a load probe.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct LoadAnswered {
+    /// The target.
+    pub target: TargetKey,
+    /// The report or the failure.
+    pub result: Result<LoadReport, CallFailure>,
+}
+
+impl Handler<LoadAnswered> for Shell {
+    type Result = ();
+
+    fn handle(&mut self, message: LoadAnswered, context: &mut Self::Context) {
+        let target = message.target;
+        let event = match message.result {
+            Ok(report) => Event::Load { target, report },
+            Err(failure) => Event::LoadFailed { target, failure },
+        };
+        handle(self, context, event);
+    }
+}
+
+/// A timer that is due.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct TimerDue(pub Timer);
+
+impl Handler<TimerDue> for Shell {
+    type Result = ();
+
+    fn handle(&mut self, message: TimerDue, context: &mut Self::Context) {
+        handle(self, context, Event::Timer(message.0));
+    }
+}
+
+/// A message of another instance.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct PeerMessage(pub model::Message);
+
+impl Handler<PeerMessage> for Shell {
+    type Result = ();
+
+    fn handle(&mut self, message: PeerMessage, context: &mut Self::Context) {
+        handle(
+            self,
+            context,
+            Event::Peer {
+                message: Cow::Borrowed(&message.0),
+            },
+        );
+    }
+}
+
+/// The loss of the connection to another instance.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct PeerUnreachable(pub SocketAddr);
+
+impl Handler<PeerUnreachable> for Shell {
+    type Result = ();
+
+    fn handle(&mut self, message: PeerUnreachable, context: &mut Self::Context) {
+        handle(self, context, Event::PeerUnreachable { address: message.0 });
+    }
+}
+
+/// A value of the platform.
+#[derive(Clone, Debug)]
+pub struct PlatformValue {
+    /// The platform's version of the value.
+    pub version: u64,
+    /// The value.
+    pub body: Bytes,
+}
+
+/// The end of a read of the platform.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct PlatformAnswer {
+    /// The read.
+    pub read: PlatformRead,
+    /// The value or the failure.
+    pub result: Result<PlatformValue, PlatformFailure>,
+}
+
+impl Handler<PlatformAnswer> for Shell {
+    type Result = ();
+
+    fn handle(&mut self, message: PlatformAnswer, context: &mut Self::Context) {
+        let read = message.read;
+        let event = match (&message.result, read) {
+            (&Err(failure), _) => Event::PlatformFailed { read, failure },
+            (Ok(value), PlatformRead::WatchNote { .. }) => Event::PlatformNote {
+                version: value.version,
+                body: &value.body,
+            },
+            (Ok(value), PlatformRead::Instances) => Event::PlatformInstances { body: &value.body },
+        };
+        handle(self, context, event);
+    }
+}
+
+/// A signal to shut down.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct LeaveWanted;
+
+impl Handler<LeaveWanted> for Shell {
+    type Result = ();
+
+    fn handle(&mut self, _: LeaveWanted, context: &mut Self::Context) {
+        handle(self, context, Event::Leave);
+    }
+}
+
+/// Asks whether the instance is ready to serve.
+#[derive(Debug, Message)]
+#[rtype(result = "bool")]
+pub struct ReadyWanted;
+
+impl Handler<ReadyWanted> for Shell {
+    type Result = bool;
+
+    fn handle(&mut self, _: ReadyWanted, _: &mut Self::Context) -> bool {
+        tier::is_ready(&self.state)
+    }
+}
+
+/// Asks for the state of the process in JSON.
+#[derive(Debug, Message)]
+#[rtype(result = "String")]
+pub struct DumpWanted;
+
+impl Handler<DumpWanted> for Shell {
+    type Result = String;
+
+    fn handle(&mut self, _: DumpWanted, _: &mut Self::Context) -> String {
+        let dump = serde_json::to_string_pretty(&tier::dump(&self.state));
+        dump.unwrap_or_else(|error| format!("{{\"error\": \"{error}\"}}"))
+    }
+}
--- /dev/null
+++ b/crates/balsamload/src/main.rs
@@ -0,0 +1,2 @@
+//! balsamload
+fn main() {}
--- /dev/null
+++ b/crates/wire/src/decode.rs
@@ -0,0 +1,176 @@
+//! From the bytes of a frame to a message.
+
+use std::{net::SocketAddr, time::Duration};
+
+use displaydoc::Display;
+use model::{
+    Answer, Coverage, Digest, ForwardedRequest, InstanceId, MemberRow, MemberState, Message,
+    Missing, Outcome, Priority, QuarantineRow, ShardResult,
+};
+use prost::Message as _;
+use serde::Deserialize;
+
+use crate::{
+    generated::{self, frame},
+    word::from_word,
+};
+
+/// Why the bytes are not a message.
+#[derive(Clone, Debug, PartialEq, Eq, Display)]
+pub enum DecodeError {
+    /// not a protobuf frame: {0}
+    Protobuf(String),
+    /// the field `{0}` is missing
+    Missing(&'static str),
+    /// the field `{0}` has an invalid value
+    Invalid(&'static str),
+}
+
+impl std::error::Error for DecodeError {}
+
+/// Decodes a message.
+///
+/// # Errors
+///
+/// Returns an error if the bytes are not a frame or a required part is missing or invalid.
+pub fn decode(bytes: &[u8]) -> Result<Message, DecodeError> {
+    let frame = generated::Frame::decode(bytes);
+    let frame = frame.map_err(|error| DecodeError::Protobuf(error.to_string()))?;
+    let message = match frame.message.ok_or(DecodeError::Missing("message"))? {
+        frame::Message::Digest(digest) => Message::Digest(decode_digest(digest)?),
+        frame::Message::NoteWanted(wanted) => Message::NoteWanted {
+            reply_to: decode_address(&wanted.reply_to, "reply_to")?,
+            at_least_revision: wanted.at_least_revision,
+        },
+        frame::Message::Note(note) => Message::Note {
+            revision: note.revision,
+            body: note.body,
+        },
+        frame::Message::Forward(forward) => Message::Forward(decode_forward(forward)?),
+        frame::Message::ForwardAnswer(forward) => Message::ForwardAnswer {
+            forward_id: forward.forward_id,
+            answer: Box::new(decode_answer(
+                forward.answer.ok_or(DecodeError::Missing("answer"))?,
+            )?),
+        },
+    };
+    Ok(message)
+}
+
+fn decode_digest(digest: generated::Digest) -> Result<Digest, DecodeError> {
+    let members: Result<_, _> = digest.members.into_iter().map(decode_member).collect();
+    Ok(Digest {
+        from: decode_member(digest.from.ok_or(DecodeError::Missing("from"))?)?,
+        sequence: digest.sequence,
+        wants_reply: digest.wants_reply,
+        revision: digest.revision,
+        freshness_age: Duration::from_millis(digest.freshness_age_ms),
+        members: members?,
+        quarantine: digest
+            .quarantine
+            .into_iter()
+            .map(decode_quarantine)
+            .collect(),
+    })
+}
+
+fn decode_member(member: generated::Member) -> Result<MemberRow, DecodeError> {
+    let state = match member.state() {
+        generated::MemberState::Unspecified => return Err(DecodeError::Invalid("state")),
+        generated::MemberState::Alive => MemberState::Alive,
+        generated::MemberState::Suspected => MemberState::Suspected,
+        generated::MemberState::Leaving => MemberState::Leaving,
+        generated::MemberState::Gone => MemberState::Gone,
+    };
+    Ok(MemberRow {
+        id: InstanceId {
+            name: member.name,
+            incarnation: member.incarnation,
+        },
+        address: decode_address(&member.address, "address")?,
+        zone: member.zone,
+        counter: member.counter,
+        state,
+    })
+}
+
+fn decode_quarantine(row: generated::Quarantine) -> QuarantineRow {
+    QuarantineRow {
+        fingerprint: row.fingerprint,
+        strikes_count: row.strikes_count,
+        remaining: Duration::from_millis(row.remaining_ms),
+    }
+}
+
+fn decode_forward(forward: generated::Forward) -> Result<ForwardedRequest, DecodeError> {
+    let priority = match forward.priority() {
+        generated::Priority::Unspecified => return Err(DecodeError::Invalid("priority")),
+        generated::Priority::Urgent => Priority::Urgent,
+        generated::Priority::Normal => Priority::Normal,
+        generated::Priority::Deferrable => Priority::Deferrable,
+    };
+    Ok(ForwardedRequest {
+        reply_to: decode_address(&forward.reply_to, "reply_to")?,
+        forward_id: forward.forward_id,
+        request_id: forward.request_id,
+        front: forward.front,
+        service: forward.service,
+        priority,
+        ticket: forward.ticket,
+        timeout: Duration::from_millis(forward.timeout_ms),
+        body: forward.body,
+    })
+}
+
+fn decode_answer(answer: generated::Answer) -> Result<Answer, DecodeError> {
+    let outcome = decode_outcome(answer.outcome_state(), &answer.outcome_reason)?;
+    let missing: Result<_, _> = answer.missing.into_iter().map(decode_missing).collect();
+    let results = answer.results.into_iter().map(|result| ShardResult {
+        service: result.service.into(),
+        body: result.body,
+    });
+    let coverage = Coverage {
+        answered_count: answer.answered_count,
+        total_count: answer.total_count,
+        missing: missing?,
+    };
+    Ok(Answer {
+        request_id: answer.request_id,
+        outcome,
+        snapshot: answer.snapshot,
+        coverage,
+        results: results.collect(),
+    })
+}
+
+fn decode_outcome(state: generated::OutcomeState, reason: &str) -> Result<Outcome, DecodeError> {
+    match state {
+        generated::OutcomeState::Unspecified => Err(DecodeError::Invalid("outcome_state")),
+        generated::OutcomeState::Ran => Ok(Outcome::Ran),
+        generated::OutcomeState::NotRun => {
+            decode_word(reason, "outcome_reason").map(Outcome::NotRun)
+        }
+        generated::OutcomeState::Unknown => {
+            decode_word(reason, "outcome_reason").map(Outcome::Unknown)
+        }
+    }
+}
+
+fn decode_missing(missing: generated::MissingService) -> Result<Missing, DecodeError> {
+    let reason = decode_word(&missing.reason, "reason")?;
+    Ok(Missing {
+        service: missing.service.into(),
+        reason,
+    })
+}
+
+fn decode_word<'a, T: Deserialize<'a>>(
+    word: &'a str,
+    field: &'static str,
+) -> Result<T, DecodeError> {
+    from_word(word).ok_or(DecodeError::Invalid(field))
+}
+
+fn decode_address(text: &str, field: &'static str) -> Result<SocketAddr, DecodeError> {
+    text.parse().map_err(|_| DecodeError::Invalid(field))
+}
--- /dev/null
+++ b/crates/wire/src/encode.rs
@@ -0,0 +1,138 @@
+//! From a message to the bytes of its frame.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use model::{
+    Answer, Digest, ForwardedRequest, MemberRow, MemberState, Message, Outcome, Priority,
+    QuarantineRow,
+};
+use prost::Message as _;
+
+use crate::{
+    generated::{self, frame},
+    word::to_word,
+};
+
+/// Encodes a message.
+pub fn encode(message: &Message) -> Bytes {
+    let message = match message {
+        Message::Digest(digest) => frame::Message::Digest(encode_digest(digest)),
+        Message::NoteWanted {
+            reply_to,
+            at_least_revision,
+        } => frame::Message::NoteWanted(generated::NoteWanted {
+            reply_to: reply_to.to_string(),
+            at_least_revision: *at_least_revision,
+        }),
+        Message::Note { revision, body } => frame::Message::Note(generated::Note {
+            revision: *revision,
+            body: body.clone(),
+        }),
+        Message::Forward(request) => frame::Message::Forward(encode_forward(request)),
+        Message::ForwardAnswer { forward_id, answer } => {
+            frame::Message::ForwardAnswer(generated::ForwardAnswer {
+                forward_id: *forward_id,
+                answer: Some(encode_answer(answer)),
+            })
+        }
+    };
+    generated::Frame {
+        message: Some(message),
+    }
+    .encode_to_vec()
+    .into()
+}
+
+fn encode_digest(digest: &Digest) -> generated::Digest {
+    generated::Digest {
+        from: Some(encode_member(&digest.from)),
+        sequence: digest.sequence,
+        wants_reply: digest.wants_reply,
+        revision: digest.revision,
+        freshness_age_ms: to_ms(digest.freshness_age),
+        members: digest.members.iter().map(encode_member).collect(),
+        quarantine: digest.quarantine.iter().map(encode_quarantine).collect(),
+    }
+}
+
+fn encode_member(row: &MemberRow) -> generated::Member {
+    let state = match row.state {
+        MemberState::Alive => generated::MemberState::Alive,
+        MemberState::Suspected => generated::MemberState::Suspected,
+        MemberState::Leaving => generated::MemberState::Leaving,
+        MemberState::Gone => generated::MemberState::Gone,
+    };
+    generated::Member {
+        name: row.id.name.clone(),
+        incarnation: row.id.incarnation,
+        address: row.address.to_string(),
+        zone: row.zone.clone(),
+        counter: row.counter,
+        state: state.into(),
+    }
+}
+
+fn encode_quarantine(row: &QuarantineRow) -> generated::Quarantine {
+    generated::Quarantine {
+        fingerprint: row.fingerprint,
+        strikes_count: row.strikes_count,
+        remaining_ms: to_ms(row.remaining),
+    }
+}
+
+fn encode_forward(request: &ForwardedRequest) -> generated::Forward {
+    let priority = match request.priority {
+        Priority::Urgent => generated::Priority::Urgent,
+        Priority::Normal => generated::Priority::Normal,
+        Priority::Deferrable => generated::Priority::Deferrable,
+    };
+    generated::Forward {
+        reply_to: request.reply_to.to_string(),
+        forward_id: request.forward_id,
+        request_id: request.request_id.clone(),
+        front: request.front.clone(),
+        service: request.service.clone(),
+        priority: priority.into(),
+        ticket: request.ticket.clone(),
+        timeout_ms: to_ms(request.timeout),
+        body: request.body.clone(),
+    }
+}
+
+fn encode_answer(answer: &Answer) -> generated::Answer {
+    let (state, reason) = match &answer.outcome {
+        Outcome::Ran => (generated::OutcomeState::Ran, String::new()),
+        Outcome::NotRun(reason) => (generated::OutcomeState::NotRun, to_word(reason)),
+        Outcome::Unknown(reason) => (generated::OutcomeState::Unknown, to_word(reason)),
+    };
+    let missing = answer
+        .coverage
+        .missing
+        .iter()
+        .map(|missing| generated::MissingService {
+            service: missing.service.to_string(),
+            reason: to_word(&missing.reason),
+        });
+    let results = answer
+        .results
+        .iter()
+        .map(|result| generated::ServiceResult {
+            service: result.service.to_string(),
+            body: result.body.clone(),
+        });
+    generated::Answer {
+        request_id: answer.request_id.clone(),
+        outcome_state: state.into(),
+        outcome_reason: reason,
+        snapshot: answer.snapshot,
+        answered_count: answer.coverage.answered_count,
+        total_count: answer.coverage.total_count,
+        missing: missing.collect(),
+        results: results.collect(),
+    }
+}
+
+fn to_ms(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
