Add the regular tick with detection of pauses

Cause: membership, probes and expiry need one regular event, and a process that slept has to notice before it acts on old knowledge. Change: the reducer sets Timer::Tick for itself and compares the time of each tick with the time it was due. Conclusion: a late tick is counted and logged; the areas do not react yet.

--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -13,6 +13,7 @@
 mod request;
 mod settle;
 mod state;
+mod tick;
 
 #[cfg(test)]
 mod tests;
--- a/crates/tier/src/reduce.rs
+++ b/crates/tier/src/reduce.rs
@@ -4,12 +4,15 @@
 
 use model::{Effect, Event, Timer};
 
-use crate::{State, request, settle};
+use crate::{State, request, settle, tick};
 
 /// Takes in one event at a time and appends the effects that follow from it.
 pub fn reduce(state: &mut State, now: Instant, event: Event<'_>, out: &mut Vec<Effect>) {
     match event {
-        Event::Started => fleet::started(&state.fleet, out),
+        Event::Started => {
+            tick::started(state, now, out);
+            fleet::started(&state.fleet, out);
+        }
         Event::Request { caller, request } => request::offered(state, now, caller, &request, out),
         Event::TicketsWanted { caller, count: _ } => {
             out.push(Effect::Tickets {
@@ -64,7 +67,8 @@
 fn timer_due(state: &mut State, now: Instant, timer: Timer, out: &mut Vec<Effect>) {
     match timer {
         Timer::Deadline(key) => request::deadline(state, now, key, out),
-        Timer::Hedge(_) | Timer::Tick => {}
+        Timer::Hedge(_) => {}
+        Timer::Tick => tick::due(state, now, out),
         Timer::Platform => fleet::started(&state.fleet, out),
     }
 }
--- a/crates/tier/src/state.rs
+++ b/crates/tier/src/state.rs
@@ -1,5 +1,7 @@
 //! The whole state of an instance.
 
+use std::time::Instant;
+
 use admit::Admission;
 use findings::Findings;
 use fleet::FleetState;
@@ -21,6 +23,8 @@
     pub queries: Queries,
     /// The queue.
     pub admission: Admission,
+    /// When the last tick ran.
+    pub last_tick: Option<Instant>,
 }
 
 /// Returns the state of an instance that has just started.
@@ -43,6 +47,7 @@
         routes: Routes::default(),
         queries: Queries::default(),
         admission: Admission::default(),
+        last_tick: None,
         settings,
     }
 }
--- /dev/null
+++ b/crates/tier/src/tick.rs
@@ -0,0 +1,46 @@
+//! The regular tick, and the detection of pauses of the process.
+
+use std::time::Instant;
+
+use model::{Counter, Effect, Level, LogLine, Timer};
+
+use crate::State;
+
+/// Sets the first tick.
+pub(crate) fn started(state: &mut State, now: Instant, out: &mut Vec<Effect>) {
+    state.last_tick = Some(now);
+    out.push(Effect::SetTimer {
+        timer: Timer::Tick,
+        after: state.settings.fleet.tick,
+    });
+}
+
+/// Runs the regular work of every area and sets the next tick.
+pub(crate) fn due(state: &mut State, now: Instant, out: &mut Vec<Effect>) {
+    notice_pause(state, now, out);
+    state.last_tick = Some(now);
+    out.push(Effect::SetTimer {
+        timer: Timer::Tick,
+        after: state.settings.fleet.tick,
+    });
+}
+
+/// Counts a pause if the tick is later than the threshold allows.
+fn notice_pause(state: &State, now: Instant, out: &mut Vec<Effect>) {
+    let Some(last_tick) = state.last_tick else {
+        return;
+    };
+    let fleet = &state.settings.fleet;
+    let late_by = now.saturating_duration_since(last_tick + fleet.tick);
+    if late_by < fleet.pause_threshold {
+        return;
+    }
+    out.push(Effect::Count {
+        counter: Counter::Pauses,
+        amount_count: 1,
+    });
+    let late_ms = u64::try_from(late_by.as_millis()).unwrap_or(u64::MAX);
+    out.push(Effect::Log(
+        LogLine::new(Level::Warn, "process-paused").with("late_ms", late_ms),
+    ));
+}
