--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,6 +10,9 @@
 mod generated;
 mod word;
 
+#[cfg(test)]
+mod tests;
+
 pub use decode::{DecodeError, decode};
 pub use encode::encode;
 use tokio_util::codec::LengthDelimitedCodec;
--- /dev/null
+++ b/crates/wire/src/tests.rs
@@ -0,0 +1,215 @@
+//! Tests of the encoding.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use model::{
+    Answer, Coverage, Digest, ForwardedRequest, InstanceId, MemberRow, MemberState, Message,
+    Missing, MissingReason, NotRunReason, Outcome, Priority, QuarantineRow, ShardResult,
+    UnknownReason,
+};
+use proptest::{collection::vec, option, prelude::*, sample::select, test_runner::RngSeed};
+
+use crate::{decode, encode};
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 256,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(1),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn decoding_what_was_encoded_yields_the_same_message(message in any_message()) {
+        prop_assert_eq!(decode(&encode(&message)), Ok(message));
+    }
+
+    #[test]
+    fn a_damaged_frame_is_an_error_or_a_message(
+        message in any_message(),
+        position in any::<prop::sample::Index>(),
+        byte in any::<u8>(),
+    ) {
+        let mut frame = encode(&message).to_vec();
+        let position = position.index(frame.len());
+        frame[position] = byte;
+        if let Ok(decoded) = decode(&frame) {
+            prop_assert_eq!(decode(&encode(&decoded)), Ok(decoded));
+        }
+    }
+
+    #[test]
+    fn a_cut_frame_does_not_panic(message in any_message(), cut in any::<prop::sample::Index>()) {
+        let frame = encode(&message);
+        let cut = cut.index(frame.len());
+        let _ = decode(&frame[..cut]);
+    }
+}
+
+fn any_message() -> impl Strategy<Value = Message> {
+    let body = || vec(any::<u8>(), 0..64).prop_map(Bytes::from);
+    prop_oneof![
+        any_digest().prop_map(Message::Digest),
+        (any_address(), any::<u64>()).prop_map(|(reply_to, at_least_revision)| {
+            Message::NoteWanted {
+                reply_to,
+                at_least_revision,
+            }
+        }),
+        (any::<u64>(), body()).prop_map(|(revision, body)| Message::Note { revision, body }),
+        any_forward().prop_map(Message::Forward),
+        (any::<u64>(), any_answer()).prop_map(|(forward_id, answer)| {
+            Message::ForwardAnswer {
+                forward_id,
+                answer: Box::new(answer),
+            }
+        }),
+    ]
+}
+
+fn any_address() -> impl Strategy<Value = SocketAddr> {
+    (any::<[u8; 4]>(), any::<u16>()).prop_map(SocketAddr::from)
+}
+
+fn any_duration() -> impl Strategy<Value = Duration> {
+    any::<u32>().prop_map(|ms| Duration::from_millis(ms.into()))
+}
+
+fn any_member() -> impl Strategy<Value = MemberRow> {
+    let states = [
+        MemberState::Alive,
+        MemberState::Suspected,
+        MemberState::Leaving,
+        MemberState::Gone,
+    ];
+    (
+        ".{0,12}",
+        any::<u64>(),
+        any_address(),
+        ".{0,12}",
+        any::<u64>(),
+        select(states.to_vec()),
+    )
+        .prop_map(|(name, incarnation, address, zone, counter, state)| {
+            let id = InstanceId { name, incarnation };
+            MemberRow {
+                id,
+                address,
+                zone,
+                counter,
+                state,
+            }
+        })
+}
+
+fn any_quarantine() -> impl Strategy<Value = QuarantineRow> {
+    (any::<u64>(), any::<u32>(), any_duration()).prop_map(
+        |(fingerprint, strikes_count, remaining)| QuarantineRow {
+            fingerprint,
+            strikes_count,
+            remaining,
+        },
+    )
+}
+
+fn any_digest() -> impl Strategy<Value = Digest> {
+    (
+        any_member(),
+        any::<u64>(),
+        any::<bool>(),
+        any::<u64>(),
+        any_duration(),
+        vec(any_member(), 0..4),
+        vec(any_quarantine(), 0..4),
+    )
+        .prop_map(
+            |(from, sequence, wants_reply, revision, age, members, quarantine)| Digest {
+                from,
+                sequence,
+                wants_reply,
+                revision,
+                freshness_age: age,
+                members,
+                quarantine,
+            },
+        )
+}
+
+fn any_forward() -> impl Strategy<Value = ForwardedRequest> {
+    let priorities = [Priority::Urgent, Priority::Normal, Priority::Deferrable];
+    (
+        (any_address(), any::<u64>(), ".{0,12}", ".{0,12}"),
+        (
+            option::of(".{0,12}"),
+            select(priorities.to_vec()),
+            ".{0,24}",
+        ),
+        (any_duration(), vec(any::<u8>(), 0..64)),
+    )
+        .prop_map(|(sender, request, rest)| {
+            let (reply_to, forward_id, request_id, front) = sender;
+            let (service, priority, ticket) = request;
+            let (timeout, body) = rest;
+            ForwardedRequest {
+                reply_to,
+                forward_id,
+                request_id,
+                front,
+                service,
+                priority,
+                ticket,
+                timeout,
+                body: body.into(),
+            }
+        })
+}
+
+fn any_outcome() -> impl Strategy<Value = Outcome> {
+    let outcomes = [
+        Outcome::Ran,
+        Outcome::NotRun(NotRunReason::UnknownFront),
+        Outcome::NotRun(NotRunReason::TicketExpired),
+        Outcome::Unknown(UnknownReason::OwnerGone),
+        Outcome::Unknown(UnknownReason::ConnectionLost),
+    ];
+    select(outcomes.to_vec())
+}
+
+fn any_answer() -> impl Strategy<Value = Answer> {
+    let reasons = [
+        MissingReason::Late,
+        MissingReason::SnapshotGone,
+        MissingReason::Cold,
+    ];
+    let missing = (".{0,12}", select(reasons.to_vec())).prop_map(|(service, reason)| Missing {
+        service: service.into(),
+        reason,
+    });
+    let result = (".{0,12}", vec(any::<u8>(), 0..16)).prop_map(|(service, body)| ShardResult {
+        service: service.into(),
+        body: body.into(),
+    });
+    (
+        ".{0,12}",
+        any_outcome(),
+        option::of(any::<u64>()),
+        any::<u32>(),
+        any::<u32>(),
+        vec(missing, 0..3),
+        vec(result, 0..3),
+    )
+        .prop_map(
+            |(request_id, outcome, snapshot, answered, total, missing, results)| Answer {
+                request_id,
+                outcome,
+                snapshot,
+                coverage: Coverage {
+                    answered_count: answered,
+                    total_count: total,
+                    missing,
+                },
+                results,
+            },
+        )
+}
