Keep the words of variants in one place

Cause: four places turned a variant into its kebab-case word in their own way. Change: model::to_word and model::from_word serve the encoding of messages, the headers of targets, the metrics and the stand-ins. Conclusion: behaviour is unchanged; the encoding's tests pass.

--- a/crates/balsamd/src/metrics.rs
+++ b/crates/balsamd/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use model::Counter;
+use model::{Counter, to_word};
 use opentelemetry::metrics::{Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
@@ -66,10 +66,7 @@
     metrics.registry.clone()
 }
 
-/// Returns the name of a counter: its variant in snake case.
+/// Returns the name of a counter in snake case.
 fn name(counter: Counter) -> String {
-    match serde_json::to_value(counter) {
-        Ok(serde_json::Value::String(name)) => name.replace('-', "_"),
-        _ => format!("{counter:?}"),
-    }
+    to_word(&counter).replace('-', "_")
 }
--- a/crates/balsamd/src/targets.rs
+++ b/crates/balsamd/src/targets.rs
@@ -9,7 +9,9 @@
     error::{ConnectError, SendRequestError},
 };
 use bytes::Bytes;
-use model::{CallFailure, CallKey, LoadReport, ReplyStatus, Snapshot, TargetCall, TargetKey};
+use model::{
+    CallFailure, CallKey, LoadReport, ReplyStatus, Snapshot, TargetCall, TargetKey, from_word,
+};
 use slotmap::Key;
 
 use crate::shell::{CallEnded, LoadAnswered, Shell};
@@ -130,8 +132,7 @@
 }
 
 async fn read_reply(mut response: ClientResponse) -> Result<TargetReply, CallFailure> {
-    let status: Option<ReplyStatus> = header(response.headers(), STATUS_HEADER)
-        .and_then(|word| serde_json::from_value(word.into()).ok());
+    let status: Option<ReplyStatus> = header(response.headers(), STATUS_HEADER).and_then(from_word);
     let snapshot = header(response.headers(), SNAPSHOT_HEADER).and_then(|text| text.parse().ok());
     let load =
         header(response.headers(), LOAD_HEADER).and_then(|text| serde_json::from_str(text).ok());
--- a/crates/balsamfake/src/http.rs
+++ b/crates/balsamfake/src/http.rs
@@ -5,6 +5,7 @@
 use actix::Addr;
 use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
 use bytes::Bytes;
+use model::to_word;
 use serde::Deserialize;
 use tokio::sync::oneshot;
 
@@ -126,7 +127,7 @@
             body,
             ..
         } => HttpResponse::Ok()
-            .insert_header((STATUS_HEADER, word(&status)))
+            .insert_header((STATUS_HEADER, to_word(&status)))
             .insert_header((SNAPSHOT_HEADER, snapshot.to_string()))
             .insert_header((
                 LOAD_HEADER,
@@ -141,10 +142,3 @@
         Effect::NotFound { .. } | Effect::Execute { .. } => HttpResponse::NotFound().finish(),
     }
 }
-
-fn word(status: &model::ReplyStatus) -> String {
-    match serde_json::to_value(status) {
-        Ok(serde_json::Value::String(word)) => word,
-        _ => String::new(),
-    }
-}
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -21,6 +21,7 @@
 mod outcome;
 mod request;
 mod timer;
+mod word;
 
 pub use answer::{Answer, Coverage, Missing, MissingReason, ShardResult};
 pub use effect::{Counter, Effect, PlatformRead, TargetCall};
@@ -34,6 +35,7 @@
 pub use outcome::{NotRunReason, Outcome, UnknownReason};
 pub use request::{Kind, Priority, RequestView, Requester};
 pub use timer::Timer;
+pub use word::{from_word, to_word};
 
 /// Number of a version of the index. A larger number is newer.
 pub type Snapshot = u64;
--- a/crates/wire/src/word.rs
+++ b/crates/model/src/word.rs
@@ -6,7 +6,7 @@
 };
 
 /// Returns the word of a unit variant, or an empty text if the value is not a unit variant.
-pub(crate) fn to_word<T: Serialize>(value: &T) -> String {
+pub fn to_word<T: Serialize>(value: &T) -> String {
     match serde_json::to_value(value) {
         Ok(serde_json::Value::String(word)) => word,
         _ => String::new(),
@@ -14,7 +14,7 @@
 }
 
 /// Returns the unit variant that a word names.
-pub(crate) fn from_word<'a, T: Deserialize<'a>>(word: &'a str) -> Option<T> {
+pub fn from_word<'a, T: Deserialize<'a>>(word: &'a str) -> Option<T> {
     let deserializer: StrDeserializer<'a, serde::de::value::Error> = word.into_deserializer();
     T::deserialize(deserializer).ok()
 }
--- a/crates/wire/src/decode.rs
+++ b/crates/wire/src/decode.rs
@@ -5,15 +5,12 @@
 use displaydoc::Display;
 use model::{
     Answer, Coverage, Digest, ForwardedRequest, InstanceId, MemberRow, MemberState, Message,
-    Missing, Outcome, Priority, QuarantineRow, ShardResult,
+    Missing, Outcome, Priority, QuarantineRow, ShardResult, from_word,
 };
 use prost::Message as _;
 use serde::Deserialize;
 
-use crate::{
-    generated::{self, frame},
-    word::from_word,
-};
+use crate::generated::{self, frame};
 
 /// Why the bytes are not a message.
 #[derive(Clone, Debug, PartialEq, Eq, Display)]
--- a/crates/wire/src/encode.rs
+++ b/crates/wire/src/encode.rs
@@ -5,14 +5,11 @@
 use bytes::Bytes;
 use model::{
     Answer, Digest, ForwardedRequest, MemberRow, MemberState, Message, Outcome, Priority,
-    QuarantineRow,
+    QuarantineRow, to_word,
 };
 use prost::Message as _;
 
-use crate::{
-    generated::{self, frame},
-    word::to_word,
-};
+use crate::generated::{self, frame};
 
 /// Encodes a message.
 pub fn encode(message: &Message) -> Bytes {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,7 +8,6 @@
 mod decode;
 mod encode;
 mod generated;
-mod word;
 
 #[cfg(test)]
 mod tests;
