Run a request at most once under a ticket of its owner

Cause: every request that may run only once was refused. Change: a ticket names the run of the instance that may run its request. It is sealed with a keyed hash, spent by its first use, and bound to the fingerprint of that request. Resends get the first answer or wait for it; other instances forward to the owner. An instance that shuts down goes on answering until nothing has happened for the quiet time. A read whose caller has gone is cancelled. POST /v1/tickets hands out tickets. A target that says it was cancelled while running no longer causes a second call of a request that may run only once. Before: BadTicket for every such request.

--- a/crates/balsamd/src/callers.rs
+++ b/crates/balsamd/src/callers.rs
@@ -1,6 +1,9 @@
 //! The callers' HTTP port.
 
-use std::time::Duration;
+use std::{
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use actix::Addr;
 use actix_web::{
@@ -10,14 +13,14 @@
 };
 use bytes::Bytes;
 use findings::Findings;
-use model::{Answer, NotRunReason, Outcome, Priority};
-use serde::Serialize;
+use model::{Answer, CallerKey, NotRunReason, Outcome, Priority};
+use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use tokio::sync::oneshot;
 
 use crate::{
     error::StartError,
-    shell::{CallerRequest, Shell},
+    shell::{CallerGone, CallerRequest, Shell, TicketsWanted},
 };
 
 const REQUEST_ID: &str = "balsam-request-id";
@@ -31,6 +34,9 @@
 /// Longest timeout that a header can state.
 const MAX_TIMEOUT_MS: u64 = 3_600_000;
 
+/// Most tickets that one request can ask for.
+const TICKETS_MAX_COUNT: u32 = 1000;
+
 #[derive(Clone)]
 struct Context {
     shell: Addr<Shell>,
@@ -56,10 +62,13 @@
             .app_data(web::Data::new(context.clone()))
             .app_data(web::PayloadConfig::new(context.body_max_bytes))
             .route("/v1/fronts/{front}/query", web::post().to(query))
+            .route("/v1/tickets", web::post().to(tickets))
     });
     let server = server
         .workers(1)
         .disable_signals()
+        // A caller that closes its connection no longer waits for the answer.
+        .h1_allow_half_closed(false)
         .bind(listen.callers)
         .map_err(|error| StartError::Listen("callers", listen.callers, error))?;
     actix_rt::spawn(server.run());
@@ -81,19 +90,73 @@
         return HttpResponse::BadRequest().json(findings);
     };
     let (reply, answer) = oneshot::channel();
+    let mut guard = CallerGuard {
+        shell: context.shell.clone(),
+        key: Arc::default(),
+        is_answered: false,
+    };
     let request = CallerRequest {
         front: front.into_inner(),
         headers,
         body,
         reply,
+        key: guard.key.clone(),
     };
     context.shell.do_send(request);
-    match answer.await {
+    let answer = answer.await;
+    guard.is_answered = true;
+    match answer {
         Ok(answer) => respond(&answer),
         Err(_) => HttpResponse::InternalServerError().body("the instance has stopped\n"),
     }
 }
 
+/// Reports a caller as gone if its request is dropped before the answer.
+struct CallerGuard {
+    shell: Addr<Shell>,
+    key: Arc<OnceLock<CallerKey>>,
+    is_answered: bool,
+}
+
+impl Drop for CallerGuard {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            self.shell.do_send(CallerGone(self.key.clone()));
+        }
+    }
+}
+
+#[derive(Deserialize)]
+struct TicketsQuery {
+    #[serde(default = "one")]
+    count: u32,
+}
+
+#[derive(Serialize)]
+struct TicketsBody {
+    tickets: Vec<String>,
+}
+
+fn one() -> u32 {
+    1
+}
+
+async fn tickets(context: web::Data<Context>, wanted: web::Query<TicketsQuery>) -> HttpResponse {
+    let count = wanted.count;
+    if !(1..=TICKETS_MAX_COUNT).contains(&count) {
+        let mut findings = Findings::default();
+        let message = format!("expected a whole number from 1 to {TICKETS_MAX_COUNT}");
+        findings.add("count", message);
+        return HttpResponse::BadRequest().json(findings);
+    }
+    let (reply, tickets) = oneshot::channel();
+    context.shell.do_send(TicketsWanted { count, reply });
+    match tickets.await {
+        Ok(tickets) if !tickets.is_empty() => HttpResponse::Ok().json(TicketsBody { tickets }),
+        _ => HttpResponse::ServiceUnavailable().body("no tickets: the instance is shutting down\n"),
+    }
+}
+
 /// The parameters of a request that its headers carry.
 #[derive(Clone, Debug)]
 pub struct Headers {
--- a/crates/balsamd/src/effects.rs
+++ b/crates/balsamd/src/effects.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     logs, metrics, peers, platform,
-    shell::{CallEnded, Shell},
+    shell::{CallEnded, CallerReply, Shell},
     targets,
 };
 
@@ -29,13 +29,19 @@
             targets::spawn_cancel(pool, call, &shell.origin);
         }
         Effect::Answer { caller, answer } => {
-            let Some(reply) = shell.callers.remove(caller) else {
+            let Some(CallerReply::Answer(reply)) = shell.callers.remove(caller) else {
                 return;
             };
             // The caller may have closed its connection; then nobody needs the answer.
             let _ = reply.send(*answer);
         }
-        Effect::Tickets { .. } => {}
+        Effect::Tickets { caller, tickets } => {
+            let Some(CallerReply::Tickets(reply)) = shell.callers.remove(caller) else {
+                return;
+            };
+            // The caller may have closed its connection; its tickets expire unused.
+            let _ = reply.send(tickets);
+        }
         Effect::Pool {
             target,
             address,
--- a/crates/balsamd/src/error.rs
+++ b/crates/balsamd/src/error.rs
@@ -15,6 +15,8 @@
     Settings(String, Findings),
     /// cannot listen for {0} on {1}: {2}
     Listen(&'static str, SocketAddr, std::io::Error),
+    /// cannot draw random numbers: {0}
+    Random(String),
     /// cannot export metrics: {0}
     Metrics(String),
     /// cannot serve: {0}
--- a/crates/balsamd/src/shell.rs
+++ b/crates/balsamd/src/shell.rs
@@ -1,6 +1,11 @@
 //! The actor that owns the reducer's state, and the messages that bring events to it.
 
-use std::{borrow::Cow, net::SocketAddr, time::SystemTime};
+use std::{
+    borrow::Cow,
+    net::SocketAddr,
+    sync::{Arc, OnceLock},
+    time::SystemTime,
+};
 
 use actix::{Actor, AsyncContext, Context, Handler, Message, System};
 use awc::Client;
@@ -9,6 +14,7 @@
     CallFailure, CallKey, CallerKey, Effect, Event, Kind, LoadReport, PlatformFailure,
     PlatformRead, ReplyView, RequestView, TargetKey, Timer,
 };
+use rand::{TryRng, rngs::SysRng};
 use settings::Settings;
 use slotmap::{SecondaryMap, SlotMap};
 use tier::State;
@@ -37,7 +43,7 @@
     pub(crate) clock: Clock,
     pub(crate) metrics: Metrics,
     pub(crate) timers: Option<Timers>,
-    pub(crate) callers: SlotMap<CallerKey, oneshot::Sender<model::Answer>>,
+    pub(crate) callers: SlotMap<CallerKey, CallerReply>,
     pub(crate) pools: SecondaryMap<TargetKey, Pool>,
     pub(crate) outboxes: Outboxes,
     pub(crate) platform: Client,
@@ -68,7 +74,7 @@
         .await
         .map_err(|error| StartError::Listen("peers", listen.peers, error))?;
     let shell = Shell {
-        state: tier::open(settings, incarnation),
+        state: tier::open(settings, incarnation, seed()?),
         clock: clock::system(),
         metrics,
         timers: None,
@@ -92,6 +98,13 @@
     since_epoch.map_or(1, |age| u64::try_from(age.as_micros()).unwrap_or(u64::MAX))
 }
 
+/// Draws the seed of the reducer's random numbers from the operating system.
+fn seed() -> Result<u64, StartError> {
+    SysRng
+        .try_next_u64()
+        .map_err(|error| StartError::Random(error.to_string()))
+}
+
 fn spawn_signals(shell: actix::Addr<Shell>) -> Result<(), StartError> {
     let mut terminate = signal(SignalKind::terminate()).map_err(StartError::Serve)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(StartError::Serve)?;
@@ -128,6 +141,53 @@
     shell.effects = out;
 }
 
+/// Where the answer to a caller goes.
+#[derive(Debug)]
+pub enum CallerReply {
+    /// The caller sent a request.
+    Answer(oneshot::Sender<model::Answer>),
+    /// The caller asked for tickets.
+    Tickets(oneshot::Sender<Vec<String>>),
+}
+
+/// A caller's wish for tickets.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct TicketsWanted {
+    /// Number of tickets.
+    pub count: u32,
+    /// Where the tickets go.
+    pub reply: oneshot::Sender<Vec<String>>,
+}
+
+impl Handler<TicketsWanted> for Shell {
+    type Result = ();
+
+    fn handle(&mut self, message: TicketsWanted, context: &mut Self::Context) {
+        let count = message.count;
+        let caller = self.callers.insert(CallerReply::Tickets(message.reply));
+        handle(self, context, Event::TicketsWanted { caller, count });
+    }
+}
+
+/// The end of a caller's connection before its answer.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct CallerGone(pub Arc<OnceLock<CallerKey>>);
+
+impl Handler<CallerGone> for Shell {
+    type Result = ();
+
+    fn handle(&mut self, message: CallerGone, context: &mut Self::Context) {
+        let Some(&caller) = message.0.get() else {
+            return;
+        };
+        if self.callers.remove(caller).is_some() {
+            handle(self, context, Event::CallerGone { caller });
+        }
+    }
+}
+
 /// A caller's request.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
@@ -140,13 +200,17 @@
     pub body: Bytes,
     /// Where the answer goes.
     pub reply: oneshot::Sender<model::Answer>,
+    /// Receives the key of the caller, for the report that it has gone.
+    pub key: Arc<OnceLock<CallerKey>>,
 }
 
 impl Handler<CallerRequest> for Shell {
     type Result = ();
 
     fn handle(&mut self, message: CallerRequest, context: &mut Self::Context) {
-        let caller = self.callers.insert(message.reply);
+        let caller = self.callers.insert(CallerReply::Answer(message.reply));
+        // The cell belongs to this message alone, so it is empty.
+        let _ = message.key.set(caller);
         let headers = &message.headers;
         let kind = match headers.ticket.as_deref() {
             None => Kind::Idempotent,
--- a/crates/model/src/answer.rs
+++ b/crates/model/src/answer.rs
@@ -21,6 +21,8 @@
     SnapshotGone,
     /// The limit of calls to targets in cold start is reached.
     Cold,
+    /// The service replied to the first request under the ticket; the reply is no longer held.
+    NotHeld,
 }
 
 /// A service whose result is not part of an answer.
--- a/crates/model/src/key.rs
+++ b/crates/model/src/key.rs
@@ -12,6 +12,9 @@
     /// One call to one target on behalf of a query.
     pub struct CallKey;
 
+    /// A requester that waits for the outcome of a ticket, held here or by the ticket's owner.
+    pub struct WaitKey;
+
     /// A target of the accepted configuration.
     pub struct TargetKey;
 
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -26,7 +26,7 @@
 pub use answer::{Answer, Coverage, Missing, MissingReason, ShardResult};
 pub use effect::{Counter, Effect, PlatformRead, TargetCall};
 pub use event::{CallFailure, Event, PlatformFailure, ReplyStatus, ReplyView};
-pub use key::{CallKey, CallerKey, QueryKey, ServiceKey, TargetKey, ZoneKey};
+pub use key::{CallKey, CallerKey, QueryKey, ServiceKey, TargetKey, WaitKey, ZoneKey};
 pub use load::{LoadReport, TargetPhase};
 pub use log_line::{Level, LogLine, Value};
 pub use message::{
--- a/crates/model/src/timer.rs
+++ b/crates/model/src/timer.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::QueryKey;
+use crate::{QueryKey, WaitKey};
 
 /// What is due.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -11,6 +11,8 @@
     Deadline(QueryKey),
     /// A running query has calls that may be late enough for a hedge.
     Hedge(QueryKey),
+    /// A requester has waited for the outcome of a ticket until its deadline.
+    Wait(WaitKey),
     /// The regular tick: pause detection, gossip, probes, connection shares, freshness.
     Tick,
     /// The next read of the platform.
--- /dev/null
+++ b/crates/once/src/tests.rs
@@ -0,0 +1,4 @@
+//! Tests of tickets, outcomes and quarantine.
+
+mod evidence;
+mod ticket;
--- /dev/null
+++ b/crates/once/src/tests/ticket.rs
@@ -0,0 +1,193 @@
+//! Issue, use, retention and forgery of tickets.
+
+use std::time::{Duration, Instant};
+
+use model::{Answer, Coverage, NotRunReason, Outcome, ShardResult, UnknownReason};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+use crate::{OnceState, Owner, Verdict, ended, issue, offer, open};
+
+const BAD: Verdict<'static> = Verdict::Refuse(Outcome::NotRun(NotRunReason::BadTicket));
+const FORGOTTEN: Verdict<'static> = Verdict::Refuse(Outcome::Unknown(UnknownReason::Forgotten));
+
+fn owner(port: u16, incarnation: u64) -> Owner {
+    Owner {
+        address: ([127, 0, 0, 1], port).into(),
+        incarnation,
+    }
+}
+
+fn settings() -> settings::Once {
+    settings::Once {
+        ticket_retention: Duration::from_secs(60),
+        tickets_max_count: 3,
+        answer_max_bytes: 8,
+        ..settings::Once::default()
+    }
+}
+
+fn answer(body: &'static [u8]) -> Answer {
+    let result = ShardResult {
+        service: "stock-ledger".into(),
+        body: body.into(),
+    };
+    Answer {
+        request_id: "first".to_owned(),
+        outcome: Outcome::Ran,
+        snapshot: None,
+        coverage: Coverage {
+            answered_count: 1,
+            total_count: 1,
+            missing: Vec::new(),
+        },
+        results: vec![result],
+    }
+}
+
+fn ticket(once: &mut OnceState, now: Instant) -> String {
+    issue(once, now, 1).remove(0)
+}
+
+#[test]
+fn runs_once_and_repeats_the_first_answer() {
+    let (mut once, now) = (open(owner(1, 7), 1), Instant::now());
+    let ticket = ticket(&mut once, now);
+    assert_eq!(offer(&mut once, &settings(), now, &ticket, 5), Verdict::Run);
+    assert_eq!(
+        offer(&mut once, &settings(), now, &ticket, 5),
+        Verdict::Running
+    );
+    let first = answer(b"{}");
+    assert!(ended(&mut once, &settings(), &ticket, &first).is_empty());
+    let again = offer(&mut once, &settings(), now, &ticket, 5);
+    assert_eq!(again, Verdict::Ended(&first));
+}
+
+#[test]
+fn refuses_another_request_under_the_same_ticket() {
+    let (mut once, now) = (open(owner(1, 7), 1), Instant::now());
+    let ticket = ticket(&mut once, now);
+    offer(&mut once, &settings(), now, &ticket, 5);
+    assert_eq!(offer(&mut once, &settings(), now, &ticket, 6), BAD);
+}
+
+#[test]
+fn keeps_the_outcome_but_not_a_large_answer() {
+    let (mut once, now) = (open(owner(1, 7), 1), Instant::now());
+    let ticket = ticket(&mut once, now);
+    offer(&mut once, &settings(), now, &ticket, 5);
+    ended(&mut once, &settings(), &ticket, &answer(b"{\"n\": 12345}"));
+    let Verdict::Ended(held) = offer(&mut once, &settings(), now, &ticket, 5) else {
+        panic!("the outcome is held");
+    };
+    assert_eq!(held.outcome, Outcome::Ran);
+    assert_eq!(
+        (held.coverage.answered_count, held.coverage.missing.len()),
+        (0, 1)
+    );
+    assert!(held.results.is_empty());
+    assert_eq!(once.held_bytes, 0);
+}
+
+#[test]
+fn tells_an_unused_ticket_that_expired_from_one_that_may_be_forgotten() {
+    let (mut once, now) = (open(owner(1, 7), 1), Instant::now());
+    let retention = settings().ticket_retention;
+    let [used, unused] = [ticket(&mut once, now), ticket(&mut once, now)];
+    offer(&mut once, &settings(), now, &used, 5);
+    ended(&mut once, &settings(), &used, &answer(b"{}"));
+    let late = now + retention;
+    assert!(matches!(
+        offer(&mut once, &settings(), late, &used, 5),
+        Verdict::Ended(_)
+    ));
+    let expired = Verdict::Refuse(Outcome::NotRun(NotRunReason::TicketExpired));
+    assert_eq!(offer(&mut once, &settings(), late, &unused, 5), expired);
+    let later = now + 2 * retention;
+    assert_eq!(offer(&mut once, &settings(), later, &used, 5), FORGOTTEN);
+    assert_eq!(offer(&mut once, &settings(), later, &unused, 5), FORGOTTEN);
+    assert!(once.rows.is_empty());
+}
+
+#[test]
+fn never_runs_a_ticket_whose_use_may_have_been_evicted() {
+    let (mut once, now) = (open(owner(1, 7), 1), Instant::now());
+    let tickets = issue(&mut once, now, 6);
+    for ticket in &tickets[1..5] {
+        assert_eq!(offer(&mut once, &settings(), now, ticket, 5), Verdict::Run);
+        ended(&mut once, &settings(), ticket, &answer(b"{}"));
+    }
+    assert_eq!(once.rows.len(), 3);
+    assert_eq!(
+        offer(&mut once, &settings(), now, &tickets[1], 5),
+        FORGOTTEN
+    );
+    assert_eq!(
+        offer(&mut once, &settings(), now, &tickets[0], 5),
+        FORGOTTEN
+    );
+    assert_eq!(
+        offer(&mut once, &settings(), now, &tickets[5], 5),
+        Verdict::Run
+    );
+}
+
+#[test]
+fn leaves_the_tickets_of_other_runs_and_instances_alone() {
+    let now = Instant::now();
+    let mut other_run = open(owner(1, 6), 1);
+    let mut other_instance = open(owner(2, 7), 1);
+    let mut once = open(owner(1, 7), 2);
+    let gone = Verdict::Refuse(Outcome::Unknown(UnknownReason::OwnerGone));
+    let earlier = ticket(&mut other_run, now);
+    assert_eq!(offer(&mut once, &settings(), now, &earlier, 5), gone);
+    let elsewhere = ticket(&mut other_instance, now);
+    let address = owner(2, 7).address;
+    assert_eq!(
+        offer(&mut once, &settings(), now, &elsewhere, 5),
+        Verdict::Elsewhere(address)
+    );
+    let mut same_names = open(owner(1, 7), 3);
+    let forged = ticket(&mut same_names, now);
+    assert_eq!(offer(&mut once, &settings(), now, &forged, 5), BAD);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 256, rng_seed: RngSeed::Fixed(6), failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// No change of a ticket's text makes it run: it is bad, or it is still the same ticket.
+    #[test]
+    fn an_altered_ticket_never_runs(position in 0usize..200, byte in 0x21u8..0x7f) {
+        let (mut once, now) = (open(owner(1, 7), 1), Instant::now());
+        let ticket = issue(&mut once, now, 3).remove(1);
+        let mut altered = ticket.clone().into_bytes();
+        let position = position % altered.len();
+        altered[position] = byte;
+        let altered = String::from_utf8(altered).expect("ASCII");
+        prop_assume!(altered.to_lowercase() != ticket);
+        let verdict = offer(&mut once, &settings(), now, &altered, 5);
+        prop_assert!(!matches!(verdict, Verdict::Run), "{altered} ran");
+    }
+
+    /// Whatever the order of uses, ends and passing time, no ticket is run twice.
+    #[test]
+    fn no_ticket_runs_twice(steps in prop::collection::vec((0usize..8, 0u64..30, any::<bool>()), 1..120)) {
+        let (mut once, mut now) = (open(owner(1, 7), 1), Instant::now());
+        let tickets = issue(&mut once, now, 8);
+        let mut runs = [0; 8];
+        for (index, seconds, ends) in steps {
+            now += Duration::from_secs(seconds);
+            if offer(&mut once, &settings(), now, &tickets[index], 5) == Verdict::Run {
+                runs[index] += 1;
+            }
+            if ends {
+                ended(&mut once, &settings(), &tickets[index], &answer(b"{}"));
+            }
+        }
+        prop_assert!(runs.iter().all(|&count| count <= 1), "{runs:?}");
+    }
+}
--- a/crates/query/src/end.rs
+++ b/crates/query/src/end.rs
@@ -48,6 +48,9 @@
             cancel_calls(queries, routes, &losers, out);
         }
         ReplyStatus::Failed => give_up(queries, key, shard_index, MissingReason::Failed),
+        status if query.ticket.is_some() && !status.is_not_run() => {
+            give_up(queries, key, shard_index, MissingReason::Failed);
+        }
         _ => send_retry(queries, routes, now, key, shard_index, out),
     }
     finish_if_complete(queries, routes, now, key, out)
--- a/crates/tier/src/dump.rs
+++ b/crates/tier/src/dump.rs
@@ -17,6 +17,8 @@
     pub queries: &'a query::Queries,
     /// The queue.
     pub admission: &'a admit::Admission,
+    /// Tickets and their outcomes.
+    pub once: &'a once::OnceState,
 }
 
 /// Returns a view of the whole state.
@@ -27,5 +29,6 @@
         routes: &state.routes,
         queries: &state.queries,
         admission: &state.admission,
+        once: &state.once,
     }
 }
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -9,11 +9,14 @@
 //! - every request event yields exactly one answer effect, sooner or later.
 
 mod dump;
+mod forward;
+mod leave;
 mod reduce;
 mod request;
 mod settle;
 mod state;
 mod tick;
+mod ticket;
 
 #[cfg(test)]
 mod tests;
--- a/crates/tier/src/reduce.rs
+++ b/crates/tier/src/reduce.rs
@@ -2,9 +2,9 @@
 
 use std::time::Instant;
 
-use model::{Effect, Event, Timer};
+use model::{Effect, Event, Message, Requester, Timer};
 
-use crate::{State, request, settle, tick};
+use crate::{State, forward, leave, request, settle, tick, ticket};
 
 /// Takes in one event at a time and appends the effects that follow from it.
 pub fn reduce(state: &mut State, now: Instant, event: Event<'_>, out: &mut Vec<Effect>) {
@@ -13,14 +13,11 @@
             tick::started(state, now, out);
             fleet::started(&state.fleet, out);
         }
-        Event::Request { caller, request } => request::offered(state, now, caller, &request, out),
-        Event::TicketsWanted { caller, count: _ } => {
-            out.push(Effect::Tickets {
-                caller,
-                tickets: Vec::new(),
-            });
+        Event::Request { caller, request } => {
+            request::offered(state, now, Requester::Caller(caller), &request, out);
         }
-        Event::CallerGone { .. } => {}
+        Event::TicketsWanted { caller, count } => ticket::issue(state, now, caller, count, out),
+        Event::CallerGone { caller } => request::caller_gone(state, now, caller, out),
         Event::Reply { call, reply } => {
             let finished = query::replied(
                 &mut state.queries,
@@ -48,7 +45,8 @@
         }
         Event::LoadFailed { target, .. } => route::probe_failed(&mut state.routes, target),
         Event::Timer(timer) => timer_due(state, now, timer, out),
-        Event::Peer { .. } | Event::PeerUnreachable { .. } => {}
+        Event::Peer { message } => peer_message(state, now, &message, out),
+        Event::PeerUnreachable { address } => forward::unreachable(state, address, out),
         Event::PlatformNote { version, body } => {
             let accepted = fleet::note_published(&mut state.fleet, version, body, out);
             if let Some(note) = accepted {
@@ -57,10 +55,17 @@
         }
         Event::PlatformInstances { .. } => {}
         Event::PlatformFailed { .. } => fleet::platform_failed(out),
-        Event::Leave => {
-            state.fleet.is_leaving = true;
-            settle::exit_if_idle(state, out);
+        Event::Leave => leave::wanted(state, now, out),
+    }
+}
+
+fn peer_message(state: &mut State, now: Instant, message: &Message, out: &mut Vec<Effect>) {
+    match message {
+        Message::Forward(forwarded) => forward::received(state, now, forwarded, out),
+        Message::ForwardAnswer { forward_id, answer } => {
+            forward::answered(state, *forward_id, answer, out);
         }
+        Message::Digest(_) | Message::NoteWanted { .. } | Message::Note { .. } => {}
     }
 }
 
@@ -68,6 +73,7 @@
     match timer {
         Timer::Deadline(key) => request::deadline(state, now, key, out),
         Timer::Hedge(_) => {}
+        Timer::Wait(key) => ticket::wait_over(state, key, out),
         Timer::Tick => tick::due(state, now, out),
         Timer::Platform => fleet::started(&state.fleet, out),
     }
--- a/crates/tier/src/request.rs
+++ b/crates/tier/src/request.rs
@@ -4,18 +4,19 @@
 
 use admit::Verdict;
 use model::{
-    Answer, CallerKey, Counter, Coverage, Effect, Kind, NotRunReason, Outcome, QueryKey,
-    RequestView, Requester,
+    CallerKey, Counter, Effect, Kind, NotRunReason, Outcome, QueryKey, RequestView, Requester,
+    ServiceKey,
 };
 use query::Finished;
+use route::Front;
 
-use crate::{State, settle};
+use crate::{State, leave, settle, ticket};
 
 /// Checks a request, then starts it, queues it or refuses it.
 pub(crate) fn offered(
     state: &mut State,
     now: Instant,
-    caller: CallerKey,
+    requester: Requester,
     request: &RequestView<'_>,
     out: &mut Vec<Effect>,
 ) {
@@ -23,9 +24,18 @@
         counter: Counter::Requests,
         amount_count: 1,
     });
-    let requester = Requester::Caller(caller);
+    leave::note_activity(state, now);
+    let ticket = match request.kind {
+        Kind::Idempotent => None,
+        Kind::Once { ticket } => Some(ticket),
+    };
+    if let Some(ticket) = ticket
+        && !ticket::admit(state, now, requester, request, ticket, out)
+    {
+        return;
+    }
     if let Err(reason) = check(state, request) {
-        refuse(requester, request.request_id, reason, out);
+        refuse(state, requester, request.request_id, ticket, reason, out);
         return;
     }
     let key = query::accept(
@@ -36,6 +46,9 @@
         request,
         out,
     );
+    if ticket.is_some() {
+        name_service(state, key);
+    }
     let admission = &mut state.admission;
     match admit::offer(admission, &state.settings.admit, key, request.priority) {
         Verdict::Start => {
@@ -45,7 +58,8 @@
         Verdict::Wait => {}
         Verdict::Refuse => {
             state.queries.queries.remove(key);
-            refuse(requester, request.request_id, NotRunReason::Overloaded, out);
+            let reason = NotRunReason::Overloaded;
+            refuse(state, requester, request.request_id, ticket, reason, out);
         }
     }
 }
@@ -61,20 +75,44 @@
         return;
     }
     admit::withdrawn(&mut state.admission, key, query.priority);
+    let Some(query) = state.queries.queries.remove(key) else {
+        return;
+    };
+    let reason = NotRunReason::Overloaded;
+    let ticket = query.ticket.as_deref();
     refuse(
+        state,
         query.requester,
         &query.request_id,
-        NotRunReason::Overloaded,
+        ticket,
+        reason,
         out,
     );
-    state.queries.queries.remove(key);
-    settle::exit_if_idle(state, out);
+}
+
+/// Ends the queries that a caller no longer waits for; a request that runs once goes on.
+pub(crate) fn caller_gone(
+    state: &mut State,
+    now: Instant,
+    caller: CallerKey,
+    out: &mut Vec<Effect>,
+) {
+    let gone = Requester::Caller(caller);
+    let queries = state.queries.queries.iter();
+    let mut unwanted =
+        queries.filter(|(_, query)| query.requester == gone && query.ticket.is_none());
+    let Some((key, _)) = unwanted.next() else {
+        return;
+    };
+    deadline(state, now, key, out);
 }
 
 /// Answers a request that does not run.
 pub(crate) fn refuse(
+    state: &mut State,
     requester: Requester,
     request_id: &str,
+    ticket: Option<&str>,
     reason: NotRunReason,
     out: &mut Vec<Effect>,
 ) {
@@ -82,21 +120,12 @@
         counter: Counter::Refusals,
         amount_count: 1,
     });
-    let answer = Answer {
-        request_id: request_id.to_owned(),
-        outcome: Outcome::NotRun(reason),
-        snapshot: None,
-        coverage: Coverage::default(),
-        results: Vec::new(),
+    let finished = Finished {
+        requester,
+        ticket: ticket.map(str::to_owned),
+        answer: ticket::bare(request_id, Outcome::NotRun(reason)),
     };
-    settle::answer(
-        Finished {
-            requester,
-            ticket: None,
-            answer,
-        },
-        out,
-    );
+    settle::answer(state, finished, out);
 }
 
 fn check(state: &State, request: &RequestView<'_>) -> Result<(), NotRunReason> {
@@ -109,11 +138,13 @@
     if request.timeout <= state.settings.query.answer_reserve {
         return Err(NotRunReason::DeadlinePassed);
     }
-    if let Kind::Once { .. } = request.kind {
-        return Err(NotRunReason::BadTicket);
-    }
     let Some(wanted) = request.service else {
-        return Ok(());
+        return match request.kind {
+            Kind::Once { .. } if only_service(front).is_none() => {
+                Err(NotRunReason::ServiceRequired)
+            }
+            _ => Ok(()),
+        };
     };
     let mut services = front.shard_maps.iter().flat_map(|map| map.services.iter());
     let is_known = services.any(|&service| {
@@ -129,3 +160,25 @@
         Err(NotRunReason::UnknownService)
     }
 }
+
+/// Fixes the service of a request that runs once, so that a change of the shard map while the
+/// request waits cannot turn it into several calls.
+fn name_service(state: &mut State, key: QueryKey) {
+    let Some(query) = state.queries.queries.get_mut(key) else {
+        return;
+    };
+    if query.service.is_some() {
+        return;
+    }
+    let front = state.routes.fronts.get(&query.front);
+    let service = front.and_then(only_service);
+    let service = service.and_then(|service| state.routes.services.get(service));
+    query.service = service.map(|service| service.name.to_string());
+}
+
+/// Returns the service of a front that has had only one in every shard map.
+fn only_service(front: &Front) -> Option<ServiceKey> {
+    let mut services = front.shard_maps.iter().flat_map(|map| map.services.iter());
+    let &first = services.next()?;
+    services.all(|&service| service == first).then_some(first)
+}
--- a/crates/tier/src/settle.rs
+++ b/crates/tier/src/settle.rs
@@ -2,10 +2,10 @@
 
 use std::time::Instant;
 
-use model::{Effect, Message, Requester};
+use model::{Answer, Counter, Effect, Message, Requester};
 use query::Finished;
 
-use crate::State;
+use crate::{State, ticket};
 
 /// Answers a finished query and starts as many waiting queries as there is room for.
 pub(crate) fn settle(
@@ -15,16 +15,21 @@
     out: &mut Vec<Effect>,
 ) {
     let Some(finished) = finished else { return };
-    answer(finished, out);
+    answer(state, finished, out);
     admit::finished(&mut state.admission);
     start_waiting(state, now, out);
-    exit_if_idle(state, out);
+}
+
+/// Answers a query and, if it ran under a ticket, every resend that waits.
+pub(crate) fn answer(state: &mut State, finished: Finished, out: &mut Vec<Effect>) {
+    ticket::finished(state, &finished, out);
+    send(finished.requester, finished.answer, out);
 }
 
 /// Sends an answer to whoever waits for it.
-pub(crate) fn answer(finished: Finished, out: &mut Vec<Effect>) {
-    let answer = Box::new(finished.answer);
-    match finished.requester {
+pub(crate) fn send(requester: Requester, answer: Answer, out: &mut Vec<Effect>) {
+    let answer = Box::new(answer);
+    match requester {
         Requester::Caller(caller) => out.push(Effect::Answer { caller, answer }),
         Requester::Peer {
             address,
@@ -36,18 +41,19 @@
     }
 }
 
-/// Ends the process if it is shutting down and nothing waits or runs.
-pub(crate) fn exit_if_idle(state: &State, out: &mut Vec<Effect>) {
-    if state.fleet.is_leaving && state.queries.queries.is_empty() {
-        out.push(Effect::Exit);
-    }
+/// Counts a reply that belongs to nothing that waits.
+pub(crate) fn count_stale(out: &mut Vec<Effect>) {
+    out.push(Effect::Count {
+        counter: Counter::StaleReplies,
+        amount_count: 1,
+    });
 }
 
 fn start_waiting(state: &mut State, now: Instant, out: &mut Vec<Effect>) {
     while let Some(key) = admit::next(&mut state.admission, &state.settings.admit) {
         let finished = query::start(&mut state.queries, &mut state.routes, now, key, out);
         let Some(finished) = finished else { continue };
-        answer(finished, out);
+        answer(state, finished, out);
         admit::finished(&mut state.admission);
     }
 }
--- a/crates/tier/src/state.rs
+++ b/crates/tier/src/state.rs
@@ -6,6 +6,7 @@
 use findings::Findings;
 use fleet::FleetState;
 use model::InstanceId;
+use once::{OnceState, Owner};
 use query::Queries;
 use route::Routes;
 use settings::Settings;
@@ -23,19 +24,30 @@
     pub queries: Queries,
     /// The queue.
     pub admission: Admission,
+    /// Tickets and their outcomes.
+    pub once: OnceState,
     /// When the last tick ran.
     pub last_tick: Option<Instant>,
+    /// When the last request arrived or was seen in flight.
+    pub last_activity: Option<Instant>,
 }
 
 /// Returns the state of an instance that has just started.
 ///
-/// `incarnation` must be larger than that of every earlier run of the instance.
-pub fn open(settings: Settings, incarnation: u64) -> State {
+/// `incarnation` must be larger than that of every earlier run of the instance. `seed` must be
+/// unpredictable; the same seed gives the same random numbers.
+pub fn open(settings: Settings, incarnation: u64, seed: u64) -> State {
     let id = InstanceId {
         name: settings.instance.name.clone(),
         incarnation,
     };
+    let owner = Owner {
+        address: settings.listen.peers,
+        incarnation,
+    };
     State {
+        once: once::open(owner, seed),
+        last_activity: None,
         fleet: FleetState {
             id,
             note: None,
--- a/crates/tier/src/tests.rs
+++ b/crates/tier/src/tests.rs
@@ -2,4 +2,5 @@
 
 mod fan_out;
 mod fixture;
+mod once;
 mod replay;
--- a/crates/tier/src/tests/fixture.rs
+++ b/crates/tier/src/tests/fixture.rs
@@ -27,7 +27,7 @@
 /// Returns an instance that accepted a note with `services_count` services of two warm targets.
 pub(crate) fn fixture(services_count: u32) -> Fixture {
     let mut fixture = Fixture {
-        state: open(settings(), 7),
+        state: open(settings(), 7, 1),
         now: Instant::now(),
         out: Vec::new(),
     };
--- a/crates/tier/src/tests/replay.rs
+++ b/crates/tier/src/tests/replay.rs
@@ -58,7 +58,7 @@
 
 fn run(log: &[Vec<u8>]) -> Vec<u8> {
     let origin = Instant::now();
-    let mut state = open(settings(), 7);
+    let mut state = open(settings(), 7, 1);
     let mut out = Vec::new();
     for record in log {
         let (after, event): Record<'_> =
