Add shares, cold start, hedging, waiting shards and restarts

Cause: the reducer sent each call once, forgot cancelled calls, never probed unreachable targets and gave a shard up when its targets were busy.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -8,4 +8,4 @@
 
 mod queue;
 
-pub use queue::{Admission, Verdict, finished, next, offer, withdrawn};
+pub use queue::{Admission, Verdict, finished, has_queue, next, offer, withdrawn};
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -65,6 +65,11 @@
     Some(key)
 }
 
+/// Tells whether queries wait, so that extra calls would only lengthen the queue.
+pub fn has_queue(admission: &Admission) -> bool {
+    queued_count(admission) > 0
+}
+
 fn pop(admission: &mut Admission, settings: &settings::Admit) -> Option<QueryKey> {
     let [urgent, normal, deferrable] = &mut admission.queues;
     if admission.since_deferrable_count >= settings.deferrable_share_count {
--- a/crates/balsamd/src/effects.rs
+++ b/crates/balsamd/src/effects.rs
@@ -13,7 +13,10 @@
 pub fn run(shell: &mut Shell, address: &Addr<Shell>, effect: Effect) {
     match effect {
         Effect::Call(call) => match shell.pools.get(call.target) {
-            Some(pool) => targets::spawn_call(address, pool, &call, &shell.origin),
+            Some(pool) => {
+                let running = targets::spawn_call(address, pool, &call, &shell.origin);
+                shell.calls.insert(call.call, running);
+            }
             None => {
                 let result = Err(model::CallFailure::NotSent);
                 address.do_send(CallEnded {
@@ -28,6 +31,14 @@
             };
             targets::spawn_cancel(pool, call, &shell.origin);
         }
+        Effect::Abandon { call, .. } => {
+            let Some(running) = shell.calls.remove(call) else {
+                return;
+            };
+            running.abort();
+            let result = Err(model::CallFailure::ConnectionLost);
+            address.do_send(CallEnded { call, result });
+        }
         Effect::Answer { caller, answer } => {
             let Some(CallerReply::Answer(reply)) = shell.callers.remove(caller) else {
                 return;
--- a/crates/balsamd/src/shell.rs
+++ b/crates/balsamd/src/shell.rs
@@ -18,6 +18,7 @@
 use settings::Settings;
 use slotmap::{SecondaryMap, SlotMap};
 use tier::State;
+use tokio::task::JoinHandle;
 use tokio::{
     net::TcpListener,
     signal::unix::{SignalKind, signal},
@@ -45,6 +46,7 @@
     pub(crate) timers: Option<Timers>,
     pub(crate) callers: SlotMap<CallerKey, CallerReply>,
     pub(crate) pools: SecondaryMap<TargetKey, Pool>,
+    pub(crate) calls: SecondaryMap<CallKey, JoinHandle<()>>,
     pub(crate) outboxes: Outboxes,
     pub(crate) platform: Client,
     pub(crate) origin: String,
@@ -80,6 +82,7 @@
         timers: None,
         callers: SlotMap::with_key(),
         pools: SecondaryMap::new(),
+        calls: SecondaryMap::new(),
         outboxes: Outboxes::new(),
         platform: Client::builder().disable_redirects().finish(),
         origin,
@@ -244,6 +247,7 @@
 
     fn handle(&mut self, message: CallEnded, context: &mut Self::Context) {
         let call = message.call;
+        self.calls.remove(call);
         match &message.result {
             Ok(reply) => {
                 let reply = ReplyView {
--- a/crates/balsamd/src/targets.rs
+++ b/crates/balsamd/src/targets.rs
@@ -13,6 +13,7 @@
     CallFailure, CallKey, LoadReport, ReplyStatus, Snapshot, TargetCall, TargetKey, from_word,
 };
 use slotmap::Key;
+use tokio::task::JoinHandle;
 
 use crate::shell::{CallEnded, LoadAnswered, Shell};
 
@@ -75,8 +76,13 @@
     Pool { client, address }
 }
 
-/// Starts a call, which reports its end to the shell.
-pub fn spawn_call(shell: &Addr<Shell>, pool: &Pool, call: &TargetCall, origin: &str) {
+/// Starts a call, which reports its end to the shell; aborting the task drops its connection.
+pub fn spawn_call(
+    shell: &Addr<Shell>,
+    pool: &Pool,
+    call: &TargetCall,
+    origin: &str,
+) -> JoinHandle<()> {
     let url = format!("http://{}/v1/call", pool.address);
     let mut request = pool
         .client
@@ -97,7 +103,7 @@
             Err(error) => Err(failure(&error)),
         };
         shell.do_send(CallEnded { call: key, result });
-    });
+    })
 }
 
 /// Tells a target that a call is no longer wanted. The call's own reply says what came of it.
--- a/crates/model/src/effect.rs
+++ b/crates/model/src/effect.rs
@@ -87,6 +87,13 @@
         /// The target that executes it.
         target: TargetKey,
     },
+    /// Drop the connection of a cancelled call that does not end; it then ends as a failed call.
+    Abandon {
+        /// The call.
+        call: CallKey,
+        /// The target that does not reply.
+        target: TargetKey,
+    },
     /// Answer a caller.
     Answer {
         /// The caller.
--- a/crates/query/src/answer.rs
+++ b/crates/query/src/answer.rs
@@ -3,10 +3,9 @@
 use std::time::Instant;
 
 use model::{
-    Answer, CallFailure, CallKey, Counter, Coverage, Effect, Missing, MissingReason, QueryKey,
-    ShardResult,
+    Answer, CallKey, Counter, Coverage, Effect, Missing, MissingReason, QueryKey, ShardResult,
 };
-use route::{CallEnd, Routes};
+use route::Routes;
 
 use crate::{Finished, Queries, Query, ShardState};
 
@@ -14,7 +13,7 @@
 pub(crate) fn finish(
     queries: &mut Queries,
     routes: &mut Routes,
-    _now: Instant,
+    now: Instant,
     key: QueryKey,
     out: &mut Vec<Effect>,
 ) -> Option<Finished> {
@@ -22,7 +21,7 @@
     for shard in &mut query.shards {
         let calls = std::mem::take(&mut shard.calls);
         query.evidence.running_count += u32::try_from(calls.len()).unwrap_or(u32::MAX);
-        cancel_calls(queries, routes, &calls, out);
+        cancel_calls(queries, routes, now, &calls, out);
     }
     let Query {
         requester, ticket, ..
@@ -48,23 +47,22 @@
     })
 }
 
-/// Cancels calls and forgets them; their replies will be stale.
+/// Cancels calls. They occupy their connections until they end, but their replies are stale.
 pub(crate) fn cancel_calls(
     queries: &mut Queries,
     routes: &mut Routes,
+    now: Instant,
     calls: &[CallKey],
     out: &mut Vec<Effect>,
 ) {
     for &key in calls {
-        let Some(call) = queries.calls.remove(key) else {
+        let Some(call) = queries.calls.get_mut(key) else {
             continue;
         };
-        route::call_ended(
-            routes,
-            call.sent_at,
-            call.target,
-            CallEnd::Failed(CallFailure::NotSent),
-        );
+        call.cancelled_at = Some(now);
+        if call.is_noted_late {
+            route::call_outrun(routes, call.target, now - call.sent_at);
+        }
         out.push(Effect::Cancel {
             call: key,
             target: call.target,
--- a/crates/query/src/send.rs
+++ b/crates/query/src/send.rs
@@ -3,72 +3,33 @@
 use std::time::Instant;
 
 use model::{Counter, Effect, MissingReason, QueryKey, TargetCall};
-use route::{Routes, Want};
+use route::{NoChoice, Routes, Want};
 
-use crate::{Call, Queries, ShardState};
+use crate::{Call, Cause, Queries, budget};
 
-/// Sends the first call of a shard; the shard is missing if no target can be called.
-pub(crate) fn send_primary(
-    queries: &mut Queries,
-    routes: &mut Routes,
-    now: Instant,
-    key: QueryKey,
-    shard_index: usize,
-    out: &mut Vec<Effect>,
-) {
-    match send(queries, routes, now, key, shard_index, out) {
-        Ok(()) => out.push(Effect::Count {
-            counter: Counter::PrimaryCalls,
-            amount_count: 1,
-        }),
-        Err(reason) => give_up(queries, key, shard_index, reason),
-    }
-}
-
-/// Sends another call of a shard whose last one was not executed or may be repeated.
-pub(crate) fn send_retry(
-    queries: &mut Queries,
-    routes: &mut Routes,
-    now: Instant,
-    key: QueryKey,
-    shard_index: usize,
-    out: &mut Vec<Effect>,
-) {
-    match send(queries, routes, now, key, shard_index, out) {
-        Ok(()) => out.push(Effect::Count {
-            counter: Counter::RetryCalls,
-            amount_count: 1,
-        }),
-        Err(reason) => give_up(queries, key, shard_index, reason),
-    }
-}
-
-/// Marks an open shard without calls in flight as missing.
-pub(crate) fn give_up(
-    queries: &mut Queries,
-    key: QueryKey,
-    shard_index: usize,
-    reason: MissingReason,
-) {
-    let Some(query) = queries.queries.get_mut(key) else {
-        return;
-    };
-    let shard = &mut query.shards[shard_index];
-    if !matches!(shard.state, ShardState::Open) || !shard.calls.is_empty() {
-        return;
-    }
-    shard.state = ShardState::Missing(reason);
-    query.open_count -= 1;
+/// What became of a call that was to be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Sent {
+    /// It was sent.
+    Called,
+    /// Every target that could be used is busy.
+    Busy,
 }
 
-fn send(
+/// Sends a call of a shard to the target that is expected to reply first.
+///
+/// # Errors
+///
+/// Returns why no target can be called.
+pub(crate) fn send(
     queries: &mut Queries,
     routes: &mut Routes,
     now: Instant,
     key: QueryKey,
     shard_index: usize,
+    cause: Cause,
     out: &mut Vec<Effect>,
-) -> Result<(), MissingReason> {
+) -> Result<Sent, MissingReason> {
     let Some(query) = queries.queries.get_mut(key) else {
         return Err(MissingReason::Failed);
     };
@@ -81,26 +42,59 @@
         zones: &query.zones,
         tried: &shard.tried,
     };
-    let target = route::choose(routes, &want)?;
-    let call = Call {
+    let target = match route::choose(routes, &want) {
+        Ok(target) => target,
+        Err(NoChoice::Busy) => return Ok(Sent::Busy),
+        Err(NoChoice::Missing(reason)) => return Err(reason),
+    };
+    let call = queries.calls.insert(Call {
         query: key,
         shard_index,
         target,
+        cause,
         sent_at: now,
-    };
-    let call = queries.calls.insert(call);
+        is_noted_late: false,
+        cancelled_at: None,
+        is_abandoned: false,
+    });
     shard.tried.push(target);
     shard.calls.push(call);
+    shard.late_at = match cause {
+        Cause::Hedge => None,
+        Cause::Primary | Cause::Retry => late_at(routes, shard.service, now),
+    };
     route::call_started(routes, target);
+    let time_left = query.deadline.saturating_duration_since(now);
     out.push(Effect::Call(TargetCall {
         call,
         target,
         address: routes.targets[target].address,
         request_id: query.request_id.clone(),
         snapshot,
-        timeout: query.deadline.saturating_duration_since(now),
+        timeout: time_left.saturating_sub(route::way_there(routes, target)),
         is_idempotent,
         body: query.body.clone(),
     }));
-    Ok(())
+    count(queries, cause, out);
+    Ok(Sent::Called)
+}
+
+fn late_at(routes: &Routes, service: model::ServiceKey, now: Instant) -> Option<Instant> {
+    let late_after = routes.services.get(service)?.latency.late_after?;
+    Some(now + late_after)
+}
+
+fn count(queries: &mut Queries, cause: Cause, out: &mut Vec<Effect>) {
+    let counter = match cause {
+        Cause::Primary => {
+            budget::earn(&mut queries.budgets);
+            Counter::PrimaryCalls
+        }
+        Cause::Hedge => Counter::HedgeCalls,
+        Cause::Retry => Counter::RetryCalls,
+    };
+    out.push(Effect::Count {
+        counter,
+        amount_count: 1,
+    });
 }
--- a/crates/query/src/table.rs
+++ b/crates/query/src/table.rs
@@ -9,15 +9,30 @@
 };
 use once::Evidence;
 use serde::Serialize;
-use slotmap::SlotMap;
+use slotmap::{SecondaryMap, SlotMap};
+
+use crate::{budget::Budgets, waiting::WaitingShards};
 
 /// All queries that wait or run, and all calls in flight.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Queries {
     /// Queries.
     pub queries: SlotMap<QueryKey, Query>,
-    /// Calls in flight.
+    /// Calls that occupy a connection, cancelled ones included.
     pub calls: SlotMap<CallKey, Call>,
+    /// Shards that wait until a target of their service may have another call.
+    pub waiting: SecondaryMap<ServiceKey, WaitingShards>,
+    /// Calls allowed beyond the first one of each shard.
+    pub budgets: Budgets,
+    /// Queries that ended as a consequence of another one's event.
+    #[serde(skip)]
+    pub ended: Vec<Finished>,
+    /// When the process last woke up from a pause; ages are counted from then at the earliest.
+    #[serde(skip)]
+    pub resumed_at: Option<Instant>,
+    /// When the last event came.
+    #[serde(skip)]
+    pub last_event_at: Option<Instant>,
 }
 
 /// A query.
@@ -43,6 +58,14 @@
     pub body: Bytes,
     /// Whether it has been started.
     pub is_running: bool,
+    /// When it was started.
+    #[serde(skip)]
+    pub started_at: Option<Instant>,
+    /// Number of the attempt; each restart on another snapshot is a new one.
+    pub attempt_count: u32,
+    /// When the timer that looks for late calls is due.
+    #[serde(skip)]
+    pub hedge_due: Option<Instant>,
     /// Snapshot that every result is read from, once pinned.
     pub snapshot: Option<Snapshot>,
     /// Zones that may be used; all if empty.
@@ -66,8 +89,11 @@
     pub state: ShardState,
     /// Targets that were called.
     pub tried: Vec<TargetKey>,
-    /// Calls in flight.
+    /// Calls in flight that were not cancelled.
     pub calls: Vec<CallKey>,
+    /// When its call is late, unless that has been dealt with.
+    #[serde(skip)]
+    pub late_at: Option<Instant>,
 }
 
 /// What has come of one shard.
@@ -90,9 +116,30 @@
     pub shard_index: usize,
     /// The target.
     pub target: TargetKey,
+    /// Why it was sent.
+    pub cause: Cause,
     /// When it was sent.
     #[serde(skip)]
     pub sent_at: Instant,
+    /// Whether it was noted as late.
+    pub is_noted_late: bool,
+    /// When it was cancelled.
+    #[serde(skip)]
+    pub cancelled_at: Option<Instant>,
+    /// Whether the shell was told to drop its connection.
+    pub is_abandoned: bool,
+}
+
+/// Why a call was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Cause {
+    /// It is the first one of its shard.
+    Primary,
+    /// Another one is late.
+    Hedge,
+    /// Another one failed.
+    Retry,
 }
 
 /// A query that has ended.
--- a/crates/route/src/apply.rs
+++ b/crates/route/src/apply.rs
@@ -1,20 +1,23 @@
 //! Bringing the table into line with an accepted configuration.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use model::{Effect, ServiceKey, TargetKey, TargetPhase, ZoneKey};
 use note::{Note, TargetState, ZoneState};
 
-use crate::{Front, Routes, Service, ShardMap, Target, Zone};
+use crate::{
+    Front, Latency, Reach, Routes, Service, ShardMap, Target, Warmth, Zone, share, warmth,
+};
 
 /// Replaces the fronts, services, targets and zones by those of a note.
 ///
 /// What keeps its name and address keeps its key and what is known about it. Every new target is
 /// asked for its load, and the connections to every withdrawn one are closed.
-pub fn apply(routes: &mut Routes, note: &Note, instances_count: u32, out: &mut Vec<Effect>) {
+pub fn apply(routes: &mut Routes, note: &Note, out: &mut Vec<Effect>) {
     routes.revision = note.revision;
     let zones = apply_zones(routes, note);
-    let services = apply_services(routes, note, &zones, instances_count, out);
+    routes.own_zone = zones.get(&routes.limits.own_zone_name).copied();
+    let services = apply_services(routes, note, &zones, out);
     routes.fronts = note
         .fleet
         .fronts
@@ -39,18 +42,29 @@
                 is_out,
             }),
         };
-        routes.zones[key].is_out = is_out;
+        let was_out = std::mem::replace(&mut routes.zones[key].is_out, is_out);
+        if was_out && !is_out {
+            turn_zone_cold(routes, key);
+        }
         kept.insert(zone.name.clone(), key);
     }
     routes.zones.retain(|_, zone| kept.contains_key(&zone.name));
     kept
 }
 
+/// Makes the targets of a zone cold, because nothing has kept them warm while the zone was out.
+fn turn_zone_cold(routes: &mut Routes, zone: ZoneKey) {
+    for target in routes.targets.values_mut() {
+        if target.zone == zone {
+            warmth::turn_cold(target);
+        }
+    }
+}
+
 fn apply_services(
     routes: &mut Routes,
     note: &Note,
     zones: &BTreeMap<String, ZoneKey>,
-    instances_count: u32,
     out: &mut Vec<Effect>,
 ) -> BTreeMap<String, ServiceKey> {
     let known_services: BTreeMap<Arc<str>, ServiceKey> = routes
@@ -71,23 +85,23 @@
             None => routes.services.insert(Service {
                 name,
                 targets: Vec::new(),
+                latency: Latency::default(),
             }),
         };
         let mut targets = Vec::new();
+        let mut connections_count = 0_u32;
         for target in &service.targets {
             let Some(&zone) = zones.get(&target.zone) else {
                 continue;
             };
-            let known = known_targets.remove(&target.name);
-            targets.push(apply_target(
-                routes,
-                target,
-                key,
+            connections_count = connections_count.wrapping_add(target.connections_max_count);
+            let place = Place {
+                service: key,
                 zone,
-                known,
-                instances_count,
-                out,
-            ));
+                offset: share::offset(&service.name, connections_count),
+            };
+            let known = known_targets.remove(&target.name);
+            targets.push(apply_target(routes, target, place, known, out));
         }
         routes.services[key].targets = targets;
         kept.insert(service.name.clone(), key);
@@ -101,59 +115,101 @@
     kept
 }
 
+/// Where a target belongs.
+#[derive(Clone, Copy, Debug)]
+struct Place {
+    service: ServiceKey,
+    zone: ZoneKey,
+    offset: u32,
+}
+
 fn apply_target(
     routes: &mut Routes,
     published: &note::Target,
-    service: ServiceKey,
-    zone: ZoneKey,
+    place: Place,
     known: Option<TargetKey>,
-    instances_count: u32,
     out: &mut Vec<Effect>,
 ) -> TargetKey {
-    let share_count = (published.connections_max_count / instances_count.max(1)).max(1);
     let is_leaving = published.state == TargetState::Leaving;
     if let Some(key) = known {
         if routes.targets[key].address == published.address {
-            let target = &mut routes.targets[key];
-            target.service = service;
-            target.zone = zone;
-            target.slots_count = published.slots_count;
-            target.connections_max_count = published.connections_max_count;
-            target.cold_bearable_count = published.cold_bearable_count;
-            target.is_leaving = is_leaving;
+            keep_target(routes, key, published, place, out);
             return key;
         }
         withdraw(routes, key, out);
     }
+    let share_count = share::first_share(routes, published.connections_max_count, place.offset);
+    let cold_share_count = share::first_share(routes, published.cold_bearable_count, place.offset);
     let key = routes.targets.insert(Target {
         name: published.name.clone(),
-        service,
-        zone,
+        service: place.service,
+        zone: place.zone,
         address: published.address,
         slots_count: published.slots_count,
         connections_max_count: published.connections_max_count,
         cold_bearable_count: published.cold_bearable_count,
         is_leaving,
+        offset: place.offset,
         share_count,
+        cold_share_count,
         in_flight_count: 0,
+        foreign_count: 0,
+        reported_at: None,
         phase: TargetPhase::Cold,
+        reported_bearable_count: 0,
         incarnation: 0,
         oldest_snapshot: 0,
         newest_snapshot: 0,
-        is_unreachable: false,
+        mean_latency: Duration::ZERO,
+        reach: Reach::default(),
+        warmth: Warmth::default(),
     });
     out.push(Effect::Pool {
         target: key,
         address: published.address,
         connections_count: share_count,
     });
-    out.push(Effect::AskLoad {
-        target: key,
-        connections_count: 1,
-    });
+    share::open_ahead(key, share_count, out);
     key
 }
 
+fn keep_target(
+    routes: &mut Routes,
+    key: TargetKey,
+    published: &note::Target,
+    place: Place,
+    out: &mut Vec<Effect>,
+) {
+    let is_leaving = published.state == TargetState::Leaving;
+    let entitled_count = share::first_share(routes, published.connections_max_count, place.offset);
+    let cold_count = share::first_share(routes, published.cold_bearable_count, place.offset);
+    let target = &mut routes.targets[key];
+    // A target that was out of use is cold until its calls prove otherwise.
+    if target.is_leaving && !is_leaving {
+        warmth::turn_cold(target);
+    }
+    target.service = place.service;
+    target.zone = place.zone;
+    target.offset = place.offset;
+    target.slots_count = published.slots_count;
+    target.connections_max_count = published.connections_max_count;
+    target.cold_bearable_count = published.cold_bearable_count;
+    target.is_leaving = is_leaving;
+    target.cold_share_count = target.cold_share_count.min(cold_count);
+    if entitled_count < target.share_count {
+        target.share_count = entitled_count;
+        out.push(Effect::Pool {
+            target: key,
+            address: target.address,
+            connections_count: entitled_count,
+        });
+    }
+    if entitled_count > target.share_count || cold_count > target.cold_share_count {
+        routes.division.is_growing = true;
+        routes.division.changed_at = None;
+    }
+}
+
 fn withdraw(routes: &mut Routes, key: TargetKey, out: &mut Vec<Effect>) {
     let Some(target) = routes.targets.remove(key) else {
         return;
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -1,8 +1,23 @@
 //! The choice of one target among the replicas of a service.
 
+use std::time::Duration;
+
 use model::{MissingReason, ServiceKey, Snapshot, TargetKey, ZoneKey};
 
-use crate::{Routes, Target};
+use crate::{Routes, Target, warmth};
+
+/// Calls in flight for each slot of a target, all instances together: one executes, the other one
+/// is on its way or waits, so that the slot never idles.
+const CALLS_PER_SLOT: u32 = 2;
+/// Mean latency that is assumed of a target in this instance's zone before its first call.
+const NEAR_LATENCY: Duration = Duration::from_millis(1);
+/// Mean latency that is assumed of a target in another zone before its first call.
+const FAR_LATENCY: Duration = Duration::from_millis(4);
+
+/// Time that a call needs to a target in this instance's zone.
+const NEAR_WAY: Duration = Duration::from_micros(500);
+/// Time that a call needs to a target in another zone.
+const FAR_WAY: Duration = Duration::from_millis(2);
 
 /// What a call needs from its target.
 #[derive(Clone, Copy, Debug)]
@@ -17,37 +32,67 @@
     pub tried: &'a [TargetKey],
 }
 
-/// Chooses the target with the smallest share of its slots in use.
+/// Why no target was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoChoice {
+    /// A target could be used but has as many calls as it may have at present.
+    Busy,
+    /// No target can be used.
+    Missing(MissingReason),
+}
+
+/// Chooses the target that is expected to reply first.
 ///
 /// # Errors
 ///
 /// Returns why no target of the service can be used.
-pub fn choose(routes: &Routes, want: &Want<'_>) -> Result<TargetKey, MissingReason> {
+pub fn choose(routes: &Routes, want: &Want<'_>) -> Result<TargetKey, NoChoice> {
     let Some(service) = routes.services.get(want.service) else {
-        return Err(MissingReason::NoTarget);
+        return Err(NoChoice::Missing(MissingReason::NoTarget));
     };
-    let mut reason = MissingReason::NoTarget;
-    let mut best: Option<(u64, TargetKey)> = None;
+    let mut reason = NoChoice::Missing(MissingReason::NoTarget);
+    let mut best: Option<((Duration, u32), TargetKey)> = None;
     for &key in &service.targets {
         let target = &routes.targets[key];
         if want.tried.contains(&key) || !may_receive_work(routes, target, want.zones) {
             continue;
         }
         if !serves(target, want.snapshot) {
-            reason = MissingReason::SnapshotGone;
+            reason = weightier(reason, NoChoice::Missing(MissingReason::SnapshotGone));
+            continue;
+        }
+        if target.in_flight_count >= warmth::allowance(target) {
+            reason = weightier(reason, NoChoice::Missing(MissingReason::Cold));
             continue;
         }
-        if target.in_flight_count >= target.share_count {
+        if target.in_flight_count >= limit(routes, target) {
+            reason = NoChoice::Busy;
             continue;
         }
-        let load = u64::from(target.in_flight_count) * 1000 / u64::from(target.slots_count.max(1));
-        if best.is_none_or(|(best_load, _)| load < best_load) {
-            best = Some((load, key));
+        let cost = (expected_latency(routes, target), target.in_flight_count);
+        if best.is_none_or(|(best_cost, _)| cost < best_cost) {
+            best = Some((cost, key));
         }
     }
     best.map(|(_, key)| key).ok_or(reason)
 }
 
+/// Tells whether a target would execute a further call at once.
+pub fn has_free_slot(routes: &Routes, key: TargetKey) -> bool {
+    let Some(target) = routes.targets.get(key) else {
+        return false;
+    };
+    target.in_flight_count + target.foreign_count < target.slots_count
+}
+
+/// Returns the time that a call needs to reach a target.
+pub fn way_there(routes: &Routes, key: TargetKey) -> Duration {
+    match routes.targets.get(key) {
+        Some(target) if routes.own_zone == Some(target.zone) => NEAR_WAY,
+        _ => FAR_WAY,
+    }
+}
+
 /// Returns the newest snapshot that every service with a usable target can serve.
 pub fn newest_snapshot(
     routes: &Routes,
@@ -63,6 +108,44 @@
     per_service.min()
 }
 
+/// Returns how many calls this instance may have in flight to a target, warmth aside.
+///
+/// What other instances do not use may be used here, but never less than an equal part.
+fn limit(routes: &Routes, target: &Target) -> u32 {
+    let total_count = target.slots_count * CALLS_PER_SLOT;
+    let equal_count = total_count.div_ceil(routes.division.instances_count.max(1));
+    let unused_count = total_count.saturating_sub(target.foreign_count);
+    unused_count.max(equal_count).min(target.share_count)
+}
+
+/// Returns the mean latency, stretched by the calls that a slot already has.
+fn expected_latency(routes: &Routes, target: &Target) -> Duration {
+    let mean_latency = match target.mean_latency {
+        Duration::ZERO if routes.own_zone == Some(target.zone) => NEAR_LATENCY,
+        Duration::ZERO => FAR_LATENCY,
+        known => known,
+    };
+    let load_count = target.in_flight_count + target.foreign_count + 1;
+    let late_factor = 1 + target.warmth.late_count;
+    mean_latency * late_factor * load_count.max(target.slots_count) / target.slots_count.max(1)
+}
+
+/// Returns the reason to report: waiting helps if any target is only busy, and of the others the
+/// one that is closest to working tells most.
+fn weightier(known: NoChoice, found: NoChoice) -> NoChoice {
+    let weight = |reason| match reason {
+        NoChoice::Busy => 3,
+        NoChoice::Missing(MissingReason::Cold) => 2,
+        NoChoice::Missing(MissingReason::SnapshotGone) => 1,
+        NoChoice::Missing(_) => 0,
+    };
+    if weight(found) > weight(known) {
+        found
+    } else {
+        known
+    }
+}
+
 fn may_receive_work(routes: &Routes, target: &Target, zones: &[ZoneKey]) -> bool {
     let is_in_zones = zones.is_empty() || zones.contains(&target.zone);
     let is_zone_in = routes
@@ -70,7 +153,12 @@
         .get(target.zone)
         .is_some_and(|zone| !zone.is_out);
     let is_known = target.incarnation != 0;
-    is_in_zones && is_zone_in && is_known && !target.is_leaving && !target.is_unreachable
+    is_in_zones
+        && is_zone_in
+        && is_known
+        && !target.is_leaving
+        && !target.reach.is_unreachable
+        && target.phase != model::TargetPhase::Draining
 }
 
 fn serves(target: &Target, snapshot: Option<Snapshot>) -> bool {
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -1,11 +1,18 @@
 //! The table of fronts, services, targets and zones.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use model::{Revision, ServiceKey, Snapshot, TargetKey, TargetPhase, ZoneKey};
 use serde::Serialize;
 use slotmap::SlotMap;
 
+use crate::{latency::Latency, reach::Reach, share::Division, warmth::Warmth};
+
 /// Everything known about the fronts and what serves them.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Routes {
@@ -19,6 +26,36 @@
     pub targets: SlotMap<TargetKey, Target>,
     /// Availability zones.
     pub zones: SlotMap<ZoneKey, Zone>,
+    /// This instance's zone, if the configuration has it.
+    pub own_zone: Option<ZoneKey>,
+    /// Who divides the targets.
+    pub division: Division,
+    /// Settings.
+    pub limits: Limits,
+}
+
+/// Settings of the choice of targets.
+#[derive(Clone, Debug, Serialize)]
+pub struct Limits {
+    /// Name of this instance's zone.
+    pub own_zone_name: String,
+    /// Time after which a target without traffic is asked for its load.
+    pub probe_idle: Duration,
+    /// Successful calls in cold start after which a target's allowance grows by one.
+    pub ramp_success_count: u32,
+    /// Quantile of a service's latency after which a call is late, 0 to 1.
+    pub late_ratio: f64,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            own_zone_name: String::new(),
+            probe_idle: Duration::from_secs(1),
+            ramp_success_count: 20,
+            late_ratio: 0.98,
+        }
+    }
 }
 
 /// A front.
@@ -46,6 +83,8 @@
     pub name: Arc<str>,
     /// Replicas.
     pub targets: Vec<TargetKey>,
+    /// How long its calls take.
+    pub latency: Latency,
 }
 
 /// An availability zone.
@@ -76,18 +115,33 @@
     pub cold_bearable_count: u32,
     /// Whether operators are withdrawing it.
     pub is_leaving: bool,
+    /// Offset that spreads what does not divide among the instances.
+    pub offset: u32,
     /// Connections that this instance may hold.
     pub share_count: u32,
-    /// Calls of this instance in flight.
+    /// Concurrent calls that this instance may have in flight while the target is cold.
+    pub cold_share_count: u32,
+    /// Calls of this instance that occupy a connection, cancelled ones included.
     pub in_flight_count: u32,
-    /// Phase of life as far as known.
+    /// Calls of other instances, by the last report.
+    pub foreign_count: u32,
+    /// When the last report arrived.
+    #[serde(skip)]
+    pub reported_at: Option<Instant>,
+    /// Phase of life as reported.
     pub phase: TargetPhase,
+    /// Calls that the target bears, as reported.
+    pub reported_bearable_count: u32,
     /// Identifier of the target's process, 0 until the first report.
     pub incarnation: u64,
     /// Oldest snapshot served.
     pub oldest_snapshot: Snapshot,
     /// Newest snapshot served.
     pub newest_snapshot: Snapshot,
-    /// Whether the last attempt to reach it failed.
-    pub is_unreachable: bool,
+    /// Mean latency of the last calls, zero before the first one.
+    pub mean_latency: Duration,
+    /// Whether it can be reached.
+    pub reach: Reach,
+    /// Whether it is in cold start.
+    pub warmth: Warmth,
 }
--- /dev/null
+++ b/crates/route/src/tests.rs
@@ -0,0 +1,3 @@
+//! Tests of the choice of targets.
+
+mod share;
--- a/crates/tier/src/reduce.rs
+++ b/crates/tier/src/reduce.rs
@@ -41,16 +41,16 @@
             settle::settle(state, now, finished, out);
         }
         Event::Load { target, report } => {
-            route::load_reported(&mut state.routes, target, &report);
+            route::probe_answered(&mut state.routes, now, target, &report);
         }
-        Event::LoadFailed { target, .. } => route::probe_failed(&mut state.routes, target),
+        Event::LoadFailed { target, .. } => route::probe_failed(&mut state.routes, now, target),
         Event::Timer(timer) => timer_due(state, now, timer, out),
         Event::Peer { message } => peer_message(state, now, &message, out),
         Event::PeerUnreachable { address } => forward::unreachable(state, address, out),
         Event::PlatformNote { version, body } => {
             let accepted = fleet::note_published(&mut state.fleet, version, body, out);
             if let Some(note) = accepted {
-                route::apply(&mut state.routes, note, 1, out);
+                route::apply(&mut state.routes, note, out);
             }
         }
         Event::PlatformInstances { .. } => {}
@@ -72,7 +72,7 @@
 fn timer_due(state: &mut State, now: Instant, timer: Timer, out: &mut Vec<Effect>) {
     match timer {
         Timer::Deadline(key) => request::deadline(state, now, key, out),
-        Timer::Hedge(_) => {}
+        Timer::Hedge(key) => request::hedge(state, now, key, out),
         Timer::Wait(key) => ticket::wait_over(state, key, out),
         Timer::Tick => tick::due(state, now, out),
         Timer::Platform => fleet::started(&state.fleet, out),
--- a/crates/tier/src/request.rs
+++ b/crates/tier/src/request.rs
@@ -107,6 +107,26 @@
     deadline(state, now, key, out);
 }
 
+/// Hedges the late calls of a query.
+pub(crate) fn hedge(state: &mut State, now: Instant, key: QueryKey, out: &mut Vec<Effect>) {
+    let is_overloaded = admit::has_queue(&state.admission);
+    query::hedge(
+        &mut state.queries,
+        &mut state.routes,
+        now,
+        key,
+        is_overloaded,
+        out,
+    );
+}
+
+/// Does the regular work on targets and queries.
+pub(crate) fn tick(state: &mut State, now: Instant, out: &mut Vec<Effect>) {
+    route::tick(&mut state.routes, now, out);
+    query::tick(&mut state.queries, &mut state.routes, now, out);
+    settle::settle(state, now, None, out);
+}
+
 /// Answers a request that does not run.
 pub(crate) fn refuse(
     state: &mut State,
--- a/crates/tier/src/settle.rs
+++ b/crates/tier/src/settle.rs
@@ -7,17 +7,20 @@
 
 use crate::{State, ticket};
 
-/// Answers a finished query and starts as many waiting queries as there is room for.
+/// Answers finished queries and starts as many waiting queries as there is room for.
 pub(crate) fn settle(
     state: &mut State,
     now: Instant,
     finished: Option<Finished>,
     out: &mut Vec<Effect>,
 ) {
-    let Some(finished) = finished else { return };
-    answer(state, finished, out);
-    admit::finished(&mut state.admission);
-    start_waiting(state, now, out);
+    let mut next = finished.or_else(|| state.queries.ended.pop());
+    while let Some(finished) = next {
+        answer(state, finished, out);
+        admit::finished(&mut state.admission);
+        start_waiting(state, now, out);
+        next = state.queries.ended.pop();
+    }
 }
 
 /// Answers a query and, if it ran under a ticket, every resend that waits.
--- a/crates/tier/src/state.rs
+++ b/crates/tier/src/state.rs
@@ -8,7 +8,7 @@
 use model::InstanceId;
 use once::{OnceState, Owner};
 use query::Queries;
-use route::Routes;
+use route::{Limits, Routes};
 use settings::Settings;
 
 /// The whole state of an instance.
@@ -56,14 +56,29 @@
             rejected: Findings::default(),
             is_leaving: false,
         },
-        routes: Routes::default(),
-        queries: Queries::default(),
+        routes: Routes {
+            limits: limits(&settings),
+            ..Routes::default()
+        },
+        queries: Queries {
+            budgets: query::open_budgets(&settings.query),
+            ..Queries::default()
+        },
         admission: Admission::default(),
         last_tick: None,
         settings,
     }
 }
 
+fn limits(settings: &Settings) -> Limits {
+    Limits {
+        own_zone_name: settings.instance.zone.clone(),
+        probe_idle: settings.route.probe_idle,
+        ramp_success_count: settings.route.ramp_success_count,
+        late_ratio: settings.query.hedge_quantile_ratio,
+    }
+}
+
 /// Tells whether the instance should receive new requests.
 pub fn is_ready(state: &State) -> bool {
     state.fleet.note.is_some() && !state.fleet.is_leaving
--- a/crates/tier/src/tick.rs
+++ b/crates/tier/src/tick.rs
@@ -4,7 +4,7 @@
 
 use model::{Counter, Effect, Level, LogLine, Timer};
 
-use crate::{State, leave};
+use crate::{State, leave, request};
 
 /// Sets the first tick.
 pub(crate) fn started(state: &mut State, now: Instant, out: &mut Vec<Effect>) {
@@ -19,6 +19,7 @@
 pub(crate) fn due(state: &mut State, now: Instant, out: &mut Vec<Effect>) {
     notice_pause(state, now, out);
     state.last_tick = Some(now);
+    request::tick(state, now, out);
     leave::exit_if_quiet(state, now, out);
     out.push(Effect::SetTimer {
         timer: Timer::Tick,
