Measure slopes of the reducer's time and state

Cause: the cost of each role at a larger size is to be worked out from slopes, and nothing measured them.

Allocations are counted by a library in a program of its own, so that other measurements do not pay for it.

--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -5,10 +5,11 @@
 mod check;
 mod codegen;
 mod error;
+mod measured;
 
-use std::process::ExitCode;
+use std::{ffi::OsString, process::ExitCode};
 
-use bpaf::{Parser, construct, pure};
+use bpaf::{Parser, any, construct, pure};
 
 /// A task and its arguments.
 #[derive(Clone, Debug)]
@@ -17,6 +18,11 @@
     Ci,
     /// Generate the Rust code of the messages between instances.
     Codegen,
+    /// Measure how the cost of each role grows.
+    Slopes {
+        /// Arguments of the measuring program.
+        arguments: Vec<OsString>,
+    },
 }
 
 fn main() -> ExitCode {
@@ -27,6 +33,7 @@
     let result = match task {
         Task::Ci => check::ci(),
         Task::Codegen => codegen::write(),
+        Task::Slopes { arguments } => measured::slopes(&arguments),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -46,5 +53,14 @@
         .to_options()
         .descr("Generate the code of the messages between instances")
         .command("codegen");
-    construct!([ci, codegen])
+    let slopes = {
+        let arguments = any::<OsString, _, _>("ARGUMENT", Some)
+            .help("`--only TEXT` for some sweeps, `--write` to update docs/slopes and the page")
+            .many();
+        construct!(Task::Slopes { arguments })
+            .to_options()
+            .descr("Measure how the cost of each role grows with its size")
+            .command("slopes")
+    };
+    construct!([ci, codegen, slopes])
 }
--- /dev/null
+++ b/xtask/src/measured.rs
@@ -0,0 +1,24 @@
+//! Measurements, which run in programs of their own that are built for speed.
+
+use std::{ffi::OsString, process::Command};
+
+use crate::error::TaskError;
+
+/// Runs the measurement of slopes.
+pub fn slopes(arguments: &[OsString]) -> Result<(), TaskError> {
+    release("slopes", arguments)
+}
+
+fn release(program: &str, arguments: &[OsString]) -> Result<(), TaskError> {
+    let status = Command::new("cargo")
+        .args(["run", "--quiet", "--release", "--package", "xtask", "--bin"])
+        .arg(program)
+        .arg("--")
+        .args(arguments)
+        .status();
+    if status.is_ok_and(|status| status.success()) {
+        Ok(())
+    } else {
+        Err(TaskError::Command(program.to_owned()))
+    }
+}
--- /dev/null
+++ b/xtask/src/slopes/document.rs
@@ -0,0 +1,100 @@
+//! The settings and the release note of an instance of a given size.
+
+use note::{Fleet, Front, Note, Service, ShardMap, Target, TargetState, Zone, ZoneState};
+use settings::Settings;
+
+/// Name of the front that queries ask.
+pub const FRONT: &str = "parts";
+/// Replicas of each service.
+const REPLICAS_COUNT: u32 = 2;
+/// Zones at the size of two years from now.
+const ZONES_COUNT: u32 = 5;
+/// Large enough that no limit of a target shapes a measurement.
+const AMPLE_COUNT: u32 = 100_000;
+
+const SETTINGS: &str = r#"{
+    "instance": {"name": "zone-0-instance-0", "zone": "zone-0"},
+    "listen": {"callers": "127.0.0.1:1", "operators": "127.0.0.1:2", "peers": "127.0.0.1:3"},
+    "platform": {"address": "127.0.0.1:4"},
+    "admit": {"running_max_count": 100000, "queued_max_count": 100000},
+    "query": {"hedge_budget_percent": 0}
+}"#;
+
+/// Returns the settings of an instance that admits every query.
+pub fn settings() -> Settings {
+    let mut findings = findings::Findings::default();
+    settings::read(SETTINGS, &mut findings).expect("the settings have no findings")
+}
+
+/// Returns a note of `targets_count` targets whose front asks `services_count` services.
+pub fn note(targets_count: u32, services_count: u32) -> Note {
+    let all_count = (targets_count / REPLICAS_COUNT).max(services_count);
+    let services: Vec<Service> = (0..all_count).map(service).collect();
+    let asked = services.iter().take(services_count as usize);
+    let front = Front {
+        name: FRONT.to_owned(),
+        zones: Vec::new(),
+        shard_maps: vec![ShardMap {
+            from_snapshot: 1,
+            services: asked.map(|service| service.name.clone()).collect(),
+        }],
+    };
+    let zones: Vec<Zone> = (0..ZONES_COUNT).map(zone).collect();
+    let mut added: Vec<String> = zones
+        .iter()
+        .map(|zone| format!("zone/{}", zone.name))
+        .collect();
+    added.push(format!("front/{FRONT}"));
+    added.extend(
+        services
+            .iter()
+            .map(|service| format!("service/{}", service.name)),
+    );
+    Note {
+        revision: 1,
+        added,
+        changed: Vec::new(),
+        withdrawn: Vec::new(),
+        fleet: Fleet {
+            zones,
+            fronts: vec![front],
+            services,
+            released_fingerprints: Vec::new(),
+        },
+    }
+}
+
+fn zone(index: u32) -> Zone {
+    Zone {
+        name: zone_name(index),
+        state: ZoneState::In,
+    }
+}
+
+/// Returns the name of a zone; more zones than there are wrap around.
+pub fn zone_name(index: u32) -> String {
+    format!("zone-{}", index % ZONES_COUNT)
+}
+
+fn service(index: u32) -> Service {
+    Service {
+        name: format!("{FRONT}-{index:04}"),
+        targets: (0..REPLICAS_COUNT)
+            .map(|replica| target(index, replica))
+            .collect(),
+    }
+}
+
+fn target(service: u32, replica: u32) -> Target {
+    let number = service * REPLICAS_COUNT + replica;
+    let [_, _, high, low] = number.to_be_bytes();
+    Target {
+        name: format!("{FRONT}-{service:04}-{replica}"),
+        zone: zone_name(number),
+        address: ([127, 1, high, low], 8080).into(),
+        slots_count: AMPLE_COUNT,
+        connections_max_count: AMPLE_COUNT,
+        cold_bearable_count: AMPLE_COUNT,
+        state: TargetState::In,
+    }
+}
--- /dev/null
+++ b/xtask/src/slopes/tests.rs
@@ -0,0 +1,4 @@
+//! Tests of the measurement of slopes.
+
+mod figures;
+mod sweep;
