--- a/crates/findings/src/lib.rs
+++ b/crates/findings/src/lib.rs
@@ -6,7 +6,9 @@
 //! - no input makes the reader panic.
 
 mod finding;
+mod locate;
 mod node;
 
 pub use finding::{Finding, Findings};
+pub use locate::locate;
 pub use node::{Fields, Node, with_document};
--- a/crates/findings/src/node.rs
+++ b/crates/findings/src/node.rs
@@ -237,7 +237,7 @@
     }
 }
 
-fn finding_at(document: &str, offset: usize, path: &str, message: String) -> Finding {
+pub(crate) fn finding_at(document: &str, offset: usize, path: &str, message: String) -> Finding {
     let before = document.get(..offset).unwrap_or(document);
     let line_count = before.matches('\n').count() + 1;
     let last_line = before.rsplit('\n').next().unwrap_or(before);
--- /dev/null
+++ b/crates/note/src/check.rs
@@ -0,0 +1,245 @@
+//! The checks that need nothing but the note itself.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use findings::Findings;
+
+use crate::{Fleet, Front, Note, Service, Target, TargetState, ZoneState, item_path};
+
+/// Longest name.
+const NAME_MAX_BYTES: usize = 64;
+/// Zones of one fleet.
+const ZONES_MAX_COUNT: usize = 64;
+/// Fronts of one fleet.
+const FRONTS_MAX_COUNT: usize = 1_000;
+/// Services of one fleet.
+const SERVICES_MAX_COUNT: usize = 5_000;
+/// Targets of one fleet.
+const TARGETS_MAX_COUNT: usize = 10_000;
+
+/// Checks names, references, limits, the listed paths and that every front can still be served.
+pub fn check(note: &Note, findings: &mut Findings) {
+    let fleet = &note.fleet;
+    check_limits(fleet, findings);
+    check_names(fleet, findings);
+    check_references(fleet, findings);
+    check_lists(note, findings);
+    check_service_left(fleet, findings);
+}
+
+fn check_limits(fleet: &Fleet, findings: &mut Findings) {
+    let targets_count = fleet
+        .services
+        .iter()
+        .map(|service| service.targets.len())
+        .sum();
+    let limits = [
+        ("zones", fleet.zones.len(), ZONES_MAX_COUNT),
+        ("fronts", fleet.fronts.len(), FRONTS_MAX_COUNT),
+        ("services", fleet.services.len(), SERVICES_MAX_COUNT),
+        ("services", targets_count, TARGETS_MAX_COUNT),
+    ];
+    for (field, count, max_count) in limits {
+        if count > max_count {
+            let message = format!("{count} entries or targets, {max_count} at most");
+            findings.add(&format!("$.fleet.{field}"), message);
+        }
+    }
+}
+
+fn check_names(fleet: &Fleet, findings: &mut Findings) {
+    let zones = fleet.zones.iter().map(|zone| zone.name.as_str());
+    unique(
+        zones,
+        |index| format!("$.fleet.zones[{index}].name"),
+        findings,
+    );
+    let fronts = fleet.fronts.iter().map(|front| front.name.as_str());
+    unique(
+        fronts,
+        |index| format!("$.fleet.fronts[{index}].name"),
+        findings,
+    );
+    let services = fleet.services.iter().map(|service| service.name.as_str());
+    unique(
+        services,
+        |index| format!("$.fleet.services[{index}].name"),
+        findings,
+    );
+    let mut names: BTreeMap<&str, String> = BTreeMap::new();
+    let mut addresses = BTreeMap::new();
+    for (path, target) in targets(fleet) {
+        well_formed(&target.name, &format!("{path}.name"), findings);
+        if let Some(first) = names.insert(&target.name, path.clone()) {
+            let message = format!("`{}` is also the name of {first}", target.name);
+            findings.add(&format!("{path}.name"), message);
+        }
+        if let Some(first) = addresses.insert(target.address, path.clone()) {
+            let message = format!("{} is also the address of {first}", target.address);
+            findings.add(&format!("{path}.address"), message);
+        }
+    }
+    let released = fleet.released_fingerprints.iter().map(u64::to_string);
+    let released: Vec<String> = released.collect();
+    let path = |index| format!("$.fleet.released_fingerprints[{index}]");
+    unique(released.iter().map(String::as_str), path, findings);
+}
+
+fn check_references(fleet: &Fleet, findings: &mut Findings) {
+    let zones: BTreeSet<&str> = fleet.zones.iter().map(|zone| zone.name.as_str()).collect();
+    let services = fleet.services.iter().map(|service| service.name.as_str());
+    let services: BTreeSet<&str> = services.collect();
+    for (path, target) in targets(fleet) {
+        if !zones.contains(target.zone.as_str()) {
+            let message = format!("there is no zone `{}`", target.zone);
+            findings.add(&format!("{path}.zone"), message);
+        }
+    }
+    for (index, service) in fleet.services.iter().enumerate() {
+        if service.targets.is_empty() {
+            let path = format!("$.fleet.services[{index}].targets");
+            findings.add(&path, format!("`{}` has no target", service.name));
+        }
+    }
+    for (index, front) in fleet.fronts.iter().enumerate() {
+        let path = format!("$.fleet.fronts[{index}]");
+        let at = |position| format!("{path}.zones[{position}]");
+        references(&front.zones, &zones, "zone", at, findings);
+        check_shard_maps(front, &path, &services, findings);
+    }
+}
+
+fn check_shard_maps(front: &Front, path: &str, services: &BTreeSet<&str>, findings: &mut Findings) {
+    if front.shard_maps.is_empty() {
+        let message = format!("`{}` has no shard map", front.name);
+        findings.add(&format!("{path}.shard_maps"), message);
+    }
+    let mut previous = None;
+    for (index, map) in front.shard_maps.iter().enumerate() {
+        let path = format!("{path}.shard_maps[{index}]");
+        if previous.is_some_and(|previous| map.from_snapshot <= previous) {
+            let message = "must be larger than that of the shard map before";
+            findings.add(&format!("{path}.from_snapshot"), message);
+        }
+        previous = Some(map.from_snapshot);
+        if map.services.is_empty() {
+            findings.add(&format!("{path}.services"), "names no service");
+        }
+        let at = |position| format!("{path}.services[{position}]");
+        references(&map.services, services, "service", at, findings);
+    }
+}
+
+/// Checks that what is listed as added or changed is there, and what is withdrawn is not.
+fn check_lists(note: &Note, findings: &mut Findings) {
+    let present: BTreeSet<String> = item_path::all(&note.fleet).collect();
+    let lists = [
+        ("added", &note.added, true),
+        ("changed", &note.changed, true),
+        ("withdrawn", &note.withdrawn, false),
+    ];
+    let mut seen: BTreeSet<&str> = BTreeSet::new();
+    for (field, paths, must_be_present) in lists {
+        for (index, path) in paths.iter().enumerate() {
+            let at = format!("$.{field}[{index}]");
+            if !seen.insert(path) {
+                findings.add(&at, format!("`{path}` is listed twice"));
+            }
+            let is_present = present.contains(path);
+            if must_be_present && !is_present {
+                findings.add(&at, format!("the fleet has no `{path}`"));
+            }
+            if !must_be_present && is_present {
+                findings.add(&at, format!("the fleet still has `{path}`"));
+            }
+        }
+    }
+}
+
+/// Checks that some zone is in, and that every front has a target that may receive work.
+fn check_service_left(fleet: &Fleet, findings: &mut Findings) {
+    let zones = fleet
+        .zones
+        .iter()
+        .filter(|zone| zone.state == ZoneState::In);
+    let zones_in: BTreeSet<&str> = zones.map(|zone| zone.name.as_str()).collect();
+    if zones_in.is_empty() {
+        findings.add("$.fleet.zones", "no zone is in: nothing could be served");
+        return;
+    }
+    let services = fleet
+        .services
+        .iter()
+        .map(|service| (service.name.as_str(), service));
+    let services: BTreeMap<&str, &Service> = services.collect();
+    for (index, front) in fleet.fronts.iter().enumerate() {
+        let may_serve = |target: &Target| {
+            let is_in_zones = front.zones.is_empty() || front.zones.contains(&target.zone);
+            let is_zone_in = zones_in.contains(target.zone.as_str());
+            is_in_zones && is_zone_in && target.state == TargetState::In
+        };
+        let names = front.shard_maps.iter().flat_map(|map| &map.services);
+        let services = names.filter_map(|name| services.get(name.as_str()));
+        let mut targets = services.flat_map(|service| &service.targets);
+        if !targets.any(may_serve) {
+            let message = format!("no target may receive work for `{}`", front.name);
+            findings.add(&format!("$.fleet.fronts[{index}]"), message);
+        }
+    }
+}
+
+fn targets(fleet: &Fleet) -> impl Iterator<Item = (String, &Target)> {
+    let services = fleet.services.iter().enumerate();
+    services.flat_map(|(service_index, service)| {
+        let targets = service.targets.iter().enumerate();
+        targets.map(move |(index, target)| {
+            let path = format!("$.fleet.services[{service_index}].targets[{index}]");
+            (path, target)
+        })
+    })
+}
+
+fn unique<'a>(
+    names: impl Iterator<Item = &'a str>,
+    path: impl Fn(usize) -> String,
+    findings: &mut Findings,
+) {
+    let mut seen = BTreeMap::new();
+    for (index, name) in names.enumerate() {
+        well_formed(name, &path(index), findings);
+        if let Some(first) = seen.insert(name, index) {
+            let message = format!("`{name}` is also at {}", path(first));
+            findings.add(&path(index), message);
+        }
+    }
+}
+
+fn well_formed(name: &str, path: &str, findings: &mut Findings) {
+    if name.len() > NAME_MAX_BYTES {
+        findings.add(path, format!("longer than {NAME_MAX_BYTES} bytes"));
+    }
+    if name.contains(|c: char| c == '/' || c.is_whitespace() || c.is_control()) {
+        findings.add(
+            path,
+            format!("`{name}` has a slash, a space or a control character"),
+        );
+    }
+}
+
+fn references(
+    names: &[String],
+    known: &BTreeSet<&str>,
+    kind: &str,
+    path: impl Fn(usize) -> String,
+    findings: &mut Findings,
+) {
+    let mut seen = BTreeSet::new();
+    for (index, name) in names.iter().enumerate() {
+        if !known.contains(name.as_str()) {
+            findings.add(&path(index), format!("there is no {kind} `{name}`"));
+        }
+        if !seen.insert(name) {
+            findings.add(&path(index), format!("{kind} `{name}` is listed twice"));
+        }
+    }
+}
--- a/crates/note/src/read.rs
+++ b/crates/note/src/read.rs
@@ -2,18 +2,69 @@
 
 use findings::{Fields, Findings, Node, with_document};
 
-use crate::{Fleet, Front, Note, Service, ShardMap, Target, TargetState, Zone, ZoneState};
+use crate::{
+    Change, Fleet, Front, Note, Service, ShardMap, Target, TargetState, Zone, ZoneState, check,
+};
 
 const MAX_COUNT: u32 = 1_000_000;
+/// Largest value that the platform holds.
+const DOCUMENT_MAX_BYTES: usize = 1_048_576;
 
 /// Reads a release note from its published form.
 ///
 /// Returns `None` if there is any finding.
 pub fn read(document: &str, findings: &mut Findings) -> Option<Note> {
+    if document.len() > DOCUMENT_MAX_BYTES {
+        let size_bytes = document.len();
+        let message = format!("{size_bytes} bytes, {DOCUMENT_MAX_BYTES} at most");
+        findings.add("$", message);
+        return None;
+    }
     let note = with_document(document, findings, read_note)?;
+    check(&note, findings);
+    findings::locate(document, findings);
     findings.is_empty().then_some(note)
 }
 
+/// Reads an operator's change: `added`, `changed` and `withdrawn`, each of which may be missing.
+///
+/// Returns `None` if there is any finding.
+pub fn read_change(document: &str, findings: &mut Findings) -> Option<Change> {
+    let change = with_document(document, findings, |root, findings| {
+        let mut fields = root.fields(findings)?;
+        let added = fields.optional("added");
+        let changed = fields.optional("changed");
+        let change = Change {
+            added: read_part(added, findings),
+            changed: read_part(changed, findings),
+            withdrawn: read_optional_list(&mut fields, "withdrawn", findings, read_name),
+        };
+        fields.finish(findings);
+        Some(change)
+    })?;
+    findings.is_empty().then_some(change)
+}
+
+/// Reads a part of a fleet, in which lists may be missing.
+fn read_part(node: Option<Node<'_>>, findings: &mut Findings) -> Fleet {
+    let Some(mut fields) = node.and_then(|node| node.fields(findings)) else {
+        return Fleet::default();
+    };
+    let part = Fleet {
+        zones: read_optional_list(&mut fields, "zones", findings, read_zone),
+        fronts: read_optional_list(&mut fields, "fronts", findings, read_front),
+        services: read_optional_list(&mut fields, "services", findings, read_service),
+        released_fingerprints: read_optional_list(
+            &mut fields,
+            "released_fingerprints",
+            findings,
+            read_fingerprint,
+        ),
+    };
+    fields.finish(findings);
+    part
+}
+
 fn read_note(root: Node<'_>, findings: &mut Findings) -> Option<Note> {
     let mut fields = root.fields(findings)?;
     let revision = fields
@@ -44,7 +95,7 @@
         &mut fields,
         "released_fingerprints",
         findings,
-        |node, findings| node.number(0..=u64::MAX, findings),
+        read_fingerprint,
     );
     fields.finish(findings);
     Some(Fleet {
@@ -150,6 +201,10 @@
     node.text(findings).map(str::to_owned)
 }
 
+fn read_fingerprint(node: Node<'_>, findings: &mut Findings) -> Option<u64> {
+    node.number(0..=u64::MAX, findings)
+}
+
 fn read_list<T>(
     fields: &mut Fields<'_>,
     name: &str,
@@ -159,8 +214,24 @@
     let Some(node) = fields.required(name, findings) else {
         return Vec::new();
     };
-    node.items(findings)
-        .into_iter()
-        .filter_map(|item| read(item, findings))
-        .collect()
+    read_items(&node, findings, read)
+}
+
+fn read_optional_list<T>(
+    fields: &mut Fields<'_>,
+    name: &str,
+    findings: &mut Findings,
+    read: impl Fn(Node<'_>, &mut Findings) -> Option<T>,
+) -> Vec<T> {
+    let node = fields.optional(name);
+    node.map_or_else(Vec::new, |node| read_items(&node, findings, read))
+}
+
+fn read_items<T>(
+    node: &Node<'_>,
+    findings: &mut Findings,
+    read: impl Fn(Node<'_>, &mut Findings) -> Option<T>,
+) -> Vec<T> {
+    let items = node.items(findings).into_iter();
+    items.filter_map(|item| read(item, findings)).collect()
 }
