Spread configurations and membership by digests

Cause: each instance read the platform by itself and knew no other instance. Change: the platform's instance list seeds a table of members; each tick sends digests of bounded size to a few members, the first of them in the zone that answered longest ago; a newer revision is fetched once from the sender. Freshness counts from the sending of an answered question. When it lapses, new work goes only to the own zone and to zones whose instances answer. Readiness waits for the highest revision that can be learned. Any event after a pause first distrusts freshness, probes and suspicions. The watch of the platform waits 4 s by default so that a confirmation is younger than the limit of freshness.

--- a/crates/fleet/src/accept.rs
+++ b/crates/fleet/src/accept.rs
@@ -1,65 +1,123 @@
-//! Reading the published configuration and accepting it.
+//! Accepting a published value, from the platform or from another instance.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Instant};
 
 use bytes::Bytes;
 use findings::Findings;
-use model::{Counter, Effect, Level, LogLine, PlatformRead, Timer};
+use model::{Counter, Effect, Level, LogLine, Message, Revision};
 use note::Note;
+use settings::Settings;
 
-use crate::FleetState;
+use crate::{FleetState, freshness, join, reading};
 
-/// Delay before the platform is read again after a failure.
-const PLATFORM_RETRY_DELAY: Duration = Duration::from_millis(500);
-
-/// Starts to read the platform.
-pub fn started(fleet: &FleetState, out: &mut Vec<Effect>) {
-    watch(fleet, out);
-}
-
-/// Takes in a published value; returns the note if it was accepted.
+/// Takes in a value that the platform returned; returns the note if it was accepted.
 pub fn note_published<'a>(
     fleet: &'a mut FleetState,
+    settings: &Settings,
+    now: Instant,
     version: u64,
     body: &[u8],
     out: &mut Vec<Effect>,
 ) -> Option<&'a Note> {
-    fleet.platform_version = version;
-    watch(fleet, out);
+    let is_going_back = version < fleet.platform_version;
+    let is_current = reading::note_read(fleet, settings, now, version, out);
+    if body == fleet.note_body && !body.is_empty() {
+        freshness::vouched_by_platform(fleet, now, is_current);
+        fleet.rejected = Findings::default();
+        join::check(fleet, &settings.fleet, now, out);
+        return None;
+    }
     let mut findings = Findings::default();
     let note = read_note(body, &mut findings);
+    let revision = note.as_ref().map_or(0, |note| note.revision);
+    if revision > 0 && revision < fleet.revision() {
+        // The platform is behind the fleet, so its value says nothing about what is current.
+        let line = LogLine::new(Level::Info, "platform-behind").with("revision", revision);
+        out.push(Effect::Log(line));
+        return None;
+    }
+    if let (Some(previous), Some(note)) = (&fleet.note, &note) {
+        check_against(previous, note, &mut findings);
+    }
+    // A value that is not accepted leaves the accepted one current.
+    freshness::vouched_by_platform(fleet, now, is_current && !is_going_back);
     if !findings.is_empty() {
-        reject(fleet, findings, out);
+        reject(fleet, body, findings, out);
+        join::check(fleet, &settings.fleet, now, out);
         return None;
     }
-    let accepted_revision = fleet.note.as_ref().map_or(0, |note| note.revision);
-    let note = note.filter(|note| note.revision > accepted_revision)?;
-    fleet.note_body = Bytes::copy_from_slice(body);
-    fleet.rejected = Findings::default();
-    let line = LogLine::new(Level::Info, "note-accepted").with("revision", note.revision);
-    out.push(Effect::Log(line));
-    Some(fleet.note.insert(note))
+    accept(fleet, note?, body, out);
+    join::check(fleet, &settings.fleet, now, out);
+    fleet.note.as_ref()
 }
 
-/// Notes that a read of the platform failed and schedules the next one.
-pub fn platform_failed(out: &mut Vec<Effect>) {
-    out.push(Effect::SetTimer {
-        timer: Timer::Platform,
-        after: PLATFORM_RETRY_DELAY,
-    });
+/// Takes in a published value that another instance has accepted; returns the note if it is newer.
+///
+/// The difference that the note lists is not compared here: the sender may have accepted the note
+/// after a gap, and instances that judge it differently would never agree again.
+pub fn note_received<'a>(
+    fleet: &'a mut FleetState,
+    settings: &Settings,
+    now: Instant,
+    body: &Bytes,
+    out: &mut Vec<Effect>,
+) -> Option<&'a Note> {
+    fleet.wanted = None;
+    let mut findings = Findings::default();
+    let note = read_note(body, &mut findings);
+    if !findings.is_empty() {
+        reject(fleet, body, findings, out);
+        return None;
+    }
+    let note = note.filter(|note| note.revision > fleet.revision())?;
+    accept(fleet, note, body, out);
+    join::check(fleet, &settings.fleet, now, out);
+    fleet.note.as_ref()
 }
 
-fn watch(fleet: &FleetState, out: &mut Vec<Effect>) {
-    let read = PlatformRead::WatchNote {
-        after_version: fleet.platform_version,
+/// Sends the accepted configuration to an instance that holds an older one.
+pub fn note_wanted(
+    fleet: &FleetState,
+    reply_to: SocketAddr,
+    at_least_revision: Revision,
+    out: &mut Vec<Effect>,
+) {
+    let revision = fleet.revision();
+    if revision == 0 || revision < at_least_revision {
+        return;
+    }
+    let message = Message::Note {
+        revision,
+        body: fleet.note_body.clone(),
     };
-    out.push(Effect::ReadPlatform(read));
-    out.push(Effect::Count {
-        counter: Counter::PlatformReads,
-        amount_count: 1,
+    out.push(Effect::Send {
+        address: reply_to,
+        message,
     });
 }
 
+fn accept(fleet: &mut FleetState, note: Note, body: &[u8], out: &mut Vec<Effect>) {
+    fleet.note_body = Bytes::copy_from_slice(body);
+    fleet.rejected = Findings::default();
+    let line = LogLine::new(Level::Info, "note-accepted").with("revision", note.revision);
+    out.push(Effect::Log(line));
+    fleet.note = Some(note);
+}
+
+fn check_against(previous: &Note, note: &Note, findings: &mut Findings) {
+    if note.revision == previous.revision {
+        findings.add(
+            "$.revision",
+            format!(
+                "revision {} was published before with another content; publish a higher one",
+                note.revision
+            ),
+        );
+        return;
+    }
+    note::check_difference(previous, note, findings);
+}
+
 fn read_note(body: &[u8], findings: &mut Findings) -> Option<Note> {
     let Ok(document) = std::str::from_utf8(body) else {
         findings.add("$", "not UTF-8 text");
@@ -68,7 +126,13 @@
     note::read(document, findings)
 }
 
-fn reject(fleet: &mut FleetState, findings: Findings, out: &mut Vec<Effect>) {
+fn reject(fleet: &mut FleetState, body: &[u8], mut findings: Findings, out: &mut Vec<Effect>) {
+    if let Ok(document) = std::str::from_utf8(body) {
+        findings::locate(document, &mut findings);
+    }
+    if fleet.rejected == findings {
+        return;
+    }
     out.push(Effect::Count {
         counter: Counter::RejectedNotes,
         amount_count: 1,
--- /dev/null
+++ b/crates/fleet/src/digest.rs
@@ -0,0 +1,156 @@
+//! What a digest carries, and who receives one.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Instant};
+
+use model::{Digest, MemberRow, MemberState, QuarantineRow};
+use rand::{RngExt, seq::IteratorRandom};
+
+use crate::{FleetState, Join, Member, Probe, freshness, join, member};
+
+/// Rows about members in one digest, which bounds its size.
+const ROWS_MAX_COUNT: usize = 2;
+/// Ticks between two attempts to reach an instance that counts as gone.
+const GONE_RETRY_TICKS_COUNT: u64 = 5;
+
+/// An instance that receives a digest this tick.
+#[derive(Clone, Debug)]
+pub(crate) struct Receiver {
+    pub(crate) name: String,
+    pub(crate) address: SocketAddr,
+    pub(crate) wants_reply: bool,
+}
+
+/// Chooses this tick's receivers.
+///
+/// The first comes from the zone that answered longest ago, so news cross the zones and every zone
+/// is asked in turn. An instance that counts as gone is tried now and then, which ends partitions.
+pub(crate) fn receivers(fleet: &mut FleetState, settings: &settings::Fleet) -> Vec<Receiver> {
+    let is_joining = fleet.join == Join::Waiting;
+    let mut fanout_count = settings.fanout_count as usize;
+    if is_joining {
+        fanout_count = fanout_count.max(join::JOIN_ASK_COUNT);
+    }
+    let mut rng = fleet.rng.clone();
+    let present = || fleet.members.values().filter(|member| member.is_present());
+    let zone = oldest_zone(present());
+    let in_zone = present().filter(|member| Some(member.row.zone.as_str()) == zone);
+    let mut chosen: Vec<&Member> = in_zone.choose(&mut rng).into_iter().collect();
+    for member in present().sample(&mut rng, fanout_count) {
+        let is_chosen = chosen.iter().any(|c| c.row.id.name == member.row.id.name);
+        if !is_chosen && chosen.len() < fanout_count {
+            chosen.push(member);
+        }
+    }
+    let gone = fleet.members.values().filter(|member| !member.is_present());
+    if fleet.ticks_count.is_multiple_of(GONE_RETRY_TICKS_COUNT) {
+        chosen.extend(gone.choose(&mut rng));
+    }
+    let receivers = chosen
+        .into_iter()
+        .enumerate()
+        .map(|(index, member)| Receiver {
+            name: member.row.id.name.clone(),
+            address: member.row.address,
+            wants_reply: index == 0 || is_joining || !member.is_present(),
+        });
+    let receivers = receivers.collect();
+    fleet.rng = rng;
+    receivers
+}
+
+/// Returns a digest that asks for a reply, or tells without asking.
+pub(crate) fn outgoing(
+    fleet: &mut FleetState,
+    now: Instant,
+    receiver: &Receiver,
+    quarantine: &[QuarantineRow],
+) -> Digest {
+    let mut sequence = 0;
+    if receiver.wants_reply {
+        fleet.sequence += 1;
+        sequence = fleet.sequence;
+        let probe = Probe {
+            name: receiver.name.clone(),
+            sent_at: now,
+        };
+        fleet.probes.insert(sequence, probe);
+    }
+    let mut digest = compose(fleet, now, &receiver.name, quarantine);
+    digest.sequence = sequence;
+    digest.wants_reply = receiver.wants_reply;
+    digest
+}
+
+/// Returns the reply to a digest.
+pub(crate) fn reply(
+    fleet: &mut FleetState,
+    now: Instant,
+    asked: &Digest,
+    quarantine: &[QuarantineRow],
+) -> Digest {
+    let mut digest = compose(fleet, now, &asked.from.id.name, quarantine);
+    digest.sequence = asked.sequence;
+    digest
+}
+
+fn compose(
+    fleet: &mut FleetState,
+    now: Instant,
+    receiver: &str,
+    quarantine: &[QuarantineRow],
+) -> Digest {
+    Digest {
+        from: member::own_row(fleet),
+        sequence: 0,
+        wants_reply: false,
+        revision: fleet.revision(),
+        freshness_age: freshness::freshness_age(fleet, now),
+        members: rows(fleet, receiver),
+        quarantine: quarantine.to_vec(),
+    }
+}
+
+/// Chooses the rows: what is wrong about the receiver, the least relayed change, and any other.
+fn rows(fleet: &mut FleetState, receiver: &str) -> Vec<MemberRow> {
+    let mut names: Vec<String> = Vec::new();
+    let about_receiver = fleet.members.get(receiver);
+    if about_receiver.is_some_and(|member| member.row.state != MemberState::Alive) {
+        names.push(receiver.to_owned());
+    }
+    let relays_max_count = relays_max_count(fleet.members.len());
+    let others = fleet.members.iter().filter(|(name, _)| *name != receiver);
+    let changed = others.filter(|(_, member)| member.relayed_count < relays_max_count);
+    if let Some((name, _)) = changed.min_by_key(|(_, member)| member.relayed_count) {
+        names.push(name.clone());
+    }
+    let index = fleet.rng.random_range(0..fleet.members.len().max(1));
+    if let Some((name, member)) = fleet.members.iter().nth(index) {
+        let is_new = name != receiver && !names.contains(name);
+        if is_new && member.is_present() {
+            names.push(name.clone());
+        }
+    }
+    names.truncate(ROWS_MAX_COUNT);
+    let rows = names.into_iter().filter_map(|name| {
+        let member = fleet.members.get_mut(&name)?;
+        member.relayed_count += 1;
+        Some(member.row.clone())
+    });
+    rows.collect()
+}
+
+/// Returns how often each instance relays a change so that all hear of it with high probability.
+fn relays_max_count(members_count: usize) -> u32 {
+    3 * (members_count + 1).ilog2() + 3
+}
+
+/// Returns the zone whose newest confirmation is the oldest.
+fn oldest_zone<'a>(members: impl Iterator<Item = &'a Member>) -> Option<&'a str> {
+    let mut zones: BTreeMap<&str, Option<Instant>> = BTreeMap::new();
+    for member in members {
+        let newest = zones.entry(&member.row.zone).or_default();
+        *newest = (*newest).max(member.confirmed_at);
+    }
+    let oldest = zones.into_iter().min_by_key(|(_, newest)| *newest);
+    oldest.map(|(zone, _)| zone)
+}
--- /dev/null
+++ b/crates/fleet/src/exchange.rs
@@ -0,0 +1,123 @@
+//! The exchange of digests with other instances.
+
+use std::time::Instant;
+
+use model::{Counter, Digest, Effect, Message, QuarantineRow, Revision};
+use settings::Settings;
+
+use crate::{FleetState, digest, freshness, join, member, reading, suspicion};
+
+/// Time after which an unanswered request for a published value is repeated to another instance.
+const NOTE_RETRY_AFTER_TICKS_COUNT: u32 = 2;
+
+/// Runs the regular work: suspicion, digests, reads of the platform and readiness.
+pub fn tick(
+    fleet: &mut FleetState,
+    settings: &Settings,
+    now: Instant,
+    quarantine: &[QuarantineRow],
+    out: &mut Vec<Effect>,
+) {
+    fleet.ticks_count += 1;
+    suspicion::check(fleet, &settings.fleet, now, out);
+    member::forget_gone(fleet, now);
+    for receiver in digest::receivers(fleet, &settings.fleet) {
+        let digest = digest::outgoing(fleet, now, &receiver, quarantine);
+        send(receiver.address, Message::Digest(digest), out);
+    }
+    reading::platform_due(fleet, settings, now, out);
+    reading::volunteer(fleet, settings, now, out);
+    join::check(fleet, &settings.fleet, now, out);
+    let age = freshness::freshness_age(fleet, now);
+    fleet.is_lapsed = age > settings.fleet.freshness_limit;
+    fleet.freshness_age_ms = fleet
+        .vouched_at
+        .map(|_| u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
+}
+
+/// Takes in a digest of another instance.
+pub fn digest_received(
+    fleet: &mut FleetState,
+    settings: &Settings,
+    now: Instant,
+    digest: &Digest,
+    quarantine: &[QuarantineRow],
+    out: &mut Vec<Effect>,
+) {
+    if digest.from.id.name == fleet.id.name {
+        return;
+    }
+    member::merge_row(fleet, now, &digest.from);
+    for row in &digest.members {
+        member::merge_row(fleet, now, row);
+    }
+    heard(fleet, now, digest);
+    if digest.revision >= fleet.heard_revision {
+        fleet.heard_revision = digest.revision;
+        fleet.heard_revision_at = Some(now);
+    }
+    if digest.revision > fleet.revision() {
+        want(fleet, settings, now, digest, out);
+    }
+    if digest.wants_reply {
+        let reply = digest::reply(fleet, now, digest, quarantine);
+        send(digest.from.address, Message::Digest(reply), out);
+    }
+    join::check(fleet, &settings.fleet, now, out);
+}
+
+/// Notes a sign of life and, if the digest is a reply, what it confirms.
+fn heard(fleet: &mut FleetState, now: Instant, digest: &Digest) {
+    let Some(member) = fleet.members.get_mut(&digest.from.id.name) else {
+        return;
+    };
+    if member.row.id.incarnation != digest.from.id.incarnation {
+        return;
+    }
+    member.heard_at = Some(now);
+    let is_reply = !digest.wants_reply && digest.sequence != 0;
+    let probe = fleet.probes.get(&digest.sequence);
+    let Some(probe) = probe.filter(|probe| is_reply && probe.name == digest.from.id.name) else {
+        return;
+    };
+    let sent_at = probe.sent_at;
+    fleet.probes.remove(&digest.sequence);
+    member.confirmed_at = member.confirmed_at.max(Some(sent_at));
+    if digest.revision != fleet.revision() {
+        return;
+    }
+    if let Some(vouched_at) = sent_at.checked_sub(digest.freshness_age) {
+        freshness::vouched_by_peer(fleet, vouched_at);
+    }
+}
+
+/// Asks the sender of a digest for the newer configuration, unless it was asked for just now.
+fn want(
+    fleet: &mut FleetState,
+    settings: &Settings,
+    now: Instant,
+    digest: &Digest,
+    out: &mut Vec<Effect>,
+) {
+    let retry_after = settings.fleet.tick * NOTE_RETRY_AFTER_TICKS_COUNT;
+    let is_wanted = |(revision, at): (Revision, Instant)| {
+        revision >= digest.revision && now.saturating_duration_since(at) < retry_after
+    };
+    if fleet.wanted.is_some_and(is_wanted) {
+        return;
+    }
+    fleet.wanted = Some((digest.revision, now));
+    let message = Message::NoteWanted {
+        reply_to: fleet.address,
+        at_least_revision: digest.revision,
+    };
+    send(digest.from.address, message, out);
+}
+
+fn send(address: std::net::SocketAddr, message: Message, out: &mut Vec<Effect>) {
+    out.push(Effect::Send { address, message });
+    out.push(Effect::Count {
+        counter: Counter::PeerMessages,
+        amount_count: 1,
+    });
+}
--- /dev/null
+++ b/crates/fleet/src/freshness.rs
@@ -0,0 +1,79 @@
+//! How recently somebody with a current reading vouched for the accepted configuration.
+
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
+
+use settings::Settings;
+
+use crate::{FleetState, Join, Voucher, reading};
+
+/// Returns the age of the newest confirmation, or [`Duration::MAX`] if there is none.
+pub fn freshness_age(fleet: &FleetState, now: Instant) -> Duration {
+    let vouched_at = fleet.vouched_at;
+    vouched_at.map_or(Duration::MAX, |at| now.saturating_duration_since(at))
+}
+
+/// Returns the zones that may still receive new work once the freshness has lapsed.
+///
+/// Returns `None` while the configuration is fresh. Otherwise these are this instance's own zone
+/// and each zone that an instance has recently answered from: it would have told a newer revision.
+pub fn lapsed_zones(
+    fleet: &FleetState,
+    settings: &settings::Fleet,
+    now: Instant,
+) -> Option<BTreeSet<String>> {
+    if freshness_age(fleet, now) <= settings.freshness_limit {
+        return None;
+    }
+    let is_recent = |at: Instant| now.saturating_duration_since(at) <= settings.freshness_limit;
+    let members = fleet.members.values();
+    let recent = members.filter(|member| member.confirmed_at.is_some_and(is_recent));
+    let zones = recent.map(|member| member.row.zone.clone());
+    Some(zones.chain([fleet.zone.clone()]).collect())
+}
+
+/// Distrusts everything that was learned before a pause of the process.
+///
+/// Freshness, pending probes and running suspicions start anew. After a pause beyond the limit of
+/// freshness the instance also has to catch up again before it is ready.
+pub fn paused(fleet: &mut FleetState, settings: &Settings, now: Instant, late_by: Duration) {
+    fleet.vouched_at = None;
+    fleet.voucher = Voucher::Nobody;
+    fleet.probes.clear();
+    fleet.wanted = None;
+    for member in fleet.members.values_mut() {
+        member.confirmed_at = None;
+        member.heard_at = None;
+        if member.is_present() {
+            member.since = now;
+        }
+    }
+    reading::distrust_in_flight(fleet);
+    if late_by > settings.fleet.freshness_limit {
+        fleet.join = Join::Waiting;
+        fleet.join_since = Some(now);
+        fleet.reading.is_answered = false;
+    }
+}
+
+/// Notes that the platform itself showed nothing newer than the accepted revision.
+///
+/// A reading that may be older than a pause (`is_current` is false) vouches for nothing.
+pub(crate) fn vouched_by_platform(fleet: &mut FleetState, now: Instant, is_current: bool) {
+    if !is_current {
+        return;
+    }
+    fleet.vouched_at = Some(now);
+    fleet.voucher = Voucher::OwnRead;
+}
+
+/// Notes that another instance vouched for the accepted revision.
+pub(crate) fn vouched_by_peer(fleet: &mut FleetState, vouched_at: Instant) {
+    if fleet.vouched_at.is_some_and(|known| known >= vouched_at) {
+        return;
+    }
+    fleet.vouched_at = Some(vouched_at);
+    fleet.voucher = Voucher::Peer;
+}
--- /dev/null
+++ b/crates/fleet/src/instances.rs
@@ -0,0 +1,111 @@
+//! The platform's list of instances: a hint that may lag.
+
+use std::{net::SocketAddr, time::Instant};
+
+use findings::{Findings, Node, with_document};
+use model::{Effect, InstanceId, Level, LogLine, MemberRow, MemberState};
+use settings::Settings;
+
+use crate::{FleetState, member, reading};
+
+/// One entry of the list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Listed {
+    name: String,
+    zone: String,
+    peers: SocketAddr,
+    is_leaving: bool,
+}
+
+/// Takes in the list of instances.
+///
+/// An instance that only the list names is added as alive with incarnation 0, so any word of the
+/// instance itself outranks it. The list never changes what is known about a member.
+pub fn instances_published(
+    fleet: &mut FleetState,
+    settings: &Settings,
+    now: Instant,
+    body: &[u8],
+    out: &mut Vec<Effect>,
+) {
+    let mut findings = Findings::default();
+    let listed = read(body, &mut findings);
+    reading::list_read(fleet, now);
+    for finding in &findings.list {
+        let line = LogLine::new(Level::Warn, "instances-faulty")
+            .with("place", finding.path.as_str())
+            .with("message", finding.message.as_str());
+        out.push(Effect::Log(line));
+    }
+    if !findings.is_empty() {
+        reading::platform_due(fleet, settings, now, out);
+        return;
+    }
+    for member in fleet.members.values_mut() {
+        member.is_listed = false;
+    }
+    for instance in listed {
+        add(fleet, now, instance);
+    }
+    reading::platform_due(fleet, settings, now, out);
+}
+
+fn add(fleet: &mut FleetState, now: Instant, listed: Listed) {
+    if listed.name == fleet.id.name {
+        return;
+    }
+    let state = if listed.is_leaving {
+        MemberState::Leaving
+    } else {
+        MemberState::Alive
+    };
+    if !fleet.members.contains_key(&listed.name) {
+        let row = MemberRow {
+            id: InstanceId {
+                name: listed.name.clone(),
+                incarnation: 0,
+            },
+            address: listed.peers,
+            zone: listed.zone,
+            counter: 0,
+            state,
+        };
+        member::merge_row(fleet, now, &row);
+    }
+    if let Some(member) = fleet.members.get_mut(&listed.name) {
+        member.is_listed = true;
+    }
+}
+
+fn read(body: &[u8], findings: &mut Findings) -> Vec<Listed> {
+    let Ok(document) = std::str::from_utf8(body) else {
+        findings.add("$", "not UTF-8 text");
+        return Vec::new();
+    };
+    let listed = with_document(document, findings, |root, findings| {
+        let items = root.items(findings).into_iter();
+        let listed = items.filter_map(|item| read_instance(item, findings));
+        Some(listed.collect())
+    });
+    listed.unwrap_or_default()
+}
+
+fn read_instance(node: Node<'_>, findings: &mut Findings) -> Option<Listed> {
+    let mut fields = node.fields(findings)?;
+    let name = fields.required("name", findings);
+    let name = name.and_then(|node| node.text(findings).map(str::to_owned));
+    let zone = fields.required("zone", findings);
+    let zone = zone.and_then(|node| node.text(findings).map(str::to_owned));
+    let peers = fields.required("peers", findings);
+    let peers = peers.and_then(|node| node.address(findings));
+    let words = [("live", false), ("leaving", true)];
+    let state = fields.required("state", findings);
+    let is_leaving = state.and_then(|node| node.one_of(&words, findings));
+    fields.finish(findings);
+    Some(Listed {
+        name: name?,
+        zone: zone?,
+        peers: peers?,
+        is_leaving: is_leaving?,
+    })
+}
--- /dev/null
+++ b/crates/fleet/src/join.rs
@@ -0,0 +1,64 @@
+//! Catching up with the fleet after the start: when an instance may serve.
+
+use std::time::Instant;
+
+use model::{Effect, Level, LogLine, MemberState};
+
+use crate::{FleetState, Join, reading};
+
+/// Instances that a new one asks before it serves.
+pub(crate) const JOIN_ASK_COUNT: usize = 5;
+
+/// Tells whether the instance has caught up, or may serve because nobody could be asked.
+pub fn is_joined(fleet: &FleetState) -> bool {
+    fleet.join != Join::Waiting
+}
+
+/// Ends the wait once the highest revision that can be learned is accepted.
+pub(crate) fn check(
+    fleet: &mut FleetState,
+    settings: &settings::Fleet,
+    now: Instant,
+    out: &mut Vec<Effect>,
+) {
+    let since = *fleet.join_since.get_or_insert(now);
+    forget_heard(fleet, settings, now);
+    if fleet.join != Join::Waiting || fleet.note.is_none() {
+        return;
+    }
+    if fleet.heard_revision > fleet.revision() {
+        return;
+    }
+    let is_alive = |state| matches!(state, MemberState::Alive | MemberState::Leaving);
+    let members = fleet.members.values();
+    let alive_count = members.clone().filter(|m| is_alive(m.row.state)).count();
+    let answered = members.filter(|member| member.confirmed_at.is_some_and(|at| at >= since));
+    let answered_count = answered.count();
+    let is_limit_passed = now.saturating_duration_since(since) >= settings.join_limit;
+    let has_asked =
+        reading::has_asked_platform(fleet) && answered_count >= alive_count.min(JOIN_ASK_COUNT);
+    let has_any_answer = answered_count > 0 || fleet.vouched_at.is_some();
+    let join = match (has_asked, is_limit_passed, has_any_answer) {
+        (true, _, true) | (_, true, true) => Join::CaughtUp,
+        (_, true, false) => Join::NobodyToAsk,
+        _ => return,
+    };
+    fleet.join = join;
+    let word = if join == Join::CaughtUp {
+        "caught-up"
+    } else {
+        "nobody-to-ask"
+    };
+    let line = LogLine::new(Level::Info, "joined").with("reason", word);
+    out.push(Effect::Log(line.with("revision", fleet.revision())));
+}
+
+/// Stops waiting for a revision that nobody has named for a while.
+fn forget_heard(fleet: &mut FleetState, settings: &settings::Fleet, now: Instant) {
+    let is_old = fleet
+        .heard_revision_at
+        .is_none_or(|at| now.saturating_duration_since(at) >= settings.join_limit);
+    if is_old {
+        fleet.heard_revision = fleet.revision();
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,11 +1,37 @@
 //! The accepted configuration, how it reaches this instance, and the other instances.
 //!
+//! A few instances of each availability zone read the platform; digests carry the revision, its
+//! freshness and the news about members to a few instances each tick, and whoever holds an older
+//! revision fetches the published value from the sender.
+//!
 //! Invariants:
 //! - the accepted revision never goes down;
-//! - a published value that has a finding changes nothing but the findings that operators see.
+//! - a published value that has a finding changes nothing but the findings that operators see;
+//! - for each instance the row with the highest incarnation, counter and state wins, so an old row
+//!   never undoes a newer one;
+//! - freshness counts from the sending of a question that was answered, so a delayed message never
+//!   looks fresher than it is;
+//! - the reads of the platform and the bytes of a digest are bounded whatever the fleet's size.
 
 mod accept;
+mod digest;
+mod exchange;
+mod freshness;
+mod instances;
+mod join;
+mod member;
+mod reading;
+mod share;
+mod suspicion;
 mod table;
 
-pub use accept::{note_published, platform_failed, started};
-pub use table::FleetState;
+pub use accept::{note_published, note_received, note_wanted};
+pub use exchange::{digest_received, tick};
+pub use freshness::{freshness_age, lapsed_zones, paused};
+pub use instances::instances_published;
+pub use join::is_joined;
+pub use member::{is_before, merge_row, own_row};
+pub use reading::{READS_PER_READER_MAX_PER_S, is_reader, platform_due, platform_failed, started};
+pub use share::{may_hold_count, own_rank};
+pub use suspicion::peer_unreachable;
+pub use table::{FleetState, Join, Member, Probe, Reading, Voucher, open};
--- /dev/null
+++ b/crates/fleet/src/suspicion.rs
@@ -0,0 +1,70 @@
+//! Suspicion of members that show no sign of life.
+
+use std::{net::SocketAddr, time::Instant};
+
+use model::{Effect, Level, LogLine, MemberState};
+
+use crate::{FleetState, Member, Probe, member};
+
+/// Suspects an instance whose address refuses connections.
+pub fn peer_unreachable(
+    fleet: &mut FleetState,
+    now: Instant,
+    address: SocketAddr,
+    out: &mut Vec<Effect>,
+) {
+    fleet.wanted = None;
+    let found = fleet
+        .members
+        .values_mut()
+        .find(|m| m.row.address == address);
+    let Some(found) = found else { return };
+    suspect(found, now, out);
+}
+
+/// Suspects members whose reply is overdue, and gives up those suspected for too long.
+pub(crate) fn check(
+    fleet: &mut FleetState,
+    settings: &settings::Fleet,
+    now: Instant,
+    out: &mut Vec<Effect>,
+) {
+    let is_overdue =
+        |probe: &Probe| now.saturating_duration_since(probe.sent_at) >= settings.suspect_after;
+    let overdue: Vec<Probe> = fleet
+        .probes
+        .values()
+        .filter(|probe| is_overdue(probe))
+        .cloned()
+        .collect();
+    fleet.probes.retain(|_, probe| !is_overdue(probe));
+    for probe in overdue {
+        let Some(member) = fleet.members.get_mut(&probe.name) else {
+            continue;
+        };
+        let is_heard_since = member.heard_at.is_some_and(|heard| heard > probe.sent_at);
+        if !is_heard_since {
+            suspect(member, now, out);
+        }
+    }
+    for member in fleet.members.values_mut() {
+        let suspected_for = now.saturating_duration_since(member.since);
+        if member.row.state == MemberState::Suspected && suspected_for >= settings.gone_after {
+            member::set_state(member, now, MemberState::Gone);
+            out.push(Effect::Log(
+                LogLine::new(Level::Info, "member-gone").with("instance", &*member.row.id.name),
+            ));
+        }
+    }
+}
+
+fn suspect(member: &mut Member, now: Instant, out: &mut Vec<Effect>) {
+    let state = member.row.state;
+    if matches!(state, MemberState::Suspected | MemberState::Gone) {
+        return;
+    }
+    member::set_state(member, now, MemberState::Suspected);
+    out.push(Effect::Log(
+        LogLine::new(Level::Info, "member-suspected").with("instance", &*member.row.id.name),
+    ));
+}
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -4,7 +4,7 @@
 
 use model::{MissingReason, ServiceKey, Snapshot, TargetKey, ZoneKey};
 
-use crate::{Routes, Target, warmth};
+use crate::{Routes, Target, confine, warmth};
 
 /// Calls in flight for each slot of a target, all instances together: one executes, the other one
 /// is on its way or waits, so that the slot never idles.
@@ -153,8 +153,10 @@
         .get(target.zone)
         .is_some_and(|zone| !zone.is_out);
     let is_known = target.incarnation != 0;
+    let is_permitted = confine::permits(routes, target);
     is_in_zones
         && is_zone_in
+        && is_permitted
         && is_known
         && !target.is_leaving
         && !target.reach.is_unreachable
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod apply;
 mod choose;
+mod confine;
 mod latency;
 mod observe;
 mod reach;
@@ -24,6 +25,7 @@
 
 pub use apply::apply;
 pub use choose::{NoChoice, Want, choose, has_free_slot, newest_snapshot, way_there};
+pub use confine::confine;
 pub use latency::Latency;
 pub use observe::{
     CallEnd, CallReport, call_ended, call_late, call_outrun, call_started, load_reported,
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -30,6 +30,8 @@
     pub own_zone: Option<ZoneKey>,
     /// Who divides the targets.
     pub division: Division,
+    /// Zones that may receive new work while the configuration may be out of date; all if `None`.
+    pub confined_to: Option<Vec<ZoneKey>>,
     /// Settings.
     pub limits: Limits,
 }
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -105,7 +105,7 @@
     let address = fields
         .required("address", findings)
         .and_then(|n| n.address(findings));
-    let mut watch_timeout = Duration::from_secs(10);
+    let mut watch_timeout = Duration::from_secs(4);
     set_millis(
         &mut watch_timeout,
         &mut fields,
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -11,6 +11,8 @@
 mod dump;
 mod forward;
 mod leave;
+mod peer;
+mod platform;
 mod reduce;
 mod request;
 mod settle;
--- /dev/null
+++ b/crates/tier/src/peer.rs
@@ -0,0 +1,43 @@
+//! Messages of other instances.
+
+use std::{net::SocketAddr, time::Instant};
+
+use model::{Effect, Message};
+
+use crate::{State, forward, platform};
+
+/// Takes in one message.
+pub(crate) fn received(state: &mut State, now: Instant, message: &Message, out: &mut Vec<Effect>) {
+    match message {
+        Message::Digest(digest) => {
+            fleet::digest_received(&mut state.fleet, &state.settings, now, digest, &[], out);
+            platform::confine(state, now);
+        }
+        Message::NoteWanted {
+            reply_to,
+            at_least_revision,
+        } => fleet::note_wanted(&state.fleet, *reply_to, *at_least_revision, out),
+        Message::Note { body, .. } => {
+            let fleet = &mut state.fleet;
+            let accepted = fleet::note_received(fleet, &state.settings, now, body, out);
+            if accepted.is_some() {
+                platform::put_in_force(state, now, out);
+            }
+        }
+        Message::Forward(forwarded) => forward::received(state, now, forwarded, out),
+        Message::ForwardAnswer { forward_id, answer } => {
+            forward::answered(state, *forward_id, answer, out);
+        }
+    }
+}
+
+/// Takes in that an instance cannot be reached.
+pub(crate) fn unreachable(
+    state: &mut State,
+    now: Instant,
+    address: SocketAddr,
+    out: &mut Vec<Effect>,
+) {
+    forward::unreachable(state, address, out);
+    fleet::peer_unreachable(&mut state.fleet, now, address, out);
+}
--- a/crates/tier/src/reduce.rs
+++ b/crates/tier/src/reduce.rs
@@ -2,16 +2,17 @@
 
 use std::time::Instant;
 
-use model::{Effect, Event, Message, Requester, Timer};
+use model::{Effect, Event, Requester, Timer};
 
-use crate::{State, forward, leave, request, settle, tick, ticket};
+use crate::{State, leave, peer, platform, request, settle, tick, ticket};
 
 /// Takes in one event at a time and appends the effects that follow from it.
 pub fn reduce(state: &mut State, now: Instant, event: Event<'_>, out: &mut Vec<Effect>) {
+    tick::notice_pause(state, now, out);
     match event {
         Event::Started => {
             tick::started(state, now, out);
-            fleet::started(&state.fleet, out);
+            fleet::started(&mut state.fleet, &state.settings, now, out);
         }
         Event::Request { caller, request } => {
             request::offered(state, now, Requester::Caller(caller), &request, out);
@@ -45,36 +46,21 @@
         }
         Event::LoadFailed { target, .. } => route::probe_failed(&mut state.routes, now, target),
         Event::Timer(timer) => timer_due(state, now, timer, out),
-        Event::Peer { message } => peer_message(state, now, &message, out),
-        Event::PeerUnreachable { address } => forward::unreachable(state, address, out),
-        Event::PlatformNote { version, body } => {
-            let accepted = fleet::note_published(&mut state.fleet, version, body, out);
-            if let Some(note) = accepted {
-                route::apply(&mut state.routes, note, out);
-            }
-        }
-        Event::PlatformInstances { .. } => {}
-        Event::PlatformFailed { .. } => fleet::platform_failed(out),
+        Event::Peer { message } => peer::received(state, now, &message, out),
+        Event::PeerUnreachable { address } => peer::unreachable(state, now, address, out),
+        Event::PlatformNote { version, body } => platform::note(state, now, version, body, out),
+        Event::PlatformInstances { body } => platform::instances(state, now, body, out),
+        Event::PlatformFailed { read, .. } => platform::failed(state, now, read, out),
         Event::Leave => leave::wanted(state, now, out),
     }
 }
 
-fn peer_message(state: &mut State, now: Instant, message: &Message, out: &mut Vec<Effect>) {
-    match message {
-        Message::Forward(forwarded) => forward::received(state, now, forwarded, out),
-        Message::ForwardAnswer { forward_id, answer } => {
-            forward::answered(state, *forward_id, answer, out);
-        }
-        Message::Digest(_) | Message::NoteWanted { .. } | Message::Note { .. } => {}
-    }
-}
-
 fn timer_due(state: &mut State, now: Instant, timer: Timer, out: &mut Vec<Effect>) {
     match timer {
         Timer::Deadline(key) => request::deadline(state, now, key, out),
         Timer::Hedge(key) => request::hedge(state, now, key, out),
         Timer::Wait(key) => ticket::wait_over(state, key, out),
         Timer::Tick => tick::due(state, now, out),
-        Timer::Platform => fleet::started(&state.fleet, out),
+        Timer::Platform => fleet::platform_due(&mut state.fleet, &state.settings, now, out),
     }
 }
--- a/crates/tier/src/state.rs
+++ b/crates/tier/src/state.rs
@@ -3,9 +3,7 @@
 use std::time::Instant;
 
 use admit::Admission;
-use findings::Findings;
 use fleet::FleetState;
-use model::InstanceId;
 use once::{OnceState, Owner};
 use query::Queries;
 use route::{Limits, Routes};
@@ -37,10 +35,6 @@
 /// `incarnation` must be larger than that of every earlier run of the instance. `seed` must be
 /// unpredictable; the same seed gives the same random numbers.
 pub fn open(settings: Settings, incarnation: u64, seed: u64) -> State {
-    let id = InstanceId {
-        name: settings.instance.name.clone(),
-        incarnation,
-    };
     let owner = Owner {
         address: settings.listen.peers,
         incarnation,
@@ -48,14 +42,7 @@
     State {
         once: once::open(owner, seed),
         last_activity: None,
-        fleet: FleetState {
-            id,
-            note: None,
-            note_body: Default::default(),
-            platform_version: 0,
-            rejected: Findings::default(),
-            is_leaving: false,
-        },
+        fleet: fleet::open(&settings, incarnation),
         routes: Routes {
             limits: limits(&settings),
             ..Routes::default()
@@ -81,5 +68,5 @@
 
 /// Tells whether the instance should receive new requests.
 pub fn is_ready(state: &State) -> bool {
-    state.fleet.note.is_some() && !state.fleet.is_leaving
+    fleet::is_joined(&state.fleet) && !state.fleet.is_leaving
 }
--- a/crates/tier/src/tick.rs
+++ b/crates/tier/src/tick.rs
@@ -4,7 +4,7 @@
 
 use model::{Counter, Effect, Level, LogLine, Timer};
 
-use crate::{State, leave, request};
+use crate::{State, leave, platform, request};
 
 /// Sets the first tick.
 pub(crate) fn started(state: &mut State, now: Instant, out: &mut Vec<Effect>) {
@@ -17,8 +17,10 @@
 
 /// Runs the regular work of every area and sets the next tick.
 pub(crate) fn due(state: &mut State, now: Instant, out: &mut Vec<Effect>) {
-    notice_pause(state, now, out);
     state.last_tick = Some(now);
+    fleet::tick(&mut state.fleet, &state.settings, now, &[], out);
+    platform::divide(state, out);
+    platform::confine(state, now);
     request::tick(state, now, out);
     leave::exit_if_quiet(state, now, out);
     out.push(Effect::SetTimer {
@@ -27,8 +29,8 @@
     });
 }
 
-/// Counts a pause if the tick is later than the threshold allows.
-fn notice_pause(state: &State, now: Instant, out: &mut Vec<Effect>) {
+/// Notices a pause: the tick is later than the threshold allows, whatever event comes first.
+pub(crate) fn notice_pause(state: &mut State, now: Instant, out: &mut Vec<Effect>) {
     let Some(last_tick) = state.last_tick else {
         return;
     };
@@ -37,6 +39,8 @@
     if late_by < fleet.pause_threshold {
         return;
     }
+    state.last_tick = Some(now);
+    platform::paused(state, now, late_by);
     out.push(Effect::Count {
         counter: Counter::Pauses,
         amount_count: 1,
