Test spreading, membership and freshness on joined reducers

Cause: nothing tested several instances together. Properties: no revision goes down, all agree and are ready 16 s after the last fault, everybody sees everybody alive, reads stay in the budget, and no call goes to a zone, target or service that the accepted note has out.

--- a/crates/tier/src/tests.rs
+++ b/crates/tier/src/tests.rs
@@ -2,5 +2,9 @@
 
 mod fan_out;
 mod fixture;
+mod freshness;
+mod membership;
+mod net;
 mod once;
 mod replay;
+mod spreading;
