--- a/crates/tier/src/tests.rs
+++ b/crates/tier/src/tests.rs
@@ -2,6 +2,7 @@
 
 mod fan_out;
 mod fixture;
+mod fold;
 mod freshness;
 mod membership;
 mod net;
