--- /dev/null
+++ b/xtask/src/slopes/connections.rs
@@ -0,0 +1,99 @@
+//! How the connections of the targets are divided among instances.
+
+use std::collections::BTreeMap;
+
+use route::Routes;
+use slotmap::Key;
+
+use crate::document;
+
+/// Targets at the size of two years from now.
+const TARGETS_COUNT: u32 = 2_700;
+/// Services of a query at the size of two years from now.
+const SERVICES_COUNT: u32 = 240;
+/// Position whose instance leaves in the measurement of moved connections.
+const LEAVING_RANK: u32 = 1;
+/// Instances whose table is inspected.
+const SAMPLES_COUNT: u32 = 8;
+
+/// The quantities of [`by_instances`].
+pub const QUANTITIES: &[&str] = &[
+    "connections_per_target_count",
+    "usable_targets_ratio",
+    "reachable_services_ratio",
+    "moved_connections_ratio",
+];
+
+/// Connections of all instances to a target, the targets and services it can reach, and what one departure moves,
+/// against the instances, where a target accepts 25 connections.
+pub fn by_instances_25(instances_count: u32) -> Vec<f64> {
+    by_instances(instances_count, 25)
+}
+
+/// The same where a target accepts 100 connections.
+pub fn by_instances_100(instances_count: u32) -> Vec<f64> {
+    by_instances(instances_count, 100)
+}
+
+fn by_instances(instances_count: u32, connections_max_count: u32) -> Vec<f64> {
+    let samples_count = SAMPLES_COUNT.min(instances_count - 1);
+    let mut sums = [0.0; 4];
+    for sample in 0..samples_count {
+        let rank = sample * (instances_count - 1) / samples_count;
+        let before = divided(instances_count, rank, connections_max_count);
+        let rank_after = if rank > LEAVING_RANK { rank - 1 } else { rank };
+        let after = divided(instances_count - 1, rank_after, connections_max_count);
+        let held_count: u32 = before
+            .targets
+            .values()
+            .map(|target| target.share_count)
+            .sum();
+        let usable = before
+            .targets
+            .values()
+            .filter(|target| target.share_count > 0);
+        let reachable = before.services.values().filter(|service| {
+            let mut targets = service.targets.iter();
+            targets.any(|&target| before.targets[target].share_count > 0)
+        });
+        let moved_count = moved(&before, &after);
+        sums[0] += f64::from(held_count * instances_count) / before.targets.len() as f64;
+        sums[1] += usable.count() as f64 / before.targets.len() as f64;
+        sums[2] += reachable.count() as f64 / before.services.len() as f64;
+        sums[3] += f64::from(moved_count) / f64::from(held_count.max(1));
+    }
+    sums.map(|sum| sum / f64::from(samples_count)).to_vec()
+}
+
+/// Returns the table of the instance at a rank.
+fn divided(instances_count: u32, rank: u32, connections_max_count: u32) -> Routes {
+    let mut note = document::note(TARGETS_COUNT, SERVICES_COUNT);
+    for target in note
+        .fleet
+        .services
+        .iter_mut()
+        .flat_map(|service| &mut service.targets)
+    {
+        target.connections_max_count = connections_max_count;
+    }
+    let mut routes = Routes::default();
+    let mut out = Vec::new();
+    route::set_instances(&mut routes, instances_count, rank, &mut out);
+    route::apply(&mut routes, &note, &mut out);
+    routes
+}
+
+/// Counts the connections that one table gives up on the way to the other.
+fn moved(before: &Routes, after: &Routes) -> u32 {
+    let shares = |routes: &Routes| -> BTreeMap<u64, u32> {
+        let targets = routes.targets.iter();
+        targets
+            .map(|(key, target)| (key.data().as_ffi(), target.share_count))
+            .collect()
+    };
+    let after = shares(after);
+    let given_up = shares(before)
+        .into_iter()
+        .map(|(key, count)| count.saturating_sub(after.get(&key).copied().unwrap_or(0)));
+    given_up.sum()
+}
--- a/xtask/src/slopes/document.rs
+++ b/xtask/src/slopes/document.rs
@@ -78,13 +78,18 @@
 
 fn service(index: u32) -> Service {
     Service {
-        name: format!("{FRONT}-{index:04}"),
+        name: service_name(index),
         targets: (0..REPLICAS_COUNT)
             .map(|replica| target(index, replica))
             .collect(),
     }
 }
 
+/// Returns the name of a service.
+pub fn service_name(index: u32) -> String {
+    format!("{FRONT}-{index:04}")
+}
+
 fn target(service: u32, replica: u32) -> Target {
     let number = service * REPLICAS_COUNT + replica;
     let [_, _, high, low] = number.to_be_bytes();
--- a/xtask/src/slopes/instance.rs
+++ b/xtask/src/slopes/instance.rs
@@ -102,9 +102,24 @@
 
 /// Sends one query and returns the calls that it makes.
 pub fn ask(instance: &mut Instance) -> Vec<TargetCall> {
+    ask_for(instance, request())
+}
+
+/// Sends one request and returns the calls that it makes.
+pub fn ask_for(instance: &mut Instance, request: RequestView<'_>) -> Vec<TargetCall> {
     instance.numbers += 1;
     let caller: CallerKey = KeyData::from_ffi(instance.numbers | 1 << 32).into();
-    let request = RequestView {
+    feed(instance, [Event::Request { caller, request }]);
+    let calls = instance.out.iter().filter_map(|effect| match effect {
+        Effect::Call(call) => Some(call.clone()),
+        _ => None,
+    });
+    calls.collect()
+}
+
+/// Returns a query of every service of the front.
+pub fn request<'a>() -> RequestView<'a> {
+    RequestView {
         request_id: "request-1",
         front: document::FRONT,
         service: None,
@@ -112,13 +127,7 @@
         kind: Kind::Idempotent,
         timeout: Duration::from_millis(500),
         body: REQUEST_BODY,
-    };
-    feed(instance, [Event::Request { caller, request }]);
-    let calls = instance.out.iter().filter_map(|effect| match effect {
-        Effect::Call(call) => Some(call.clone()),
-        _ => None,
-    });
-    calls.collect()
+    }
 }
 
 /// Answers all calls of a query.
--- a/xtask/src/slopes/main.rs
+++ b/xtask/src/slopes/main.rs
@@ -8,8 +8,10 @@
 //! - seeds, sizes and schedules are fixed, so that only times differ between two runs;
 //! - every process that is started ends before the command does.
 
+mod connections;
 mod document;
 mod figures;
+mod idle;
 mod instance;
 mod memory;
 mod page;
@@ -19,6 +21,7 @@
 mod sweep;
 #[cfg(test)]
 mod tests;
+mod tickets;
 
 use std::{fs, path::Path, process::ExitCode};
 
--- a/xtask/src/slopes/plan.rs
+++ b/xtask/src/slopes/plan.rs
@@ -1,6 +1,6 @@
 //! What is measured.
 
-use crate::{figures::Figures, memory, reducer, sweep::Sweep};
+use crate::{connections, figures::Figures, idle, memory, reducer, sweep::Sweep, tickets};
 
 /// Returns every sweep.
 pub fn sweeps() -> Vec<Sweep> {
@@ -47,6 +47,34 @@
             quantities: memory::QUERY_QUANTITIES,
             measure: memory::by_services,
         },
+        Sweep {
+            name: "memory_by_tickets",
+            size: "used_tickets_count",
+            sizes: &[250, 1000, 4000, 16000],
+            quantities: tickets::QUANTITIES,
+            measure: tickets::by_tickets,
+        },
+        Sweep {
+            name: "idle_by_targets",
+            size: "targets_count",
+            sizes: &[10, 90, 270, 810, 2700],
+            quantities: idle::QUANTITIES,
+            measure: idle::by_targets,
+        },
+        Sweep {
+            name: "connections_by_instances_25",
+            size: "instances_count",
+            sizes: &[3, 9, 30, 90, 210, 420],
+            quantities: connections::QUANTITIES,
+            measure: connections::by_instances_25,
+        },
+        Sweep {
+            name: "connections_by_instances_100",
+            size: "instances_count",
+            sizes: &[3, 9, 30, 90, 210, 420],
+            quantities: connections::QUANTITIES,
+            measure: connections::by_instances_100,
+        },
     ]
 }
 
