Measure what other instances cost one instance

Cause: the measured instance read no platform, so its configuration would have counted as stale after ten seconds; and peers had no slope.

--- a/xtask/src/slopes/connections.rs
+++ b/xtask/src/slopes/connections.rs
@@ -14,7 +14,7 @@
 /// Position whose instance leaves in the measurement of moved connections.
 const LEAVING_RANK: u32 = 1;
 /// Instances whose table is inspected.
-const SAMPLES_COUNT: u32 = 8;
+const SAMPLES_COUNT: u32 = 16;
 
 /// The quantities of [`by_instances`].
 pub const QUANTITIES: &[&str] = &[
--- a/xtask/src/slopes/document.rs
+++ b/xtask/src/slopes/document.rs
@@ -1,5 +1,6 @@
 //! The settings and the release note of an instance of a given size.
 
+use bytes::Bytes;
 use note::{Fleet, Front, Note, Service, ShardMap, Target, TargetState, Zone, ZoneState};
 use settings::Settings;
 
@@ -64,6 +65,12 @@
     }
 }
 
+/// Returns a note as it is published.
+pub fn encoded(note: &Note) -> Bytes {
+    let document = serde_json::to_vec(note);
+    document.expect("a note can be encoded").into()
+}
+
 fn zone(index: u32) -> Zone {
     Zone {
         name: zone_name(index),
--- a/xtask/src/slopes/instance.rs
+++ b/xtask/src/slopes/instance.rs
@@ -5,9 +5,10 @@
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
 use model::{
-    CallerKey, Effect, Event, Kind, LoadReport, Priority, ReplyStatus, ReplyView, RequestView,
-    TargetCall, TargetKey, TargetPhase, Timer,
+    CallerKey, Effect, Event, Kind, LoadReport, PlatformRead, Priority, ReplyStatus, ReplyView,
+    RequestView, TargetCall, TargetKey, TargetPhase, Timer,
 };
 use slotmap::KeyData;
 use tier::State;
@@ -16,6 +17,10 @@
 
 /// Time between two queries.
 const ARRIVAL_INTERVAL: Duration = Duration::from_millis(1);
+/// Time after which the platform answers a read, a watch without a change included.
+const WATCH_DURATION: Duration = Duration::from_secs(1);
+/// Time after which a target answers a load probe.
+const PROBE_DURATION: Duration = Duration::from_millis(1);
 /// Number of the run of the instance.
 const INCARNATION: u64 = 7;
 /// Seed of the generator in the state.
@@ -33,47 +38,62 @@
     pub out: Vec<Effect>,
     /// Events that were passed.
     pub events_count: u64,
+    /// Load probes that were answered.
+    pub probes_count: u64,
     /// Time spent in the reducer.
     pub spent: Duration,
-    timers: BTreeMap<(Instant, u64), Timer>,
+    /// What the platform publishes.
+    pub platform: Platform,
+    pending: BTreeMap<(Instant, u64), Pending>,
     numbers: u64,
 }
 
+/// What the platform publishes.
+#[derive(Clone, Debug, Default)]
+pub struct Platform {
+    /// The release note.
+    pub note: Bytes,
+    /// The list of instances.
+    pub instances: Bytes,
+}
+
+/// What will happen to the instance.
+#[derive(Clone, Copy, Debug)]
+enum Pending {
+    Timer(Timer),
+    Answer(PlatformRead),
+    Report(TargetKey),
+}
+
 /// Returns an instance that has accepted a note and knows every target as warm.
 pub fn open(targets_count: u32, services_count: u32) -> Instance {
-    let mut instance = start();
-    let body = serde_json::to_vec(&document::note(targets_count, services_count));
-    let body = body.expect("a note can be encoded");
-    accept(&mut instance, &body);
-    instance
+    let note = document::note(targets_count, services_count);
+    join(Platform {
+        note: document::encoded(&note),
+        instances: Bytes::from_static(b"[]"),
+    })
 }
 
-/// Returns an instance that has just started.
-pub fn start() -> Instance {
+/// Starts an instance, lets it read the platform and answers its load probes.
+pub fn join(platform: Platform) -> Instance {
     let mut instance = Instance {
         state: tier::open(document::settings(), INCARNATION, SEED),
         now: Instant::now(),
         out: Vec::new(),
         events_count: 0,
+        probes_count: 0,
         spent: Duration::ZERO,
-        timers: BTreeMap::new(),
+        platform,
+        pending: BTreeMap::new(),
         numbers: 0,
     };
     feed(&mut instance, [Event::Started]);
+    answer(&mut instance, PlatformRead::Instances);
+    answer(&mut instance, PlatformRead::WatchNote { after_version: 0 });
+    pass(&mut instance, PROBE_DURATION);
     instance
 }
 
-/// Publishes a note to the instance and answers the load probes that follow.
-pub fn accept(instance: &mut Instance, body: &[u8]) {
-    feed(instance, [Event::PlatformNote { version: 1, body }]);
-    let targets: Vec<TargetKey> = instance.state.routes.targets.keys().collect();
-    let report = report();
-    feed(
-        instance,
-        targets.iter().map(|&target| Event::Load { target, report }),
-    );
-}
-
 /// Passes events in order, adds the time they took, and stores the timers they set.
 ///
 /// The effects stay in [`Instance::out`] until the next events are passed.
@@ -90,16 +110,39 @@
     }
     instance.spent += begin.elapsed();
     instance.events_count += events_count;
+    schedule(instance);
+}
+
+/// Stores what the last events set in motion.
+fn schedule(instance: &mut Instance) {
     for effect in &instance.out {
-        let Effect::SetTimer { timer, after } = effect else {
-            continue;
+        let (after, pending) = match effect {
+            Effect::SetTimer { timer, after } => (*after, Pending::Timer(*timer)),
+            Effect::ReadPlatform(read) => (WATCH_DURATION, Pending::Answer(*read)),
+            Effect::AskLoad { target, .. } => (PROBE_DURATION, Pending::Report(*target)),
+            _ => continue,
         };
         instance.numbers += 1;
-        let due = (instance.now + *after, instance.numbers);
-        instance.timers.insert(due, *timer);
+        let due = (instance.now + after, instance.numbers);
+        instance.pending.insert(due, pending);
     }
 }
 
+/// Answers a read of the platform.
+fn answer(instance: &mut Instance, read: PlatformRead) {
+    let platform = instance.platform.clone();
+    let event = match read {
+        PlatformRead::Instances => Event::PlatformInstances {
+            body: &platform.instances,
+        },
+        PlatformRead::WatchNote { .. } => Event::PlatformNote {
+            version: 1,
+            body: &platform.note,
+        },
+    };
+    feed(instance, [event]);
+}
+
 /// Sends one query and returns the calls that it makes.
 pub fn ask(instance: &mut Instance) -> Vec<TargetCall> {
     ask_for(instance, request())
@@ -145,26 +188,43 @@
     feed(instance, replies);
 }
 
-/// Lets time pass until the next query arrives and passes the timers that are due.
+/// Lets time pass until the next query arrives.
 pub fn pass_time(instance: &mut Instance) {
-    instance.now += ARRIVAL_INTERVAL;
-    while let Some(entry) = instance.timers.first_entry() {
-        if entry.key().0 > instance.now {
-            return;
+    pass(instance, ARRIVAL_INTERVAL);
+}
+
+/// Lets time pass, and with it the timers and the answers of the platform that are due.
+pub fn pass(instance: &mut Instance, duration: Duration) {
+    let end = instance.now + duration;
+    while let Some(entry) = instance.pending.first_entry() {
+        let (due, _) = *entry.key();
+        if due > end {
+            break;
+        }
+        let pending = entry.remove();
+        instance.now = instance.now.max(due);
+        match pending {
+            Pending::Timer(timer) => feed(instance, [Event::Timer(timer)]),
+            Pending::Answer(read) => answer(instance, read),
+            Pending::Report(target) => {
+                instance.probes_count += 1;
+                let report = report();
+                feed(instance, [Event::Load { target, report }]);
+            }
         }
-        let timer = entry.remove();
-        feed(instance, [Event::Timer(timer)]);
     }
+    instance.now = end;
 }
 
 /// Forgets what was spent so far.
 pub fn reset(instance: &mut Instance) {
     instance.events_count = 0;
+    instance.probes_count = 0;
     instance.spent = Duration::ZERO;
 }
 
 /// Returns the load report of a warm target.
-pub fn report() -> LoadReport {
+fn report() -> LoadReport {
     LoadReport {
         incarnation: 1,
         phase: TargetPhase::Warm,
--- a/xtask/src/slopes/main.rs
+++ b/xtask/src/slopes/main.rs
@@ -15,6 +15,7 @@
 mod instance;
 mod memory;
 mod page;
+mod peers;
 mod plan;
 mod plot;
 mod reducer;
--- a/xtask/src/slopes/memory.rs
+++ b/xtask/src/slopes/memory.rs
@@ -1,10 +1,10 @@
 //! The heap that the state of an instance holds, and the cost of a new configuration.
 
-use std::time::Instant;
+use bytes::Bytes;
 
 use crate::{
     document,
-    instance::{accept, ask, open, start},
+    instance::{Platform, ask, join, open},
 };
 
 /// Services of a query, where something else grows.
@@ -19,26 +19,22 @@
 
 /// Heap, size of the published note and time to accept it, against the targets.
 pub fn by_targets(targets_count: u32) -> Vec<f64> {
-    let body = serde_json::to_vec(&document::note(targets_count, 5));
-    let body = body.expect("a note can be encoded");
+    let platform = Platform {
+        note: document::encoded(&document::note(targets_count, 5)),
+        instances: Bytes::from_static(b"[]"),
+    };
     let mut kept = Vec::new();
     let allocations = allocation_counter::measure(|| {
-        let mut instance = start();
-        accept(&mut instance, &body);
+        let mut instance = join(platform.clone());
         instance.out = Vec::new();
         kept.push(instance);
     });
     let accept_us = (0..REPETITIONS_COUNT)
-        .map(|_| {
-            let mut instance = start();
-            let begin = Instant::now();
-            accept(&mut instance, &body);
-            begin.elapsed().as_secs_f64() * 1e6
-        })
+        .map(|_| join(platform.clone()).spent.as_secs_f64() * 1e6)
         .fold(f64::MAX, f64::min);
     vec![
         allocations.bytes_current as f64,
-        body.len() as f64,
+        platform.note.len() as f64,
         accept_us,
     ]
 }
--- /dev/null
+++ b/xtask/src/slopes/peers.rs
@@ -0,0 +1,114 @@
+//! What other instances cost one instance: heap, and the time and bytes of the exchange of digests.
+
+use std::{borrow::Cow, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use model::{Digest, Effect, Event, InstanceId, MemberRow, MemberState, Message};
+use serde_json::json;
+
+use crate::{
+    document,
+    instance::{Instance, Platform, feed, join, pass, reset},
+};
+
+/// Targets of the configuration; none, so that only the exchange is measured.
+const TARGETS_COUNT: u32 = 2;
+/// Ticks that are measured.
+const TICKS_COUNT: u32 = 100;
+/// Digests that reach an instance in each tick: it sends two, and each is answered.
+const RECEIVED_PER_TICK_COUNT: u32 = 4;
+
+/// The quantities of [`by_instances`].
+pub const QUANTITIES: &[&str] = &["state_bytes", "us_per_second", "sent_bytes_per_second"];
+
+/// Heap of the membership, and time and bytes of the exchange, against the instances.
+pub fn by_instances(instances_count: u32) -> Vec<f64> {
+    let list: Vec<serde_json::Value> = (0..instances_count).map(listed).collect();
+    let list = serde_json::to_vec(&list).expect("a list can be encoded");
+    let platform = Platform {
+        note: document::encoded(&document::note(TARGETS_COUNT, 1)),
+        instances: Bytes::from(list),
+    };
+    let mut kept = Vec::new();
+    let allocations = allocation_counter::measure(|| {
+        let mut instance = join(platform.clone());
+        instance.out = Vec::new();
+        kept.push(instance);
+    });
+    let mut instance = kept.remove(0);
+    reset(&mut instance);
+    let sent_bytes = exchange(&mut instance, instances_count);
+    let tick = instance.state.settings.fleet.tick;
+    let seconds = (tick * TICKS_COUNT).as_secs_f64();
+    vec![
+        allocations.bytes_current as f64,
+        instance.spent.as_secs_f64() * 1e6 / seconds,
+        sent_bytes as f64 / seconds,
+    ]
+}
+
+/// Lets time pass, feeds the digests of others, and returns the bytes of what was sent.
+fn exchange(instance: &mut Instance, instances_count: u32) -> usize {
+    let tick = instance.state.settings.fleet.tick;
+    let mut sent_bytes = 0;
+    for sequence in 0..TICKS_COUNT * RECEIVED_PER_TICK_COUNT {
+        pass(instance, tick / RECEIVED_PER_TICK_COUNT);
+        sent_bytes += bytes_sent(&instance.out);
+        let peer = 1 + sequence % (instances_count - 1);
+        let message = Message::Digest(digest(peer, u64::from(sequence), instances_count));
+        let message = Cow::Owned(message);
+        feed(instance, [Event::Peer { message }]);
+        sent_bytes += bytes_sent(&instance.out);
+    }
+    sent_bytes
+}
+
+fn bytes_sent(out: &[Effect]) -> usize {
+    let frames = out.iter().filter_map(|effect| match effect {
+        Effect::Send { message, .. } => Some(wire::encode(message).len()),
+        _ => None,
+    });
+    frames.sum()
+}
+
+fn digest(peer: u32, sequence: u64, instances_count: u32) -> Digest {
+    let relayed = (1..=3).map(|step| 1 + (peer + step) % (instances_count - 1));
+    Digest {
+        from: row(peer),
+        sequence,
+        wants_reply: sequence.is_multiple_of(2),
+        revision: 1,
+        freshness_age: Duration::from_millis(100),
+        members: relayed.map(row).collect(),
+        quarantine: Vec::new(),
+    }
+}
+
+fn row(peer: u32) -> MemberRow {
+    MemberRow {
+        id: InstanceId {
+            name: name(peer),
+            incarnation: 7,
+        },
+        address: address(peer),
+        zone: document::zone_name(peer),
+        counter: 0,
+        state: MemberState::Alive,
+    }
+}
+
+fn listed(peer: u32) -> serde_json::Value {
+    json!({
+        "name": name(peer), "zone": document::zone_name(peer),
+        "peers": address(peer), "state": "live",
+    })
+}
+
+fn name(peer: u32) -> String {
+    format!("{}-instance-{peer}", document::zone_name(peer))
+}
+
+fn address(peer: u32) -> SocketAddr {
+    let [_, _, high, low] = peer.to_be_bytes();
+    ([127, 2, high, low], 7000).into()
+}
--- a/xtask/src/slopes/plan.rs
+++ b/xtask/src/slopes/plan.rs
@@ -1,6 +1,6 @@
 //! What is measured.
 
-use crate::{connections, figures::Figures, idle, memory, reducer, sweep::Sweep, tickets};
+use crate::{connections, figures::Figures, idle, memory, peers, reducer, sweep::Sweep, tickets};
 
 /// Returns every sweep.
 pub fn sweeps() -> Vec<Sweep> {
@@ -61,6 +61,13 @@
             quantities: idle::QUANTITIES,
             measure: idle::by_targets,
         },
+        Sweep {
+            name: "peers_by_instances",
+            size: "instances_count",
+            sizes: &[3, 9, 50, 150, 420],
+            quantities: peers::QUANTITIES,
+            measure: peers::by_instances,
+        },
         Sweep {
             name: "connections_by_instances_25",
             size: "instances_count",
