--- a/crates/query/src/restart.rs
+++ b/crates/query/src/restart.rs
@@ -2,8 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use model::{Counter, Effect, QueryKey, ServiceKey, Snapshot, ZoneKey};
-use route::{Front, Routes};
+use model::{Counter, Effect, QueryKey, ServiceKey, Snapshot};
+use route::{Cover, Front, Routes};
 
 use crate::{Cause, Queries, Query, Shard, ShardState, answer::cancel_calls, hedge, shard};
 
@@ -26,7 +26,7 @@
     let pinned = routes
         .fronts
         .get(&query.front)
-        .and_then(|front| Some((front, pinned(routes, front)?)));
+        .and_then(|front| Some((front, pinned(routes, front, query.service.as_deref())?)));
     if let Some((front, (snapshot, services))) = pinned {
         pin(query, routes, front, snapshot, services);
     }
@@ -63,7 +63,7 @@
     let Some(front) = routes.fronts.get(&query.front) else {
         return false;
     };
-    let Some((snapshot, services)) = pinned(routes, front) else {
+    let Some((snapshot, services)) = pinned(routes, front, query.service.as_deref()) else {
         return false;
     };
     let is_newer = query.snapshot.is_none_or(|known| snapshot > known);
@@ -100,10 +100,6 @@
         let Some(row) = routes.services.get(service) else {
             continue;
         };
-        let wanted = query.service.as_deref();
-        if wanted.is_some_and(|wanted| wanted != &*row.name) {
-            continue;
-        }
         query.shards.push(Shard {
             service,
             name: row.name.clone(),
@@ -116,21 +112,57 @@
     query.open_count = u32::try_from(query.shards.len()).unwrap_or(u32::MAX);
 }
 
-/// Returns the newest snapshot that its own shard map can serve, and the services of that map.
-fn pinned<'a>(routes: &Routes, front: &'a Front) -> Option<(Snapshot, &'a [ServiceKey])> {
-    let zones: &[ZoneKey] = &front.zones;
-    let mut next_from_snapshot = Snapshot::MAX;
+/// Returns the snapshot that covers most of the front, and the wanted services of its shard map.
+///
+/// Among equals the newest one is taken. If no target can be read, the newest shard map tells which
+/// services are missing.
+fn pinned<'a>(
+    routes: &Routes,
+    front: &'a Front,
+    wanted: Option<&str>,
+) -> Option<(Snapshot, &'a [ServiceKey])> {
+    let mut last_snapshot = Snapshot::MAX;
+    let mut best: Option<(Cover, &[ServiceKey])> = None;
     for map in front.shard_maps.iter().rev() {
-        let newest = route::newest_snapshot(routes, &map.services, zones);
+        let services = wanted_services(routes, &map.services, wanted);
         // Snapshots from the next map's first one on are divided differently.
-        let newest = newest.map(|newest| newest.min(next_from_snapshot - 1));
-        if let Some(snapshot) = newest.filter(|&snapshot| snapshot >= map.from_snapshot) {
-            return Some((snapshot, &map.services));
+        let bounds = map.from_snapshot..=last_snapshot;
+        let cover = route::best_snapshot(routes, services, &front.zones, &bounds);
+        if let Some(cover) = cover
+            && best.is_none_or(|best| covers_more((cover, services), best))
+        {
+            best = Some((cover, services));
         }
-        next_from_snapshot = map.from_snapshot.max(1);
+        last_snapshot = map.from_snapshot.saturating_sub(1);
+    }
+    if let Some((cover, services)) = best {
+        return Some((cover.snapshot, services));
     }
-    let oldest_map = front.shard_maps.first()?;
-    Some((oldest_map.from_snapshot, &oldest_map.services))
+    let newest_map = front.shard_maps.last()?;
+    let services = wanted_services(routes, &newest_map.services, wanted);
+    Some((newest_map.from_snapshot, services))
+}
+
+/// Returns the services that the request asks for: one, if it names one.
+fn wanted_services<'a>(
+    routes: &Routes,
+    services: &'a [ServiceKey],
+    wanted: Option<&str>,
+) -> &'a [ServiceKey] {
+    let Some(wanted) = wanted else {
+        return services;
+    };
+    let is_wanted = |&key: &ServiceKey| {
+        let service = routes.services.get(key);
+        service.is_some_and(|service| &*service.name == wanted)
+    };
+    let position = services.iter().position(is_wanted);
+    position.map_or(&[], |position| &services[position..=position])
+}
+
+/// Tells whether a snapshot covers a larger part of its own shard map than another one of its.
+fn covers_more(one: (Cover, &[ServiceKey]), other: (Cover, &[ServiceKey])) -> bool {
+    one.0.services_count * other.1.len() > other.0.services_count * one.1.len()
 }
 
 fn longest_median(routes: &Routes, services: &[ServiceKey]) -> Duration {
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -4,7 +4,7 @@
 
 use model::{MissingReason, ServiceKey, Snapshot, TargetKey, ZoneKey};
 
-use crate::{Routes, Target, confine, warmth};
+use crate::{Routes, Target, confine, snapshot, warmth};
 
 /// Calls in flight for each slot of a target, all instances together: one executes, the other one
 /// is on its way or waits, so that the slot never idles.
@@ -93,21 +93,6 @@
     }
 }
 
-/// Returns the newest snapshot that every service with a usable target can serve.
-pub fn newest_snapshot(
-    routes: &Routes,
-    services: &[ServiceKey],
-    zones: &[ZoneKey],
-) -> Option<Snapshot> {
-    let per_service = services.iter().filter_map(|&key| {
-        let service = routes.services.get(key)?;
-        let targets = service.targets.iter().map(|&key| &routes.targets[key]);
-        let usable = targets.filter(|target| may_receive_work(routes, target, zones));
-        usable.map(|target| target.newest_snapshot).max()
-    });
-    per_service.min()
-}
-
 /// Returns how many calls this instance may have in flight to a target, warmth aside.
 ///
 /// What other instances do not use may be used here, but never less than an equal part.
@@ -146,7 +131,8 @@
     }
 }
 
-fn may_receive_work(routes: &Routes, target: &Target, zones: &[ZoneKey]) -> bool {
+/// Tells whether operators, the configuration and the target itself permit new work to it.
+pub(crate) fn may_receive_work(routes: &Routes, target: &Target, zones: &[ZoneKey]) -> bool {
     let is_in_zones = zones.is_empty() || zones.contains(&target.zone);
     let is_zone_in = routes
         .zones
@@ -164,8 +150,5 @@
 }
 
 fn serves(target: &Target, snapshot: Option<Snapshot>) -> bool {
-    let Some(snapshot) = snapshot else {
-        return true;
-    };
-    (target.oldest_snapshot..=target.newest_snapshot).contains(&snapshot)
+    snapshot.is_none_or(|snapshot| snapshot::serves(target, snapshot))
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -16,6 +16,7 @@
 mod observe;
 mod reach;
 mod share;
+mod snapshot;
 mod table;
 mod tick;
 mod warmth;
@@ -24,7 +25,7 @@
 mod tests;
 
 pub use apply::apply;
-pub use choose::{NoChoice, Want, choose, has_free_slot, newest_snapshot, way_there};
+pub use choose::{NoChoice, Want, choose, has_free_slot, way_there};
 pub use confine::confine;
 pub use latency::Latency;
 pub use observe::{
@@ -33,6 +34,7 @@
 };
 pub use reach::Reach;
 pub use share::{Division, GROWTH_DELAY, part, set_instances};
+pub use snapshot::{Cover, best_snapshot};
 pub use table::{Front, Limits, Routes, Service, ShardMap, Target, Zone};
 pub use tick::tick;
 pub use warmth::Warmth;
--- a/crates/tier/src/tests.rs
+++ b/crates/tier/src/tests.rs
@@ -8,4 +8,5 @@
 mod net;
 mod once;
 mod replay;
+mod snapshot;
 mod spreading;
