--- a/crates/balsamd/src/effects.rs
+++ b/crates/balsamd/src/effects.rs
@@ -4,7 +4,7 @@
 use model::Effect;
 
 use crate::{
-    logs, metrics, peers, platform,
+    metrics, peers, platform,
     shell::{CallEnded, CallerReply, Shell},
     targets,
 };
--- a/crates/balsamd/src/main.rs
+++ b/crates/balsamd/src/main.rs
@@ -13,7 +13,6 @@
 mod commands;
 mod effects;
 mod error;
-mod logs;
 mod metrics;
 mod operators;
 mod peers;
@@ -21,6 +20,7 @@
 mod shell;
 mod targets;
 mod timers;
+mod waits;
 
 use std::process::ExitCode;
 
--- a/crates/balsamd/src/operators.rs
+++ b/crates/balsamd/src/operators.rs
@@ -1,15 +1,24 @@
 //! The operators' HTTP port: liveness, readiness, metrics and the state of the process.
 
+use std::time::Duration;
+
 use actix::Addr;
 use actix_web::{App, HttpResponse, HttpServer, web};
+use model::Revision;
 use prometheus::Registry;
+use serde::Deserialize;
+use tokio::sync::oneshot;
 
 use crate::{
     error::StartError,
     metrics,
-    shell::{DumpWanted, ReadyWanted, Shell},
+    shell::{DumpWanted, Shell},
+    waits::ReadyWanted,
 };
 
+/// Longest wait for readiness.
+const MAX_WAIT_MS: u64 = 60_000;
+
 #[derive(Clone)]
 struct Context {
     shell: Addr<Shell>,
@@ -48,8 +57,22 @@
     HttpResponse::Ok().body("live\n")
 }
 
-async fn ready(context: web::Data<Context>) -> HttpResponse {
-    match context.shell.send(ReadyWanted).await {
+/// Parameters of a question about readiness.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct ReadyQuery {
+    revision: Revision,
+    wait_ms: u64,
+}
+
+async fn ready(context: web::Data<Context>, query: web::Query<ReadyQuery>) -> HttpResponse {
+    let (reply, answer) = oneshot::channel();
+    context.shell.do_send(ReadyWanted {
+        at_least_revision: query.revision,
+        wait: Duration::from_millis(query.wait_ms.min(MAX_WAIT_MS)),
+        reply,
+    });
+    match answer.await {
         Ok(true) => HttpResponse::Ok().body("ready\n"),
         _ => HttpResponse::ServiceUnavailable().body("not ready\n"),
     }
--- a/crates/balsamd/src/shell.rs
+++ b/crates/balsamd/src/shell.rs
@@ -8,11 +8,11 @@
 };
 
 use actix::{Actor, AsyncContext, Context, Handler, Message, System};
-use awc::Client;
+use awc::{Client, http::header::USER_AGENT};
 use bytes::Bytes;
 use model::{
-    CallFailure, CallKey, CallerKey, Effect, Event, Kind, LoadReport, PlatformFailure,
-    PlatformRead, ReplyView, RequestView, TargetKey, Timer,
+    CallFailure, CallKey, CallerKey, Effect, Event, Kind, Level, LoadReport, LogLine,
+    PlatformFailure, PlatformRead, ReplyView, RequestView, TargetKey, Timer,
 };
 use rand::{TryRng, rngs::SysRng};
 use settings::Settings;
@@ -30,12 +30,12 @@
     clock::{self, Clock},
     effects,
     error::StartError,
-    logs,
     metrics::{self, Metrics},
     operators,
     peers::{self, Outboxes},
     targets::{Pool, TargetReply},
     timers::{self, Timers},
+    waits::{self, Waits},
 };
 
 /// The actor: the reducer's state and what its effects need.
@@ -50,6 +50,7 @@
     pub(crate) outboxes: Outboxes,
     pub(crate) platform: Client,
     pub(crate) origin: String,
+    pub(crate) waits: Waits,
     effects: Vec<Effect>,
 }
 
@@ -72,6 +73,11 @@
     let registry = metrics::registry(&metrics);
     let incarnation = incarnation();
     let origin = format!("{}:{incarnation}", settings.instance.name);
+    let user_agent = format!("balsamd/{}", settings.instance.name);
+    let platform = Client::builder()
+        .disable_redirects()
+        .add_default_header((USER_AGENT, user_agent))
+        .finish();
     let peers = TcpListener::bind(listen.peers)
         .await
         .map_err(|error| StartError::Listen("peers", listen.peers, error))?;
@@ -84,15 +90,25 @@
         pools: SecondaryMap::new(),
         calls: SecondaryMap::new(),
         outboxes: Outboxes::new(),
-        platform: Client::builder().disable_redirects().finish(),
+        platform,
         origin,
+        waits: Waits::with_key(),
         effects: Vec::new(),
     };
     let address = shell.start();
     callers::spawn(address.clone(), &listen, &limits)?;
     operators::spawn(address.clone(), registry, &listen)?;
     peers::spawn_listener(address.clone(), peers);
-    spawn_signals(address)
+    spawn_signals(address)?;
+    logs::write(&listening(&listen));
+    Ok(())
+}
+
+fn listening(listen: &settings::Listen) -> LogLine {
+    LogLine::new(Level::Info, "listening")
+        .with("callers", listen.callers.to_string().as_str())
+        .with("operators", listen.operators.to_string().as_str())
+        .with("peers", listen.peers.to_string().as_str())
 }
 
 /// Returns a number larger than that of any earlier run, as far as the machine's clock permits.
@@ -142,6 +158,7 @@
         effects::run(shell, &address, effect);
     }
     shell.effects = out;
+    waits::settle(shell);
 }
 
 /// Where the answer to a caller goes.
@@ -380,19 +397,6 @@
     }
 }
 
-/// Asks whether the instance is ready to serve.
-#[derive(Debug, Message)]
-#[rtype(result = "bool")]
-pub struct ReadyWanted;
-
-impl Handler<ReadyWanted> for Shell {
-    type Result = bool;
-
-    fn handle(&mut self, _: ReadyWanted, _: &mut Self::Context) -> bool {
-        tier::is_ready(&self.state)
-    }
-}
-
 /// Asks for the state of the process in JSON.
 #[derive(Debug, Message)]
 #[rtype(result = "String")]
--- a/crates/balsamfake/src/commands.rs
+++ b/crates/balsamfake/src/commands.rs
@@ -15,6 +15,8 @@
     pub note: PathBuf,
     /// Address of the platform's HTTP port.
     pub platform: SocketAddr,
+    /// Address of the port on which the stand-ins are steered.
+    pub control: SocketAddr,
     /// Seed of the generator of latencies.
     pub seed: u64,
 }
@@ -27,6 +29,9 @@
     let platform = long("platform")
         .help("Address of the platform's port")
         .argument("ADDRESS");
+    let control = long("control")
+        .help("Address of the port on which the stand-ins are steered")
+        .argument("ADDRESS");
     let seed = long("seed")
         .help("Seed of the latencies")
         .argument("NUMBER")
@@ -34,6 +39,7 @@
     let command = construct!(Command {
         note,
         platform,
+        control,
         seed
     });
     command
@@ -57,7 +63,7 @@
         eprint!("{findings}");
         return ExitCode::FAILURE;
     };
-    match shell::run(&command, note, document) {
+    match shell::run(&command, &note, document) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("error: {error}");
--- /dev/null
+++ b/crates/balsamfake/src/control.rs
@@ -0,0 +1,139 @@
+//! The control port: steering and reports.
+
+use findings::Findings;
+use model::TargetPhase;
+use serde_json::json;
+
+use crate::{
+    behaviour,
+    effect::{Effect, Reply},
+    event::{Control, TargetKey},
+    life, platform,
+    state::{self, State},
+    target,
+};
+
+/// Name that stands for every target.
+const ALL_TARGETS: &str = "all";
+
+/// Carries out a command and returns the reply to it.
+pub fn command(state: &mut State, control: Control<'_>, out: &mut Vec<Effect>) -> Reply {
+    match control {
+        Control::PublishNote { body } => publish_note(state, body, out),
+        Control::PublishInstances { body } => {
+            platform::publish_instances(state, body, out);
+            Reply::Done
+        }
+        Control::SteerPlatform { body } => steer_platform(state, body, out),
+        Control::SteerTarget { target, body } => steer_target(state, target, body),
+        Control::Crash { target } => {
+            let targets = named(state, target);
+            if targets.is_empty() {
+                return Reply::NotFound;
+            }
+            for key in targets {
+                life::crash(state, key, out);
+            }
+            Reply::Done
+        }
+        Control::Platform => Reply::Report(platform_report(state)),
+        Control::Targets => Reply::Report(targets_report(state)),
+        Control::Ledger => Reply::Report(json!(state.ledger).to_string()),
+    }
+}
+
+/// Publishes a value as it is, faulty or not, and plays the new targets of a note that is sound.
+fn publish_note(state: &mut State, body: &[u8], out: &mut Vec<Effect>) -> Reply {
+    platform::publish_note(&mut state.platform, body, out);
+    let mut findings = Findings::default();
+    let document = std::str::from_utf8(body).unwrap_or_default();
+    let Some(note) = note::read(document, &mut findings) else {
+        return Reply::Done;
+    };
+    for key in state::add_targets(state, &note) {
+        life::listen(state, key, out);
+    }
+    Reply::Done
+}
+
+fn steer_platform(state: &mut State, body: &[u8], out: &mut Vec<Effect>) -> Reply {
+    let mut findings = Findings::default();
+    let platform = &mut state.platform;
+    let document = std::str::from_utf8(body).unwrap_or_default();
+    let Some(changed) = behaviour::read_platform(&platform.behaviour, document, &mut findings)
+    else {
+        return Reply::Faulty(findings);
+    };
+    platform.behaviour = changed;
+    platform::answer_watches(platform, out);
+    Reply::Done
+}
+
+fn steer_target(state: &mut State, name: &str, body: &[u8]) -> Reply {
+    let targets = named(state, name);
+    if targets.is_empty() {
+        return Reply::NotFound;
+    }
+    let mut findings = Findings::default();
+    let document = std::str::from_utf8(body).unwrap_or_default();
+    for key in targets {
+        let Some(target) = state.targets.get_mut(key) else {
+            continue;
+        };
+        let Some((changed, phase)) =
+            behaviour::read_target(&target.behaviour, document, &mut findings)
+        else {
+            return Reply::Faulty(findings);
+        };
+        target.behaviour = changed;
+        if let Some(phase) = phase {
+            target.phase = phase;
+            target.warm_up_count = 0;
+        }
+    }
+    Reply::Done
+}
+
+/// Returns the targets that a name stands for: one target, a zone's, a service's, or all.
+fn named(state: &State, name: &str) -> Vec<TargetKey> {
+    if let Some(&key) = state.names.get(name) {
+        return vec![key];
+    }
+    let matching = state
+        .targets
+        .iter()
+        .filter(|(_, target)| name == ALL_TARGETS || target.zone == name || target.service == name);
+    matching.map(|(key, _)| key).collect()
+}
+
+fn platform_report(state: &State) -> String {
+    let platform = &state.platform;
+    json!({
+        "behaviour": platform.behaviour,
+        "served_version": platform::version(platform),
+        "newest_version": platform.notes.len(),
+        "watches_count": platform.watches.len(),
+        "reads_count": platform.reads_count,
+        "limited_count": platform.limited_count,
+        "readers": platform.readers,
+    })
+    .to_string()
+}
+
+fn targets_report(state: &State) -> String {
+    let rows = state.targets.iter().map(|(key, target)| {
+        let report = json!({
+            "zone": target.zone,
+            "service": target.service,
+            "address": target.address,
+            "is_up": target.is_up,
+            "is_cold": target.phase == TargetPhase::Cold,
+            "load": target::load_report(target),
+            "connections_count": life::open_connections_count(state, key),
+            "counts": target.counts,
+            "behaviour": target.behaviour,
+        });
+        (target.name.clone(), report)
+    });
+    serde_json::Value::Object(rows.collect()).to_string()
+}
--- a/crates/balsamfake/src/effect.rs
+++ b/crates/balsamfake/src/effect.rs
@@ -1,54 +1,113 @@
 //! Everything that the stand-ins can do.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use model::{LoadReport, ReplyStatus};
+use findings::Findings;
+use model::{LoadReport, LogLine, ReplyStatus};
 
-use crate::event::RequestKey;
+use crate::event::{ConnectionKey, RequestKey, TargetKey};
 
 /// One thing for the shell to do.
 #[derive(Clone, Debug)]
 pub enum Effect {
-    /// Deliver [`crate::event::Event::Executed`] after a delay.
-    Execute {
-        /// The call.
-        request: RequestKey,
+    /// Accept connections to a target.
+    Listen {
+        /// The target.
+        target: TargetKey,
+        /// Address of its port.
+        address: SocketAddr,
+    },
+    /// Close the port of a target and every connection to it.
+    Vanish {
+        /// The target.
+        target: TargetKey,
+    },
+    /// Serve a connection after the time that its opening costs.
+    Serve {
+        /// The connection.
+        connection: ConnectionKey,
+        /// The time that its opening costs.
+        after: Duration,
+    },
+    /// Close a connection.
+    Close {
+        /// The connection.
+        connection: ConnectionKey,
+    },
+    /// Deliver an event after a delay.
+    Delay {
+        /// The event.
+        due: Due,
         /// The delay.
         after: Duration,
     },
-    /// Reply to a call.
+    /// Reply to a request.
     Reply {
-        /// The call.
+        /// The request.
         request: RequestKey,
-        /// What happened.
-        status: ReplyStatus,
-        /// Snapshot that was read.
-        snapshot: u64,
-        /// The target's load.
-        load: LoadReport,
-        /// The result.
-        body: Bytes,
+        /// The reply.
+        reply: Reply,
     },
-    /// Reply with a load report.
-    Load {
+    /// Close a request without any reply.
+    Drop {
         /// The request.
         request: RequestKey,
-        /// The report.
-        load: LoadReport,
     },
-    /// Reply with the published value.
+    /// Write one line to the log.
+    Log(LogLine),
+}
+
+/// What a delay ends with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Due {
+    /// [`crate::event::Event::Executed`]
+    Executed(RequestKey),
+    /// [`crate::event::Event::WatchExpired`]
+    WatchExpired(RequestKey),
+    /// [`crate::event::Event::RestartDue`]
+    Restart(TargetKey),
+    /// [`crate::event::Event::InstancesDue`]
+    Instances,
+}
+
+/// The reply to a request.
+#[derive(Clone, Debug)]
+pub enum Reply {
+    /// A target's reply to a call.
+    Call(CallReply),
+    /// A target's load report.
+    Load(LoadReport),
+    /// A value of the platform.
     Value {
-        /// The request.
-        request: RequestKey,
         /// Version of the value.
         version: u64,
         /// The value.
         body: Bytes,
     },
-    /// Reply that there is no such target.
-    NotFound {
-        /// The request.
-        request: RequestKey,
-    },
+    /// A report in JSON.
+    Report(String),
+    /// The request was carried out.
+    Done,
+    /// There is nothing of that name.
+    NotFound,
+    /// The request has faults.
+    Faulty(Findings),
+    /// The platform's rate limit is exceeded.
+    RateLimited,
+    /// The platform is down.
+    Unavailable,
+}
+
+/// A target's reply to a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallReply {
+    /// What happened.
+    pub status: ReplyStatus,
+    /// Snapshot that was read.
+    pub snapshot: u64,
+    /// The target's load.
+    pub load: LoadReport,
+    /// The result.
+    pub body: Bytes,
 }
--- a/crates/balsamfake/src/http.rs
+++ b/crates/balsamfake/src/http.rs
@@ -1,144 +1,66 @@
-//! The HTTP ports of the platform and of the targets.
+//! The HTTP edge: requests become events, replies become responses.
 
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+mod control;
+mod platform;
+mod target;
 
 use actix::Addr;
-use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
-use bytes::Bytes;
+use actix_web::HttpResponse;
 use model::to_word;
-use serde::Deserialize;
 use tokio::sync::oneshot;
 
+pub use control::spawn as spawn_control;
+pub use platform::spawn as spawn_platform;
+pub use target::serve as serve_target;
+
 use crate::{
-    effect::Effect,
+    effect::{CallReply, Reply},
     shell::{Ask, Request, Shell},
 };
 
+const CALL_HEADER: &str = "balsam-call-id";
+const REQUEST_HEADER: &str = "balsam-request-id";
+const TIMEOUT_HEADER: &str = "balsam-timeout-ms";
+const IDEMPOTENT_HEADER: &str = "balsam-idempotent";
 const SNAPSHOT_HEADER: &str = "balsam-snapshot";
 const STATUS_HEADER: &str = "balsam-status";
 const LOAD_HEADER: &str = "balsam-load";
 const VERSION_HEADER: &str = "platform-version";
 
-#[derive(Clone)]
-struct Ports {
-    shell: Addr<Shell>,
-    targets: HashMap<SocketAddr, String>,
-}
-
-#[derive(Deserialize)]
-struct WatchQuery {
-    after_version: u64,
-    wait_ms: u64,
-}
-
-/// Serves all ports until the process ends.
-///
-/// # Errors
-///
-/// Returns an error if a port cannot be opened.
-pub fn spawn(
-    shell: Addr<Shell>,
-    platform: SocketAddr,
-    targets: Vec<(String, SocketAddr)>,
-) -> std::io::Result<()> {
-    let addresses: Vec<SocketAddr> = targets.iter().map(|(_, address)| *address).collect();
-    let targets = targets
-        .into_iter()
-        .map(|(name, address)| (address, name))
-        .collect();
-    let ports = Ports { shell, targets };
-    let server = HttpServer::new(move || {
-        App::new()
-            .app_data(web::Data::new(ports.clone()))
-            .route("/v1/call", web::post().to(call))
-            .route("/v1/load", web::get().to(load))
-            .route("/v1/values/note", web::get().to(watch))
-            .route("/v1/values/note", web::put().to(publish))
-    });
-    let mut server = server
-        .workers(1)
-        .keep_alive(Duration::from_secs(120))
-        .bind(platform)?;
-    for address in addresses {
-        server = server.bind(address)?;
+/// Hands a request to the shell and waits for its reply.
+async fn ask(shell: &Addr<Shell>, ask: Ask) -> HttpResponse {
+    let (reply, answer) = oneshot::channel();
+    shell.do_send(Request { ask, reply });
+    match answer.await {
+        Ok(reply) => respond(reply),
+        Err(_) => HttpResponse::ServiceUnavailable().force_close().finish(),
     }
-    actix_rt::spawn(server.run());
-    Ok(())
 }
 
-async fn call(ports: web::Data<Ports>, request: HttpRequest, body: Bytes) -> HttpResponse {
-    let Some(target) = target(&ports, &request) else {
-        return HttpResponse::NotFound().finish();
-    };
-    let snapshot = request.headers().get(SNAPSHOT_HEADER);
-    let snapshot = snapshot.and_then(|value| value.to_str().ok()?.parse().ok());
-    ask(
-        &ports,
-        Ask::Call {
-            target,
-            snapshot,
-            body,
-        },
-    )
-    .await
-}
-
-async fn load(ports: web::Data<Ports>, request: HttpRequest) -> HttpResponse {
-    let Some(target) = target(&ports, &request) else {
-        return HttpResponse::NotFound().finish();
-    };
-    ask(&ports, Ask::Load { target }).await
-}
-
-async fn watch(ports: web::Data<Ports>, query: web::Query<WatchQuery>) -> HttpResponse {
-    let wait = Duration::from_millis(query.wait_ms);
-    ask(
-        &ports,
-        Ask::Watch {
-            after_version: query.after_version,
-            wait,
-        },
-    )
-    .await
-}
-
-async fn publish(ports: web::Data<Ports>, body: Bytes) -> HttpResponse {
-    ask(&ports, Ask::Publish { body }).await
-}
-
-fn target(ports: &Ports, request: &HttpRequest) -> Option<String> {
-    ports
-        .targets
-        .get(&request.app_config().local_addr())
-        .cloned()
-}
-
-async fn ask(ports: &Ports, ask: Ask) -> HttpResponse {
-    let (reply, answer) = oneshot::channel();
-    ports.shell.do_send(Request { ask, reply });
-    let Ok(effect) = answer.await else {
-        return HttpResponse::ServiceUnavailable().finish();
-    };
-    match effect {
-        Effect::Reply {
-            status,
-            snapshot,
-            load,
-            body,
-            ..
-        } => HttpResponse::Ok()
-            .insert_header((STATUS_HEADER, to_word(&status)))
-            .insert_header((SNAPSHOT_HEADER, snapshot.to_string()))
-            .insert_header((
-                LOAD_HEADER,
-                serde_json::to_string(&load).unwrap_or_default(),
-            ))
-            .body(body),
-        Effect::Load { load, .. } => HttpResponse::Ok().json(load),
-        Effect::Value { version, body, .. } => HttpResponse::Ok()
+fn respond(reply: Reply) -> HttpResponse {
+    match reply {
+        Reply::Call(reply) => call_reply(reply),
+        Reply::Load(load) => HttpResponse::Ok().json(load),
+        Reply::Value { version, body } => HttpResponse::Ok()
             .insert_header((VERSION_HEADER, version.to_string()))
             .content_type("application/json")
             .body(body),
-        Effect::NotFound { .. } | Effect::Execute { .. } => HttpResponse::NotFound().finish(),
+        Reply::Report(report) => HttpResponse::Ok()
+            .content_type("application/json")
+            .body(report),
+        Reply::Done => HttpResponse::NoContent().finish(),
+        Reply::NotFound => HttpResponse::NotFound().finish(),
+        Reply::Faulty(findings) => HttpResponse::BadRequest().json(findings),
+        Reply::RateLimited => HttpResponse::TooManyRequests().finish(),
+        Reply::Unavailable => HttpResponse::ServiceUnavailable().finish(),
     }
 }
+
+fn call_reply(reply: CallReply) -> HttpResponse {
+    let load = serde_json::to_string(&reply.load).unwrap_or_default();
+    HttpResponse::Ok()
+        .insert_header((STATUS_HEADER, to_word(&reply.status)))
+        .insert_header((SNAPSHOT_HEADER, reply.snapshot.to_string()))
+        .insert_header((LOAD_HEADER, load))
+        .body(reply.body)
+}
--- /dev/null
+++ b/crates/balsamfake/src/http/platform.rs
@@ -0,0 +1,61 @@
+//! The platform's port.
+
+use std::{net::SocketAddr, time::Duration};
+
+use actix::Addr;
+use actix_web::{App, HttpRequest, HttpResponse, HttpServer, http::header::USER_AGENT, web};
+use serde::Deserialize;
+
+use super::ask;
+use crate::shell::{Ask, Shell};
+
+type Context = web::Data<Addr<Shell>>;
+
+#[derive(Deserialize)]
+struct WatchQuery {
+    after_version: u64,
+    wait_ms: u64,
+}
+
+/// Serves the port until the process ends.
+///
+/// # Errors
+///
+/// Returns an error if the port cannot be opened.
+pub fn spawn(shell: Addr<Shell>, address: SocketAddr) -> std::io::Result<()> {
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(web::Data::new(shell.clone()))
+            .route("/v1/values/note", web::get().to(watch))
+            .route("/v1/instances", web::get().to(instances))
+    });
+    let server = server.workers(1).disable_signals().bind(address)?;
+    actix_rt::spawn(server.run());
+    Ok(())
+}
+
+async fn watch(
+    shell: Context,
+    request: HttpRequest,
+    query: web::Query<WatchQuery>,
+) -> HttpResponse {
+    let watch = Ask::Watch {
+        reader: reader(&request),
+        after_version: query.after_version,
+        wait: Duration::from_millis(query.wait_ms),
+    };
+    ask(&shell, watch).await
+}
+
+async fn instances(shell: Context, request: HttpRequest) -> HttpResponse {
+    let reader = reader(&request);
+    ask(&shell, Ask::Instances { reader }).await
+}
+
+/// Returns the name of the reader: what follows the slash in its user agent.
+fn reader(request: &HttpRequest) -> String {
+    let agent = request.headers().get(USER_AGENT);
+    let agent = agent.and_then(|agent| agent.to_str().ok()).unwrap_or("");
+    let name = agent.split_once('/').map_or(agent, |(_, name)| name);
+    name.to_owned()
+}
--- /dev/null
+++ b/crates/balsamfake/src/http/target.rs
@@ -0,0 +1,78 @@
+//! One connection to a target.
+
+use std::time::Duration;
+
+use actix::Addr;
+use actix_http::HttpService;
+use actix_service::{Service, ServiceFactory, map_config};
+use actix_web::{App, HttpRequest, HttpResponse, dev::AppConfig, http::header::HeaderMap, web};
+use bytes::Bytes;
+use tokio::net::TcpStream;
+
+use super::{CALL_HEADER, IDEMPOTENT_HEADER, REQUEST_HEADER, SNAPSHOT_HEADER, TIMEOUT_HEADER, ask};
+use crate::{
+    event::TargetKey,
+    shell::{Ask, OwnedCall, Shell},
+};
+
+/// Time after which an idle connection is closed.
+const KEEP_ALIVE: Duration = Duration::from_secs(120);
+
+#[derive(Clone)]
+struct Port {
+    shell: Addr<Shell>,
+    target: TargetKey,
+}
+
+/// Serves one connection until it is closed.
+pub async fn serve(shell: Addr<Shell>, target: TargetKey, stream: TcpStream) {
+    let port = Port { shell, target };
+    let app = App::new()
+        .app_data(web::Data::new(port))
+        .route("/v1/call", web::post().to(call))
+        .route("/v1/cancel", web::post().to(cancel))
+        .route("/v1/load", web::get().to(load));
+    let factory = HttpService::build()
+        .keep_alive(KEEP_ALIVE)
+        .client_request_timeout(Duration::ZERO)
+        .h1(map_config(app, |()| AppConfig::default()))
+        .tcp();
+    let Ok(service) = factory.new_service(()).await else {
+        return;
+    };
+    // How a connection ends makes no difference to a target.
+    let _ = service.call(stream).await;
+}
+
+async fn call(port: web::Data<Port>, request: HttpRequest, body: Bytes) -> HttpResponse {
+    let headers = request.headers();
+    let timeout_ms = text(headers, TIMEOUT_HEADER).parse();
+    let call = OwnedCall {
+        call_id: text(headers, CALL_HEADER).to_owned(),
+        request_id: text(headers, REQUEST_HEADER).to_owned(),
+        snapshot: text(headers, SNAPSHOT_HEADER).parse().ok(),
+        timeout: timeout_ms.ok().map(Duration::from_millis),
+        is_idempotent: text(headers, IDEMPOTENT_HEADER) != "false",
+        body,
+    };
+    let target = port.target;
+    ask(&port.shell, Ask::Call { target, call }).await
+}
+
+async fn cancel(port: web::Data<Port>, request: HttpRequest) -> HttpResponse {
+    let cancel = Ask::Cancel {
+        target: port.target,
+        call_id: text(request.headers(), CALL_HEADER).to_owned(),
+    };
+    ask(&port.shell, cancel).await
+}
+
+async fn load(port: web::Data<Port>) -> HttpResponse {
+    let target = port.target;
+    ask(&port.shell, Ask::Load { target }).await
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+    let value = headers.get(name);
+    value.and_then(|value| value.to_str().ok()).unwrap_or("")
+}
--- /dev/null
+++ b/crates/balsamfake/src/ledger.rs
@@ -0,0 +1,64 @@
+//! The ledger: every execution of a call that must run at most once.
+
+use serde::Serialize;
+
+/// Executions that are kept; later ones are only counted.
+const EXECUTIONS_KEPT_COUNT: usize = 100_000;
+
+/// What became of an execution.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ExecutionState {
+    /// It is going on.
+    Running,
+    /// It came to its end.
+    Done,
+    /// It was cancelled after it had begun.
+    Cancelled,
+    /// The target crashed.
+    Crashed,
+}
+
+/// One execution.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Execution {
+    /// Name of the target.
+    pub target: String,
+    /// Identifier of the target's process.
+    pub incarnation: u64,
+    /// Number of the call.
+    pub call_id: String,
+    /// Identifier of the caller's request.
+    pub request_id: String,
+    /// The query.
+    pub body: String,
+    /// What became of it.
+    pub state: ExecutionState,
+}
+
+/// Every execution of a call that must run at most once.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Ledger {
+    /// The executions in the order in which they began.
+    pub executions: Vec<Execution>,
+    /// Executions that were not kept.
+    pub dropped_count: u64,
+}
+
+/// Enters the beginning of an execution; returns its place.
+pub fn begin(ledger: &mut Ledger, execution: Execution) -> Option<usize> {
+    if ledger.executions.len() == EXECUTIONS_KEPT_COUNT {
+        ledger.dropped_count += 1;
+        return None;
+    }
+    ledger.executions.push(execution);
+    Some(ledger.executions.len() - 1)
+}
+
+/// Enters the end of an execution.
+pub fn end(ledger: &mut Ledger, place: Option<usize>, state: ExecutionState) {
+    let Some(place) = place else { return };
+    if let Some(execution) = ledger.executions.get_mut(place) {
+        execution.state = state;
+    }
+}
--- a/crates/balsamfake/src/main.rs
+++ b/crates/balsamfake/src/main.rs
@@ -8,13 +8,20 @@
 //! - every call that arrives is answered once, or its connection is closed;
 //! - the ledger counts each execution of a call, so that a test can see a doubled one.
 
+mod ask;
+mod behaviour;
 mod commands;
+mod control;
 mod effect;
 mod event;
 mod http;
+mod ledger;
+mod life;
+mod platform;
 mod reduce;
 mod shell;
 mod state;
+mod target;
 
 use std::process::ExitCode;
 
--- /dev/null
+++ b/crates/balsamfake/src/platform.rs
@@ -0,0 +1,176 @@
+//! The platform: configurations, the list of instances, the rate limit and outages.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+
+use crate::{
+    behaviour::Reachability,
+    effect::{Due, Effect, Reply},
+    event::RequestKey,
+    state::{Platform, State, Watch},
+};
+
+/// Answers a watch or lets it wait.
+pub fn watched(
+    platform: &mut Platform,
+    now: Instant,
+    watch: Watch,
+    wait: Duration,
+    out: &mut Vec<Effect>,
+) {
+    if !admit(platform, now, watch.request, &watch.reader, out) {
+        return;
+    }
+    if version(platform) > watch.after_version {
+        out.push(value(platform, watch.request));
+        return;
+    }
+    out.push(Effect::Delay {
+        due: Due::WatchExpired(watch.request),
+        after: wait,
+    });
+    platform.watches.push(watch);
+}
+
+/// Ends a watch that has waited long enough.
+pub fn watch_expired(platform: &mut Platform, request: RequestKey, out: &mut Vec<Effect>) {
+    let place = platform.watches.iter();
+    let Some(place) = place.clone().position(|watch| watch.request == request) else {
+        return;
+    };
+    let watch = platform.watches.swap_remove(place);
+    if is_reachable(platform, &watch.reader) {
+        out.push(value(platform, request));
+    }
+}
+
+/// Answers a read of the list of instances.
+pub fn instances_wanted(
+    platform: &mut Platform,
+    now: Instant,
+    request: RequestKey,
+    reader: &str,
+    out: &mut Vec<Effect>,
+) {
+    if !admit(platform, now, request, reader, out) {
+        return;
+    }
+    out.push(Effect::Reply {
+        request,
+        reply: Reply::Value {
+            version: platform.instances_version,
+            body: platform.instances.clone(),
+        },
+    });
+}
+
+/// Publishes a configuration.
+pub fn publish_note(platform: &mut Platform, body: &[u8], out: &mut Vec<Effect>) {
+    platform.notes.push(Bytes::copy_from_slice(body));
+    answer_watches(platform, out);
+}
+
+/// Publishes a list of instances, which becomes visible after the lag.
+pub fn publish_instances(state: &mut State, body: &[u8], out: &mut Vec<Effect>) {
+    let platform = &mut state.platform;
+    platform
+        .instances_waiting
+        .push_back(Bytes::copy_from_slice(body));
+    let after = platform.behaviour.instances_lag;
+    if after.is_zero() {
+        instances_due(platform);
+        return;
+    }
+    let due = Due::Instances;
+    out.push(Effect::Delay { due, after });
+}
+
+/// Makes the oldest list that waits visible.
+pub fn instances_due(platform: &mut Platform) {
+    let Some(list) = platform.instances_waiting.pop_front() else {
+        return;
+    };
+    platform.instances = list;
+    platform.instances_version += 1;
+}
+
+/// Answers every watch that the served version satisfies.
+pub fn answer_watches(platform: &mut Platform, out: &mut Vec<Effect>) {
+    let waiting = std::mem::take(&mut platform.watches);
+    for watch in waiting {
+        let is_newer = version(platform) > watch.after_version;
+        if is_newer && is_reachable(platform, &watch.reader) {
+            out.push(value(platform, watch.request));
+        } else {
+            platform.watches.push(watch);
+        }
+    }
+}
+
+/// Counts a read and tells whether it is to be answered with a value.
+fn admit(
+    platform: &mut Platform,
+    now: Instant,
+    request: RequestKey,
+    reader: &str,
+    out: &mut Vec<Effect>,
+) -> bool {
+    platform.reads_count += 1;
+    *platform.readers.entry(reader.to_owned()).or_default() += 1;
+    if !is_reachable(platform, reader) {
+        if platform.behaviour.reachability == Reachability::Refusing {
+            let reply = Reply::Unavailable;
+            out.push(Effect::Reply { request, reply });
+        }
+        return false;
+    }
+    if take_permit(platform, now) {
+        return true;
+    }
+    platform.limited_count += 1;
+    let reply = Reply::RateLimited;
+    out.push(Effect::Reply { request, reply });
+    false
+}
+
+/// Takes one read out of the allowance of one second.
+fn take_permit(platform: &mut Platform, now: Instant) -> bool {
+    let rate = f64::from(platform.behaviour.rate_max_per_s);
+    let renewed = match platform.permits_at {
+        None => rate,
+        Some(at) => now.saturating_duration_since(at).as_secs_f64() * rate,
+    };
+    platform.permits = (platform.permits + renewed).min(rate);
+    platform.permits_at = Some(now);
+    if platform.permits < 1.0 {
+        return false;
+    }
+    platform.permits -= 1.0;
+    true
+}
+
+fn is_reachable(platform: &Platform, reader: &str) -> bool {
+    let behaviour = &platform.behaviour;
+    let is_cut = behaviour.cut_readers.iter().any(|cut| cut == reader);
+    behaviour.reachability == Reachability::Up && !is_cut
+}
+
+/// Returns the version that is served.
+pub fn version(platform: &Platform) -> u64 {
+    let newest = platform.notes.len() as u64;
+    match platform.behaviour.stale_version {
+        0 => newest,
+        stale => stale.min(newest),
+    }
+}
+
+fn value(platform: &Platform, request: RequestKey) -> Effect {
+    let version = version(platform);
+    let place = usize::try_from(version.saturating_sub(1)).unwrap_or(usize::MAX);
+    let body = platform.notes.get(place).cloned().unwrap_or_default();
+    Effect::Reply {
+        request,
+        reply: Reply::Value { version, body },
+    }
+}
--- /dev/null
+++ b/crates/balsamfake/src/target.rs
@@ -0,0 +1,279 @@
+//! A target's calls: acceptance, queue, execution, cancellation.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use model::{LoadReport, ReplyStatus, TargetPhase};
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, LogNormal};
+
+use crate::{
+    effect::{CallReply, Due, Effect, Reply},
+    event::{CallView, RequestKey, TargetKey},
+    ledger::{self, Execution, ExecutionState},
+    life,
+    state::{Call, State, Target},
+};
+
+/// Takes in a call: refuses it, queues it or starts it.
+pub fn called(
+    state: &mut State,
+    now: Instant,
+    request: RequestKey,
+    key: TargetKey,
+    call: &CallView<'_>,
+    out: &mut Vec<Effect>,
+) {
+    let Some(target) = state.targets.get_mut(key).filter(|target| target.is_up) else {
+        out.push(Effect::Drop { request });
+        return;
+    };
+    target.counts.received_count += 1;
+    if is_cut(target, call.call_id) {
+        out.push(Effect::Drop { request });
+        return;
+    }
+    if target.behaviour.is_silent {
+        return;
+    }
+    if let Some(status) = refusal(target, call) {
+        if status == ReplyStatus::Shed {
+            target.counts.shed_count += 1;
+        }
+        out.push(refuse(target, request, status));
+        return;
+    }
+    let load_count = target.running.len() + target.queue.len() + 1;
+    let is_cold = target.phase == TargetPhase::Cold;
+    if is_cold && load_count > target.behaviour.cold_bearable_count as usize {
+        target.counts.cold_excess_count += 1;
+    }
+    let crash_count = target.behaviour.collapse_crash_count as usize;
+    let is_falling = is_cold && crash_count > 0 && load_count >= crash_count;
+    target.queue.push_back(request);
+    let call = Call {
+        target: key,
+        call_id: call.call_id.to_owned(),
+        request_id: call.request_id.to_owned(),
+        snapshot: call.snapshot.unwrap_or(target.behaviour.newest_snapshot),
+        deadline: call.timeout.map(|timeout| now + timeout),
+        is_idempotent: call.is_idempotent,
+        body: Bytes::copy_from_slice(call.body),
+        execution: None,
+    };
+    state.calls.insert(request, call);
+    if is_falling {
+        life::crash(state, key, out);
+        return;
+    }
+    start_waiting(state, now, key, out);
+}
+
+/// Ends the execution of a call and starts the next one.
+pub fn executed(state: &mut State, now: Instant, request: RequestKey, out: &mut Vec<Effect>) {
+    let Some(call) = state.calls.remove(request) else {
+        return;
+    };
+    ledger::end(&mut state.ledger, call.execution, ExecutionState::Done);
+    let Some(target) = state.targets.get_mut(call.target) else {
+        return;
+    };
+    target.running.retain(|&running| running != request);
+    target.counts.done_count += 1;
+    target.warm_up_count = target.warm_up_count.saturating_add(1);
+    if target.warm_up_count >= target.behaviour.warm_after_count {
+        target.phase = TargetPhase::Warm;
+    }
+    out.push(Effect::Reply {
+        request,
+        reply: Reply::Call(CallReply {
+            status: ReplyStatus::Done,
+            snapshot: call.snapshot,
+            load: load_report(target),
+            body: result(target, &call),
+        }),
+    });
+    start_waiting(state, now, call.target, out);
+}
+
+/// Cancels a call; its own reply says whether execution had begun.
+pub fn cancelled(
+    state: &mut State,
+    now: Instant,
+    key: TargetKey,
+    call_id: &str,
+    out: &mut Vec<Effect>,
+) {
+    let found = state.calls.iter();
+    let mut found = found.filter(|(_, call)| call.target == key && call.call_id == call_id);
+    let Some((request, _)) = found.next() else {
+        return;
+    };
+    let Some(target) = state.targets.get_mut(key) else {
+        return;
+    };
+    let is_running = target.running.contains(&request);
+    target.running.retain(|&running| running != request);
+    target.queue.retain(|&waiting| waiting != request);
+    target.counts.cancelled_count += 1;
+    let status = if is_running {
+        ReplyStatus::CancelledRunning
+    } else {
+        ReplyStatus::CancelledUnrun
+    };
+    out.push(refuse(target, request, status));
+    if let Some(call) = state.calls.remove(request) {
+        ledger::end(&mut state.ledger, call.execution, ExecutionState::Cancelled);
+    }
+    start_waiting(state, now, key, out);
+}
+
+/// Returns a target's load report.
+pub fn load_report(target: &Target) -> LoadReport {
+    let behaviour = &target.behaviour;
+    let true_phase = if behaviour.is_draining {
+        TargetPhase::Draining
+    } else {
+        target.phase
+    };
+    LoadReport {
+        incarnation: target.incarnation,
+        phase: behaviour.reported_phase.unwrap_or(true_phase),
+        running_count: count(target.running.len()),
+        queued_count: count(target.queue.len()),
+        bearable_count: match true_phase {
+            TargetPhase::Warm => behaviour.slots_count,
+            TargetPhase::Cold => behaviour.cold_bearable_count,
+            TargetPhase::Draining => 0,
+        },
+        oldest_snapshot: behaviour.oldest_snapshot,
+        newest_snapshot: behaviour.newest_snapshot,
+    }
+}
+
+/// Tells whether a call comes from an instance that the target is cut off from.
+fn is_cut(target: &Target, call_id: &str) -> bool {
+    let cut = &target.behaviour.cut_origins;
+    cut.iter().any(|origin| {
+        let rest = call_id.strip_prefix(origin.as_str());
+        rest.is_some_and(|rest| rest.starts_with(':'))
+    })
+}
+
+fn refusal(target: &Target, call: &CallView<'_>) -> Option<ReplyStatus> {
+    let behaviour = &target.behaviour;
+    if behaviour.is_draining {
+        return Some(ReplyStatus::Draining);
+    }
+    let served = behaviour.oldest_snapshot..=behaviour.newest_snapshot;
+    if call
+        .snapshot
+        .is_some_and(|snapshot| !served.contains(&snapshot))
+    {
+        return Some(ReplyStatus::WrongSnapshot);
+    }
+    let is_full = target.running.len() >= behaviour.slots_count as usize
+        && target.queue.len() >= behaviour.queue_max_count as usize;
+    (behaviour.is_shedding || is_full).then_some(ReplyStatus::Shed)
+}
+
+fn refuse(target: &Target, request: RequestKey, status: ReplyStatus) -> Effect {
+    let reply = CallReply {
+        status,
+        snapshot: target.behaviour.newest_snapshot,
+        load: load_report(target),
+        body: Bytes::new(),
+    };
+    Effect::Reply {
+        request,
+        reply: Reply::Call(reply),
+    }
+}
+
+/// Starts waiting calls while slots are free.
+fn start_waiting(state: &mut State, now: Instant, key: TargetKey, out: &mut Vec<Effect>) {
+    while let Some(target) = state.targets.get_mut(key) {
+        if target.running.len() >= target.behaviour.slots_count as usize {
+            return;
+        }
+        let Some(request) = target.queue.pop_front() else {
+            return;
+        };
+        let Some(call) = state.calls.get(request) else {
+            continue;
+        };
+        if call.deadline.is_some_and(|deadline| deadline <= now) {
+            out.push(refuse(target, request, ReplyStatus::DeadlinePassed));
+            state.calls.remove(request);
+            continue;
+        }
+        start(state, key, request, out);
+    }
+}
+
+fn start(state: &mut State, key: TargetKey, request: RequestKey, out: &mut Vec<Effect>) {
+    let (Some(target), Some(call)) = (state.targets.get_mut(key), state.calls.get_mut(request))
+    else {
+        return;
+    };
+    target.running.push(request);
+    if !call.is_idempotent {
+        let execution = Execution {
+            target: target.name.clone(),
+            incarnation: target.incarnation,
+            call_id: call.call_id.clone(),
+            request_id: call.request_id.clone(),
+            body: String::from_utf8_lossy(&call.body).into_owned(),
+            state: ExecutionState::Running,
+        };
+        call.execution = ledger::begin(&mut state.ledger, execution);
+    }
+    if is_poisoned(target, &call.body) {
+        life::crash(state, key, out);
+        return;
+    }
+    let after = execution_time(&mut state.rng, target);
+    let due = Due::Executed(request);
+    out.push(Effect::Delay { due, after });
+}
+
+fn is_poisoned(target: &Target, body: &[u8]) -> bool {
+    let poison = target.behaviour.poison.as_bytes();
+    !poison.is_empty() && body.windows(poison.len()).any(|window| window == poison)
+}
+
+fn execution_time(rng: &mut ChaCha8Rng, target: &Target) -> Duration {
+    let behaviour = &target.behaviour;
+    let mut factor = LogNormal::new(0.0, behaviour.latency_spread_ratio)
+        .map_or(1.0, |distribution| distribution.sample(rng));
+    if rng.random_bool(behaviour.straggler_ratio.clamp(0.0, 1.0)) {
+        factor *= f64::from(behaviour.straggler_factor);
+    }
+    let load_count = target.running.len() + target.queue.len();
+    let is_collapsed =
+        target.phase == TargetPhase::Cold && load_count > behaviour.cold_bearable_count as usize;
+    if is_collapsed {
+        factor *= f64::from(behaviour.collapse_factor);
+    }
+    behaviour.latency.mul_f64(factor)
+}
+
+/// Returns a result that names its target and repeats the query, so that a mix-up shows.
+fn result(target: &Target, call: &Call) -> Bytes {
+    let query = String::from_utf8_lossy(&call.body);
+    let query = if query.trim().is_empty() {
+        "null"
+    } else {
+        &*query
+    };
+    let head = format!(
+        "{{\"service\":\"{}\",\"target\":\"{}\",\"snapshot\":{},\"query\":",
+        target.service, target.name, call.snapshot
+    );
+    [&head, query, "}"].concat().into()
+}
+
+fn count(length: usize) -> u32 {
+    u32::try_from(length).unwrap_or(u32::MAX)
+}
--- a/crates/findings/src/node.rs
+++ b/crates/findings/src/node.rs
@@ -111,14 +111,20 @@
 
     /// Reads a text that is not empty.
     pub fn text(&self, findings: &mut Findings) -> Option<&'a str> {
+        let text = self.any_text(findings)?;
+        if text.is_empty() {
+            self.report(findings, "must not be empty");
+            return None;
+        }
+        Some(text)
+    }
+
+    /// Reads a text that may be empty.
+    pub fn any_text(&self, findings: &mut Findings) -> Option<&'a str> {
         let Value::StringLit(text) = self.value else {
             self.report(findings, "expected a text");
             return None;
         };
-        if text.value.is_empty() {
-            self.report(findings, "must not be empty");
-            return None;
-        }
         Some(&text.value)
     }
 
--- a/crates/balsamd/src/logs.rs
+++ b/crates/logs/src/write.rs
@@ -1,15 +1,24 @@
-//! Log lines on standard error: one line of key=value pairs for each event.
+//! Opening the log and writing to it.
 
-use logforth::{append, layout::LogfmtLayout, record::LevelFilter};
+use log::kv::Value;
+use logforth::{append::Stderr, filter::RustLogFilter};
 use model::{Level, LogLine};
 
+use crate::layout::EventLayout;
+
+/// Target of the project's own lines.
+pub(crate) const TARGET: &str = "balsamfall";
+
+/// What is written: the project's own lines from info on, those of libraries from warn on.
+const FILTER: &str = "warn,balsamfall=info";
+
 /// Directs the log of the process to standard error.
 pub fn open() {
     logforth::starter_log::builder()
         .dispatch(|dispatch| {
             dispatch
-                .filter(LevelFilter::MoreSevereEqual(logforth::record::Level::Info))
-                .append(append::Stderr::default().with_layout(LogfmtLayout::default()))
+                .filter(RustLogFilter::from(FILTER))
+                .append(Stderr::default().with_layout(EventLayout))
         })
         .apply();
 }
@@ -21,7 +30,7 @@
         Level::Info => log::Level::Info,
         Level::Debug => log::Level::Debug,
     };
-    if !log::log_enabled!(level) {
+    if !log::log_enabled!(target: TARGET, level) {
         return;
     }
     let fields: Vec<(&str, String)> = line
@@ -29,14 +38,14 @@
         .iter()
         .map(|(name, value)| (name.as_str(), value.to_string()))
         .collect();
-    let pairs: Vec<(&str, log::kv::Value<'_>)> = fields
+    let pairs: Vec<(&str, Value<'_>)> = fields
         .iter()
-        .map(|(name, value)| (*name, log::kv::Value::from(value.as_str())))
+        .map(|(name, value)| (*name, Value::from(value.as_str())))
         .collect();
     log::logger().log(
         &log::Record::builder()
             .level(level)
-            .target("balsamd")
+            .target(TARGET)
             .args(format_args!("{}", line.name))
             .key_values(&pairs.as_slice())
             .build(),
--- /dev/null
+++ b/crates/rig/src/plan.rs
@@ -0,0 +1,133 @@
+//! What a rig consists of.
+
+use std::{net::SocketAddr, path::PathBuf};
+
+use note::{Fleet, Front, Note, Service, ShardMap, Target, TargetState, Zone, ZoneState};
+
+use crate::Profile;
+
+/// An instance of a plan.
+#[derive(Clone, Debug)]
+pub struct InstancePlan {
+    /// Unique name.
+    pub name: String,
+    /// Availability zone.
+    pub zone: String,
+}
+
+/// The services of the one front of a plan and their targets.
+#[derive(Clone, Debug)]
+pub struct ServicePlan {
+    /// Name of the front.
+    pub front: String,
+    /// Number of services.
+    pub services_count: u32,
+    /// Targets of each service, spread over the zones in turn.
+    pub targets_count: u32,
+    /// Slots of each target.
+    pub slots_count: u32,
+    /// Connections that each target accepts.
+    pub connections_max_count: u32,
+}
+
+/// What a rig consists of.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Which build of the programs to run.
+    pub profile: Profile,
+    /// Directory of the programs, or `None` to build them first.
+    pub programs: Option<PathBuf>,
+    /// Availability zones.
+    pub zones: Vec<String>,
+    /// Instances.
+    pub instances: Vec<InstancePlan>,
+    /// Fronts and what serves them.
+    pub fronts: Vec<ServicePlan>,
+    /// Areas of settings that differ from the defaults, such as `{"fleet": {"tick_ms": 100}}`.
+    pub settings: serde_json::Value,
+    /// Seed of the generator of the targets' latencies.
+    pub seed: u64,
+}
+
+/// Returns a plan with one instance in each zone and one front `parts`, two targets a service.
+pub fn plan(zones: &[&str], services_count: u32) -> Plan {
+    let instances = zones.iter().map(|zone| InstancePlan {
+        name: format!("{zone}-1"),
+        zone: (*zone).to_owned(),
+    });
+    Plan {
+        profile: Profile::Debug,
+        programs: None,
+        zones: zones.iter().map(|zone| (*zone).to_owned()).collect(),
+        instances: instances.collect(),
+        fronts: vec![ServicePlan {
+            front: "parts".to_owned(),
+            services_count,
+            targets_count: 2,
+            slots_count: 4,
+            connections_max_count: 32,
+        }],
+        settings: serde_json::json!({}),
+        seed: 1,
+    }
+}
+
+/// Returns the first configuration of a plan; `addresses` yields an address for each target.
+pub(crate) fn first_note(plan: &Plan, addresses: &mut impl FnMut() -> SocketAddr) -> Note {
+    let zones = plan.zones.iter().map(|name| Zone {
+        name: name.clone(),
+        state: ZoneState::In,
+    });
+    let mut fleet = Fleet {
+        zones: zones.collect(),
+        ..Fleet::default()
+    };
+    for front in &plan.fronts {
+        add_front(&mut fleet, plan, front, addresses);
+    }
+    let added = note::diff(&Fleet::default(), &fleet).added;
+    Note {
+        revision: 1,
+        added,
+        changed: Vec::new(),
+        withdrawn: Vec::new(),
+        fleet,
+    }
+}
+
+fn add_front(
+    fleet: &mut Fleet,
+    plan: &Plan,
+    front: &ServicePlan,
+    addresses: &mut impl FnMut() -> SocketAddr,
+) {
+    let mut names = Vec::new();
+    for service in 1..=front.services_count {
+        let name = format!("{}-{service:02}", front.front);
+        let targets = (0..front.targets_count).map(|replica| {
+            let zone = (service + replica) as usize % plan.zones.len();
+            Target {
+                name: format!("{name}-t{}", replica + 1),
+                zone: plan.zones[zone].clone(),
+                address: addresses(),
+                slots_count: front.slots_count,
+                connections_max_count: front.connections_max_count,
+                cold_bearable_count: 1,
+                state: TargetState::In,
+            }
+        });
+        fleet.services.push(Service {
+            name: name.clone(),
+            targets: targets.collect(),
+        });
+        names.push(name);
+    }
+    fleet.fronts.push(Front {
+        name: front.front.clone(),
+        zones: Vec::new(),
+        shard_maps: vec![ShardMap {
+            from_snapshot: 1,
+            services: names,
+        }],
+    });
+}
--- /dev/null
+++ b/crates/rig/src/process.rs
@@ -0,0 +1,136 @@
+//! One child process: its log lines, signals and end.
+
+use std::{
+    collections::VecDeque,
+    path::Path,
+    process::{ExitStatus, Stdio},
+    time::Duration,
+};
+
+use tokio::{
+    io::{AsyncBufReadExt, BufReader},
+    process::{Child, ChildStderr, Command},
+    sync::watch,
+    time::timeout,
+};
+
+use crate::RigError;
+
+/// Lines of the log that are kept for error messages and tests.
+const LINES_KEPT_COUNT: usize = 2000;
+
+/// A signal for a process of the rig.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    /// Shut down gracefully.
+    Terminate,
+    /// End at once.
+    Kill,
+    /// Pause.
+    Stop,
+    /// Go on after a pause.
+    Continue,
+}
+
+/// A running child process.
+#[derive(Debug)]
+pub(crate) struct Process {
+    name: String,
+    child: Child,
+    lines: watch::Receiver<VecDeque<String>>,
+}
+
+/// Starts a program; its standard error is its log.
+pub(crate) fn spawn(program: &Path, name: &str, arguments: &[String]) -> Result<Process, RigError> {
+    let mut child = Command::new(program)
+        .args(arguments)
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(Stdio::piped())
+        .kill_on_drop(true)
+        .spawn()
+        .map_err(|error| RigError::Io("start a program", error))?;
+    let (sender, lines) = watch::channel(VecDeque::new());
+    if let Some(log) = child.stderr.take() {
+        actix_rt::spawn(collect(log, sender));
+    }
+    Ok(Process {
+        name: name.to_owned(),
+        child,
+        lines,
+    })
+}
+
+async fn collect(log: ChildStderr, sender: watch::Sender<VecDeque<String>>) {
+    let mut lines = BufReader::new(log).lines();
+    while let Ok(Some(line)) = lines.next_line().await {
+        sender.send_modify(|kept| {
+            if kept.len() == LINES_KEPT_COUNT {
+                kept.pop_front();
+            }
+            kept.push_back(line);
+        });
+    }
+}
+
+/// Waits until the process has written a line that contains a text.
+pub(crate) async fn wait_line(
+    process: &mut Process,
+    text: &'static str,
+    limit: Duration,
+) -> Result<(), RigError> {
+    let has_line = |lines: &VecDeque<String>| lines.iter().any(|line| line.contains(text));
+    let is_found = matches!(
+        timeout(limit, process.lines.wait_for(has_line)).await,
+        Ok(Ok(_))
+    );
+    if is_found {
+        return Ok(());
+    }
+    let lines = last_lines(process);
+    Err(RigError::NoLine(process.name.clone(), text, lines))
+}
+
+/// Returns the log lines that are kept.
+pub(crate) fn log_lines(process: &Process) -> Vec<String> {
+    process.lines.borrow().iter().cloned().collect()
+}
+
+/// Sends a signal.
+pub(crate) fn send_signal(process: &Process, signal: Signal) -> Result<(), RigError> {
+    let pid = process.child.id().and_then(|id| i32::try_from(id).ok());
+    let Some(pid) = pid.and_then(rustix::process::Pid::from_raw) else {
+        return Err(RigError::NotRunning(process.name.clone()));
+    };
+    let signal = match signal {
+        Signal::Terminate => rustix::process::Signal::TERM,
+        Signal::Kill => rustix::process::Signal::KILL,
+        Signal::Stop => rustix::process::Signal::STOP,
+        Signal::Continue => rustix::process::Signal::CONT,
+    };
+    rustix::process::kill_process(pid, signal)
+        .map_err(|error| RigError::Io("send a signal", error.into()))
+}
+
+/// Waits for the end of the process.
+pub(crate) async fn wait_exit(
+    process: &mut Process,
+    limit: Duration,
+) -> Result<ExitStatus, RigError> {
+    match timeout(limit, process.child.wait()).await {
+        Ok(status) => status.map_err(|error| RigError::Io("wait for a process", error)),
+        Err(_) => Err(RigError::NoExit(process.name.clone())),
+    }
+}
+
+/// Ends the process and waits for its end.
+pub(crate) async fn kill(mut process: Process) -> Result<(), RigError> {
+    let killed = process.child.kill().await;
+    killed.map_err(|error| RigError::Io("end a process", error))
+}
+
+fn last_lines(process: &Process) -> String {
+    let lines = process.lines.borrow();
+    let last = lines.iter().skip(lines.len().saturating_sub(5));
+    last.map(String::as_str).collect::<Vec<_>>().join("\n")
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -32,7 +32,7 @@
     CallEnd, CallReport, call_ended, call_late, call_outrun, call_started, load_reported,
     probe_answered, probe_failed, serves_only,
 };
-pub use reach::Reach;
+pub use reach::{Reach, is_every_target_asked};
 pub use share::{Division, GROWTH_DELAY, part, set_instances};
 pub use snapshot::{Cover, best_snapshot};
 pub use table::{Front, Limits, Routes, Service, ShardMap, Target, Zone};
--- a/crates/route/src/reach.rs
+++ b/crates/route/src/reach.rs
@@ -36,6 +36,12 @@
     pub heard_at: Option<Instant>,
 }
 
+/// Tells whether every target has answered a probe or failed to.
+pub fn is_every_target_asked(routes: &Routes) -> bool {
+    let mut targets = routes.targets.values();
+    targets.all(|target| target.incarnation != 0 || target.reach.failed_probes_count > 0)
+}
+
 /// Notes a whole reply.
 pub(crate) fn heard(target: &mut Target, now: Instant) {
     target.reach.heard_at = Some(now);
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -25,4 +25,4 @@
 
 pub use dump::{Dump, dump};
 pub use reduce::reduce;
-pub use state::{State, is_ready, open};
+pub use state::{State, is_ready, open, revision};
--- a/crates/tier/src/state.rs
+++ b/crates/tier/src/state.rs
@@ -4,6 +4,7 @@
 
 use admit::Admission;
 use fleet::FleetState;
+use model::Revision;
 use once::{OnceState, Owner};
 use query::Queries;
 use route::{Limits, Routes};
@@ -24,6 +25,8 @@
     pub admission: Admission,
     /// Tickets and their outcomes.
     pub once: OnceState,
+    /// Whether every target of an accepted configuration has been asked once.
+    pub has_asked_targets: bool,
     /// When the last tick ran.
     pub last_tick: Option<Instant>,
     /// When the last request arrived or was seen in flight.
@@ -42,6 +45,7 @@
     State {
         once: once::open(owner, seed),
         last_activity: None,
+        has_asked_targets: false,
         fleet: fleet::open(&settings, incarnation),
         routes: Routes {
             limits: limits(&settings),
@@ -68,5 +72,10 @@
 
 /// Tells whether the instance should receive new requests.
 pub fn is_ready(state: &State) -> bool {
-    fleet::is_joined(&state.fleet) && !state.fleet.is_leaving
+    fleet::is_joined(&state.fleet) && state.has_asked_targets && !state.fleet.is_leaving
+}
+
+/// Returns the accepted revision, or 0 if there is none.
+pub fn revision(state: &State) -> Revision {
+    state.fleet.note.as_ref().map_or(0, |note| note.revision)
 }
--- a/crates/tier/src/tick.rs
+++ b/crates/tier/src/tick.rs
@@ -22,6 +22,7 @@
     platform::divide(state, out);
     platform::confine(state, now);
     request::tick(state, now, out);
+    note_asked_targets(state);
     leave::exit_if_quiet(state, now, out);
     out.push(Effect::SetTimer {
         timer: Timer::Tick,
@@ -29,6 +30,12 @@
     });
 }
 
+/// Notes that the targets are known, without which a query would find none.
+fn note_asked_targets(state: &mut State) {
+    let is_asked = || route::is_every_target_asked(&state.routes);
+    state.has_asked_targets |= state.fleet.note.is_some() && is_asked();
+}
+
 /// Notices a pause: the tick is later than the threshold allows, whatever event comes first.
 pub(crate) fn notice_pause(state: &mut State, now: Instant, out: &mut Vec<Effect>) {
     let Some(last_tick) = state.last_tick else {
