Measure calls that travel as frames, several at once

Cause: whether a relay level or batched calls pay off at the larger size depends on what a call costs without HTTP.

The division of connections is measured for 240 services of 11 replicas.

--- a/xtask/src/slopes/connections.rs
+++ b/xtask/src/slopes/connections.rs
@@ -7,10 +7,10 @@
 
 use crate::document;
 
-/// Targets at the size of two years from now.
-const TARGETS_COUNT: u32 = 2_700;
 /// Services of a query at the size of two years from now.
 const SERVICES_COUNT: u32 = 240;
+/// Replicas of each service at that size: 2,700 targets over 240 services.
+const REPLICAS_COUNT: u32 = 11;
 /// Position whose instance leaves in the measurement of moved connections.
 const LEAVING_RANK: u32 = 1;
 /// Instances whose table is inspected.
@@ -67,7 +67,7 @@
 
 /// Returns the table of the instance at a rank.
 fn divided(instances_count: u32, rank: u32, connections_max_count: u32) -> Routes {
-    let mut note = document::note(TARGETS_COUNT, SERVICES_COUNT);
+    let mut note = document::replicated_note(0, SERVICES_COUNT, REPLICAS_COUNT);
     for target in note
         .fleet
         .services
--- a/xtask/src/slopes/document.rs
+++ b/xtask/src/slopes/document.rs
@@ -6,8 +6,8 @@
 
 /// Name of the front that queries ask.
 pub const FRONT: &str = "parts";
-/// Replicas of each service.
-const REPLICAS_COUNT: u32 = 2;
+/// Replicas of each service today.
+pub const REPLICAS_COUNT: u32 = 2;
 /// Zones at the size of two years from now.
 const ZONES_COUNT: u32 = 5;
 /// Large enough that no limit of a target shapes a measurement.
@@ -29,8 +29,15 @@
 
 /// Returns a note of `targets_count` targets whose front asks `services_count` services.
 pub fn note(targets_count: u32, services_count: u32) -> Note {
-    let all_count = (targets_count / REPLICAS_COUNT).max(services_count);
-    let services: Vec<Service> = (0..all_count).map(service).collect();
+    replicated_note(targets_count, services_count, REPLICAS_COUNT)
+}
+
+/// Returns the same with another number of replicas for each service.
+pub fn replicated_note(targets_count: u32, services_count: u32, replicas_count: u32) -> Note {
+    let all_count = (targets_count / replicas_count).max(services_count);
+    let services: Vec<Service> = (0..all_count)
+        .map(|index| service(index, replicas_count))
+        .collect();
     let asked = services.iter().take(services_count as usize);
     let front = Front {
         name: FRONT.to_owned(),
@@ -83,11 +90,11 @@
     format!("zone-{}", index % ZONES_COUNT)
 }
 
-fn service(index: u32) -> Service {
+fn service(index: u32, replicas_count: u32) -> Service {
     Service {
         name: service_name(index),
-        targets: (0..REPLICAS_COUNT)
-            .map(|replica| target(index, replica))
+        targets: (0..replicas_count)
+            .map(|replica| target(index, index * replicas_count + replica))
             .collect(),
     }
 }
@@ -97,11 +104,10 @@
     format!("{FRONT}-{index:04}")
 }
 
-fn target(service: u32, replica: u32) -> Target {
-    let number = service * REPLICAS_COUNT + replica;
+fn target(service: u32, number: u32) -> Target {
     let [_, _, high, low] = number.to_be_bytes();
     Target {
-        name: format!("{FRONT}-{service:04}-{replica}"),
+        name: format!("{FRONT}-{service:04}-{number}"),
         zone: zone_name(number),
         address: ([127, 1, high, low], 8080).into(),
         slots_count: AMPLE_COUNT,
--- a/xtask/src/slopes/main.rs
+++ b/xtask/src/slopes/main.rs
@@ -11,6 +11,7 @@
 mod connections;
 mod document;
 mod figures;
+mod frames;
 mod idle;
 mod instance;
 mod memory;
--- a/xtask/src/slopes/plan.rs
+++ b/xtask/src/slopes/plan.rs
@@ -1,6 +1,8 @@
 //! What is measured.
 
-use crate::{connections, figures::Figures, idle, memory, peers, reducer, sweep::Sweep, tickets};
+use crate::{
+    connections, figures::Figures, frames, idle, memory, peers, reducer, sweep::Sweep, tickets,
+};
 
 /// Returns every sweep.
 pub fn sweeps() -> Vec<Sweep> {
@@ -8,7 +10,7 @@
         Sweep {
             name: "reducer_by_targets",
             size: "targets_count",
-            sizes: &[10, 30, 90, 270, 810, 2700],
+            sizes: &[10, 30, 120, 270, 810, 2700],
             quantities: reducer::QUANTITIES,
             measure: reducer::by_targets,
         },
@@ -29,7 +31,7 @@
         Sweep {
             name: "memory_by_targets",
             size: "targets_count",
-            sizes: &[10, 90, 270, 810, 2700],
+            sizes: &[10, 120, 270, 810, 2700],
             quantities: memory::TARGET_QUANTITIES,
             measure: memory::by_targets,
         },
@@ -57,7 +59,7 @@
         Sweep {
             name: "idle_by_targets",
             size: "targets_count",
-            sizes: &[10, 90, 270, 810, 2700],
+            sizes: &[10, 120, 270, 810, 2700],
             quantities: idle::QUANTITIES,
             measure: idle::by_targets,
         },
@@ -68,6 +70,13 @@
             quantities: peers::QUANTITIES,
             measure: peers::by_instances,
         },
+        Sweep {
+            name: "frames_by_calls",
+            size: "calls_per_exchange_count",
+            sizes: &[1, 4, 16, 64, 256],
+            quantities: frames::QUANTITIES,
+            measure: frames::by_calls,
+        },
         Sweep {
             name: "connections_by_instances_25",
             size: "instances_count",
