Quarantine requests that crash targets; correct doubts by late replies

Cause: a request that crashes its targets was walked around the replicas, and an order that ended in doubt stayed so when its reply came late. Change: a lost connection while a call runs is a strike against front, service and body; one crash is one strike, a survived call clears them, two quarantine the request until expiry or release by the note. A shard tries no further target once two are lost or at risk. The end of a call after its deadline corrects the stored doubt. A deferrable order that every target declined waits for the next tick instead of failing.

--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -5,7 +5,7 @@
 use model::{Counter, Digest, Effect, Message, QuarantineRow, Revision};
 use settings::Settings;
 
-use crate::{FleetState, digest, freshness, join, member, reading, suspicion};
+use crate::{FleetState, digest, digest::Receiver, freshness, join, member, reading, suspicion};
 
 /// Time after which an unanswered request for a published value is repeated to another instance.
 const NOTE_RETRY_AFTER_TICKS_COUNT: u32 = 2;
@@ -35,6 +35,26 @@
         .map(|_| u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
 }
 
+/// Sends a digest with urgent quarantine entries to every present instance.
+pub fn announce(
+    fleet: &mut FleetState,
+    now: Instant,
+    quarantine: &[QuarantineRow],
+    out: &mut Vec<Effect>,
+) {
+    let present = fleet.members.values().filter(|member| member.is_present());
+    let receivers = present.map(|member| Receiver {
+        name: member.row.id.name.clone(),
+        address: member.row.address,
+        wants_reply: false,
+    });
+    let receivers: Vec<Receiver> = receivers.collect();
+    for receiver in receivers {
+        let digest = digest::outgoing(fleet, now, &receiver, quarantine);
+        send(receiver.address, Message::Digest(digest), out);
+    }
+}
+
 /// Takes in a digest of another instance.
 pub fn digest_received(
     fleet: &mut FleetState,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -26,7 +26,7 @@
 mod table;
 
 pub use accept::{note_published, note_received, note_wanted};
-pub use exchange::{digest_received, tick};
+pub use exchange::{announce, digest_received, tick};
 pub use freshness::{freshness_age, lapsed_zones, paused};
 pub use instances::instances_published;
 pub use join::is_joined;
--- a/crates/model/src/message.rs
+++ b/crates/model/src/message.rs
@@ -48,7 +48,7 @@
 /// One quarantined request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuarantineRow {
-    /// Hash of the front and the body.
+    /// Hash of the front, the service and the body.
     pub fingerprint: u64,
     /// Connections lost while the request was executing.
     pub strikes_count: u32,
--- a/crates/once/src/hold.rs
+++ b/crates/once/src/hold.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use model::{Answer, Missing, MissingReason, Outcome, WaitKey};
+use model::{Answer, Missing, MissingReason, WaitKey};
 
 use crate::{OnceState, RowState, ticket};
 
@@ -26,6 +26,16 @@
         return Vec::new();
     };
     let waits = std::mem::take(waits);
+    hold(once, settings, ticket.serial, answer);
+    waits
+}
+
+/// Stores the answer of a used ticket; its results only if there is room.
+pub(crate) fn hold(once: &mut OnceState, settings: &settings::Once, serial: u64, answer: &Answer) {
+    let Some(row) = once.rows.get_mut(&serial) else {
+        return;
+    };
+    release(&mut once.held_bytes, &row.state);
     let mut answer = answer.clone();
     let bytes = result_bytes(&answer);
     if bytes > u64::from(settings.answer_max_bytes) || once.held_bytes + bytes > HELD_MAX_BYTES {
@@ -35,20 +45,6 @@
     }
     let answer = Box::new(answer);
     row.state = RowState::Ended { answer };
-    waits
-}
-
-/// Replaces an outcome in doubt by the target's late word.
-pub fn corrected(once: &mut OnceState, serial: u64, outcome: Outcome) {
-    let Some(row) = once.rows.get_mut(&serial) else {
-        return;
-    };
-    let RowState::Ended { answer } = &mut row.state else {
-        return;
-    };
-    if matches!(answer.outcome, Outcome::Unknown(_)) {
-        answer.outcome = outcome;
-    }
 }
 
 /// Forgets the outcomes whose retention period has passed.
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -1,4 +1,4 @@
-//! Execution at most once: the outcome of requests, and tickets.
+//! Execution at most once: the outcome of requests, tickets, and quarantine.
 //!
 //! Invariants:
 //! - [`outcome`] is the only place that decides whether a request ran;
@@ -11,7 +11,9 @@
 mod evidence;
 mod fingerprint;
 mod hold;
+mod late;
 mod offer;
+mod quarantine;
 mod table;
 mod ticket;
 
@@ -19,8 +21,13 @@
 mod tests;
 
 pub use evidence::{Evidence, outcome};
-pub use fingerprint::fingerprint;
-pub use hold::{HELD_MAX_BYTES, corrected, ended};
+pub use fingerprint::{body_hash, fingerprint, fingerprint_with};
+pub use hold::{HELD_MAX_BYTES, ended};
+pub use late::{LateCall, corrected, expect_late, take_late};
 pub use offer::{Verdict, issue, offer, wait};
+pub use quarantine::{
+    Suspect, exonerate, is_quarantined, merge_quarantine, quarantine_row, quarantine_rows,
+    quarantine_sent, strike,
+};
 pub use table::{OnceState, Row, RowState, Wait, open};
 pub use ticket::{Owner, SealKey, Ticket};
--- a/crates/once/src/table.rs
+++ b/crates/once/src/table.rs
@@ -2,13 +2,13 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Instant};
 
-use model::{Answer, Requester, WaitKey};
+use model::{Answer, CallKey, Requester, WaitKey};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 use slotmap::SlotMap;
 
-use crate::{Owner, SealKey, ticket::draw_seal_key};
+use crate::{LateCall, Owner, SealKey, Suspect, ticket::draw_seal_key};
 
 /// Everything about requests that run at most once.
 #[derive(Clone, Debug, Serialize)]
@@ -35,6 +35,12 @@
     pub held_bytes: u64,
     /// Requesters that wait for the outcome of a ticket.
     pub waits: SlotMap<WaitKey, Wait>,
+    /// Calls in flight whose request has been answered.
+    pub late_calls: BTreeMap<CallKey, LateCall>,
+    /// Requests during whose execution targets were lost, by fingerprint.
+    pub suspects: BTreeMap<u64, Suspect>,
+    /// Strikes told to every instance at once since the last tick.
+    pub announced_count: u32,
 }
 
 /// A used ticket.
@@ -90,5 +96,8 @@
         rows: BTreeMap::new(),
         held_bytes: 0,
         waits: SlotMap::with_key(),
+        late_calls: BTreeMap::new(),
+        suspects: BTreeMap::new(),
+        announced_count: 0,
     }
 }
--- a/crates/once/src/tests.rs
+++ b/crates/once/src/tests.rs
@@ -1,4 +1,5 @@
 //! Tests of tickets, outcomes and quarantine.
 
 mod evidence;
+mod quarantine;
 mod ticket;
--- /dev/null
+++ b/crates/once/src/tests/quarantine.rs
@@ -0,0 +1,115 @@
+//! Strikes, their clearance, and their spread.
+
+use std::time::{Duration, Instant};
+
+use model::QuarantineRow;
+use rstest::rstest;
+
+use crate::{
+    OnceState, Owner, exonerate, is_quarantined, merge_quarantine, open, quarantine_rows, strike,
+};
+
+const POISON: u64 = 5;
+
+fn once() -> OnceState {
+    let owner = Owner {
+        address: ([127, 0, 0, 1], 1).into(),
+        incarnation: 1,
+    };
+    open(owner, 1)
+}
+
+fn row(strikes_count: u32, remaining_s: u64) -> QuarantineRow {
+    QuarantineRow {
+        fingerprint: POISON,
+        strikes_count,
+        remaining: Duration::from_secs(remaining_s),
+    }
+}
+
+#[test]
+fn one_crash_is_one_strike_however_many_copies_were_in_flight() {
+    let (mut once, settings, start) = (once(), settings::Once::default(), Instant::now());
+    let crash = start + Duration::from_millis(5);
+    for _ in 0..20 {
+        strike(&mut once, &settings, crash, POISON, start);
+    }
+    assert!(!is_quarantined(&once, &settings, crash, POISON));
+    let retry = crash + Duration::from_millis(1);
+    let second = retry + Duration::from_millis(5);
+    strike(&mut once, &settings, second, POISON, retry);
+    assert!(is_quarantined(&once, &settings, second, POISON));
+    let expiry = second + settings.quarantine_duration;
+    assert!(!is_quarantined(&once, &settings, expiry, POISON));
+}
+
+#[test]
+fn a_request_that_a_target_survives_is_cleared() {
+    let (mut once, settings, start) = (once(), settings::Once::default(), Instant::now());
+    for crash in 1..10 {
+        let sent = start + Duration::from_secs(crash);
+        let lost = sent + Duration::from_millis(5);
+        strike(&mut once, &settings, lost, POISON, sent);
+        exonerate(&mut once, &settings, POISON);
+        assert!(!is_quarantined(&once, &settings, lost, POISON));
+    }
+}
+
+#[test]
+fn other_instances_learn_of_strikes_and_of_clearance() {
+    let settings = settings::Once::default();
+    let (mut here, mut there, now) = (once(), once(), Instant::now());
+    strike(&mut here, &settings, now, POISON, now);
+    let struck = quarantine_rows(&here, now, 8);
+    merge_quarantine(&mut there, &settings, now, &struck);
+    let later = now + Duration::from_millis(3);
+    strike(&mut there, &settings, later, POISON, later);
+    assert!(is_quarantined(&there, &settings, later, POISON));
+    exonerate(&mut here, &settings, POISON);
+    merge_quarantine(&mut here, &settings, later, &struck);
+    assert_eq!(
+        here.suspects[&POISON].strikes_count, 0,
+        "old news restores no strike"
+    );
+    merge_quarantine(
+        &mut here,
+        &settings,
+        later,
+        &quarantine_rows(&there, later, 8),
+    );
+    assert!(is_quarantined(&here, &settings, later, POISON));
+}
+
+#[rstest]
+#[case::clearance_of_the_same_strike(row(1, 600), row(0, 599), 0)]
+#[case::old_strike_after_clearance(row(0, 600), row(1, 601), 0)]
+#[case::later_strike_after_clearance(row(0, 500), row(1, 600), 1)]
+#[case::clearance_does_not_lift_a_quarantine(row(2, 600), row(0, 600), 2)]
+#[case::quarantine_outweighs_clearance(row(0, 600), row(2, 500), 2)]
+#[case::later_quarantine_extends(row(2, 100), row(2, 600), 2)]
+fn the_order_of_news_does_not_depend_on_their_arrival(
+    #[case] first: QuarantineRow,
+    #[case] second: QuarantineRow,
+    #[case] strikes_count: u32,
+) {
+    let (settings, now) = (settings::Once::default(), Instant::now());
+    for rows in [[first, second], [second, first]] {
+        let mut once = once();
+        for row in rows {
+            merge_quarantine(&mut once, &settings, now, &[row]);
+        }
+        assert_eq!(once.suspects[&POISON].strikes_count, strikes_count);
+    }
+}
+
+#[test]
+fn the_table_is_bounded_and_keeps_what_is_quarantined() {
+    let (mut once, settings, now) = (once(), settings::Once::default(), Instant::now());
+    merge_quarantine(&mut once, &settings, now, &[row(2, 600)]);
+    for fingerprint in 100..5_000 {
+        strike(&mut once, &settings, now, fingerprint, now);
+    }
+    assert_eq!(once.suspects.len(), 1024);
+    assert!(is_quarantined(&once, &settings, now, POISON));
+    assert_eq!(quarantine_rows(&once, now, 8).len(), 8);
+}
--- a/crates/query/src/end.rs
+++ b/crates/query/src/end.rs
@@ -117,7 +117,8 @@
     let query = queries.queries.get_mut(key)?;
     query.evidence.failed(failure);
     let may_have_run = failure.may_have_reached_target();
-    if may_have_run && query.ticket.is_some() {
+    let is_retry_barred = query.shards[shard_index].is_retry_barred;
+    if may_have_run && (query.ticket.is_some() || is_retry_barred) {
         give_up(queries, key, shard_index, MissingReason::Failed);
     } else if may_have_run {
         retry_in_budget(queries, routes, now, key, shard_index, out);
@@ -139,7 +140,8 @@
     if budget::spend(&mut queries.budgets.retries) {
         retry(queries, routes, now, key, shard_index, out);
     } else {
-        give_up(queries, key, shard_index, MissingReason::Failed);
+        let reason = MissingReason::Failed;
+        shard::fail(queries, routes, now, key, shard_index, reason, out);
     }
 }
 
--- a/crates/query/src/lib.rs
+++ b/crates/query/src/lib.rs
@@ -14,6 +14,7 @@
 mod budget;
 mod end;
 mod hedge;
+mod park;
 mod restart;
 mod send;
 mod shard;
--- a/crates/query/src/restart.rs
+++ b/crates/query/src/restart.rs
@@ -106,6 +106,8 @@
             state: ShardState::Open,
             tried: Vec::new(),
             calls: Vec::new(),
+            lost_count: 0,
+            is_retry_barred: false,
             late_at: None,
         });
     }
--- a/crates/query/src/shard.rs
+++ b/crates/query/src/shard.rs
@@ -8,6 +8,7 @@
 use crate::{
     Cause, Finished, Queries, ShardState,
     answer::finish,
+    park::park,
     restart::restart,
     send::{Sent, send},
     waiting::{WaitingShard, wait},
@@ -56,6 +57,9 @@
     if is_snapshot_gone && restart(queries, routes, now, key, out) {
         return;
     }
+    if park(queries, key, shard_index) {
+        return;
+    }
     give_up(queries, key, shard_index, reason);
 }
 
--- a/crates/query/src/table.rs
+++ b/crates/query/src/table.rs
@@ -22,6 +22,8 @@
     pub calls: SlotMap<CallKey, Call>,
     /// Shards that wait until a target of their service may have another call.
     pub waiting: SecondaryMap<ServiceKey, WaitingShards>,
+    /// Shards, by query and position, that are tried again at the next tick.
+    pub parked: Vec<(QueryKey, usize)>,
     /// Calls allowed beyond the first one of each shard.
     pub budgets: Budgets,
     /// Queries that ended as a consequence of another one's event.
@@ -91,6 +93,10 @@
     pub tried: Vec<TargetKey>,
     /// Calls in flight that were not cancelled.
     pub calls: Vec<CallKey>,
+    /// Calls whose connection was lost while a target may have been executing them.
+    pub lost_count: u32,
+    /// Whether no further target may be called, because the request may be what crashes them.
+    pub is_retry_barred: bool,
     /// When its call is late, unless that has been dealt with.
     #[serde(skip)]
     pub late_at: Option<Instant>,
--- a/crates/query/src/tick.rs
+++ b/crates/query/src/tick.rs
@@ -5,7 +5,7 @@
 use model::Effect;
 use route::Routes;
 
-use crate::{Queries, waiting::wake_all};
+use crate::{Queries, park::unpark, waiting::wake_all};
 
 /// Time after which a cancelled call that has not ended costs its connection.
 const CANCEL_GRACE: Duration = Duration::from_secs(1);
@@ -28,6 +28,7 @@
             target: call.target,
         });
     }
+    unpark(queries, routes, now, out);
     wake_all(queries, routes, now, out);
 }
 
--- /dev/null
+++ b/crates/tier/src/late.rs
@@ -0,0 +1,106 @@
+//! Calls that end after their request was answered: they may settle a doubt, or bring a new one.
+
+use std::time::Instant;
+
+use bytes::Bytes;
+use model::{
+    Answer, CallFailure, CallKey, Coverage, Effect, Missing, MissingReason, Outcome, QueryKey,
+    ReplyStatus, ReplyView, ShardResult,
+};
+use once::{Evidence, LateCall};
+
+use crate::{State, poison, ticket};
+
+/// Remembers the calls in flight of a query that is about to be answered at its deadline.
+pub(crate) fn expect(state: &mut State, key: QueryKey) {
+    let Some(query) = state.queries.queries.get(key) else {
+        return;
+    };
+    let body_hash = once::body_hash(&query.body);
+    for shard in &query.shards {
+        let fingerprint = once::fingerprint_with(&query.front, Some(&shard.name), body_hash);
+        for &key in &shard.calls {
+            let Some(call) = state.queries.calls.get(key) else {
+                continue;
+            };
+            let late = LateCall {
+                fingerprint,
+                service: shard.name.clone(),
+                ticket: query.ticket.clone(),
+                sent_at: call.sent_at,
+            };
+            once::expect_late(&mut state.once, key, late);
+        }
+    }
+}
+
+/// Takes in the late reply to a call.
+pub(crate) fn replied(state: &mut State, call: CallKey, reply: &ReplyView<'_>) {
+    let Some(late) = once::take_late(&mut state.once, call) else {
+        return;
+    };
+    let is_survived = matches!(reply.status, ReplyStatus::Done | ReplyStatus::Failed);
+    if is_survived {
+        poison::exonerate(state, late.fingerprint);
+    }
+    let mut evidence = Evidence::default();
+    evidence.replied(reply.status);
+    let result = match reply.status {
+        ReplyStatus::Done => Some(reply.body),
+        _ => None,
+    };
+    correct(state, &late, &evidence, result);
+}
+
+/// Takes in the late failure of a call.
+pub(crate) fn call_failed(
+    state: &mut State,
+    now: Instant,
+    call: CallKey,
+    failure: CallFailure,
+    out: &mut Vec<Effect>,
+) {
+    let Some(late) = once::take_late(&mut state.once, call) else {
+        return;
+    };
+    let running = state.queries.calls.get(call);
+    let is_abandoned = running.is_some_and(|call| call.is_abandoned);
+    if failure.may_have_reached_target() && !is_abandoned {
+        poison::strike(state, now, late.fingerprint, late.sent_at, out);
+    }
+    let mut evidence = Evidence::default();
+    evidence.failed(failure);
+    correct(state, &late, &evidence, None);
+}
+
+/// Replaces the stored doubt about a request that runs once by what is known now.
+///
+/// Such a request has one call at most whose execution is in doubt, so that call's end decides.
+fn correct(state: &mut State, late: &LateCall, evidence: &Evidence, result: Option<&[u8]>) {
+    let Some(text) = &late.ticket else { return };
+    let outcome = once::outcome(evidence);
+    if matches!(outcome, Outcome::Unknown(_)) {
+        return;
+    }
+    let service = late.service.clone();
+    let (missing, results) = match result {
+        Some(body) => {
+            let body = Bytes::copy_from_slice(body);
+            (Vec::new(), vec![ShardResult { service, body }])
+        }
+        None => {
+            let reason = MissingReason::Failed;
+            (vec![Missing { service, reason }], Vec::new())
+        }
+    };
+    let answer = Answer {
+        coverage: Coverage {
+            answered_count: u32::from(result.is_some()),
+            total_count: 1,
+            missing,
+        },
+        results,
+        ..ticket::bare("", outcome)
+    };
+    once::corrected(&mut state.once, &state.settings.once, text, &answer);
+}
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -10,9 +10,11 @@
 
 mod dump;
 mod forward;
+mod late;
 mod leave;
 mod peer;
 mod platform;
+mod poison;
 mod reduce;
 mod request;
 mod settle;
--- a/crates/tier/src/peer.rs
+++ b/crates/tier/src/peer.rs
@@ -4,13 +4,15 @@
 
 use model::{Effect, Message};
 
-use crate::{State, forward, platform};
+use crate::{State, forward, platform, poison};
 
 /// Takes in one message.
 pub(crate) fn received(state: &mut State, now: Instant, message: &Message, out: &mut Vec<Effect>) {
     match message {
         Message::Digest(digest) => {
-            fleet::digest_received(&mut state.fleet, &state.settings, now, digest, &[], out);
+            poison::merge(state, now, &digest.quarantine);
+            let rows = poison::rows(state, now);
+            fleet::digest_received(&mut state.fleet, &state.settings, now, digest, &rows, out);
             platform::confine(state, now);
         }
         Message::NoteWanted {
--- a/crates/tier/src/reduce.rs
+++ b/crates/tier/src/reduce.rs
@@ -4,7 +4,7 @@
 
 use model::{Effect, Event, Requester, Timer};
 
-use crate::{State, leave, peer, platform, request, settle, tick, ticket};
+use crate::{State, late, leave, peer, platform, poison, request, settle, tick, ticket};
 
 /// Takes in one event at a time and appends the effects that follow from it.
 pub fn reduce(state: &mut State, now: Instant, event: Event<'_>, out: &mut Vec<Effect>) {
@@ -20,6 +20,8 @@
         Event::TicketsWanted { caller, count } => ticket::issue(state, now, caller, count, out),
         Event::CallerGone { caller } => request::caller_gone(state, now, caller, out),
         Event::Reply { call, reply } => {
+            late::replied(state, call, &reply);
+            poison::replied(state, call, reply.status);
             let finished = query::replied(
                 &mut state.queries,
                 &mut state.routes,
@@ -31,6 +33,8 @@
             settle::settle(state, now, finished, out);
         }
         Event::CallFailed { call, failure } => {
+            late::call_failed(state, now, call, failure, out);
+            poison::call_failed(state, now, call, failure, out);
             let finished = query::call_failed(
                 &mut state.queries,
                 &mut state.routes,
--- a/crates/tier/src/request.rs
+++ b/crates/tier/src/request.rs
@@ -10,7 +10,7 @@
 use query::Finished;
 use route::Front;
 
-use crate::{State, leave, settle, ticket};
+use crate::{State, late, leave, poison, settle, ticket};
 
 /// Checks a request, then starts it, queues it or refuses it.
 pub(crate) fn offered(
@@ -34,7 +34,7 @@
     {
         return;
     }
-    if let Err(reason) = check(state, request) {
+    if let Err(reason) = check(state, now, request) {
         refuse(state, requester, request.request_id, ticket, reason, out);
         return;
     }
@@ -70,15 +70,25 @@
         return;
     };
     if query.is_running {
+        late::expect(state, key);
         let finished = query::deadline(&mut state.queries, &mut state.routes, now, key, out);
         settle::settle(state, now, finished, out);
         return;
     }
     admit::withdrawn(&mut state.admission, key, query.priority);
+    refuse_query(state, key, NotRunReason::Overloaded, out);
+}
+
+/// Ends a query that was not started.
+pub(crate) fn refuse_query(
+    state: &mut State,
+    key: QueryKey,
+    reason: NotRunReason,
+    out: &mut Vec<Effect>,
+) {
     let Some(query) = state.queries.queries.remove(key) else {
         return;
     };
-    let reason = NotRunReason::Overloaded;
     let ticket = query.ticket.as_deref();
     refuse(
         state,
@@ -148,7 +158,7 @@
     settle::answer(state, finished, out);
 }
 
-fn check(state: &State, request: &RequestView<'_>) -> Result<(), NotRunReason> {
+fn check(state: &State, now: Instant, request: &RequestView<'_>) -> Result<(), NotRunReason> {
     if state.fleet.note.is_none() {
         return Err(NotRunReason::NoConfiguration);
     }
@@ -158,6 +168,9 @@
     if request.timeout <= state.settings.query.answer_reserve {
         return Err(NotRunReason::DeadlinePassed);
     }
+    if poison::is_refused(state, now, request) {
+        return Err(NotRunReason::Quarantined);
+    }
     let Some(wanted) = request.service else {
         return match request.kind {
             Kind::Once { .. } if only_service(front).is_none() => {
--- a/crates/tier/src/settle.rs
+++ b/crates/tier/src/settle.rs
@@ -2,10 +2,10 @@
 
 use std::time::Instant;
 
-use model::{Answer, Counter, Effect, Message, Requester};
+use model::{Answer, Counter, Effect, Message, NotRunReason, Requester};
 use query::Finished;
 
-use crate::{State, ticket};
+use crate::{State, poison, request, ticket};
 
 /// Answers finished queries and starts as many waiting queries as there is room for.
 pub(crate) fn settle(
@@ -54,6 +54,11 @@
 
 fn start_waiting(state: &mut State, now: Instant, out: &mut Vec<Effect>) {
     while let Some(key) = admit::next(&mut state.admission, &state.settings.admit) {
+        if poison::is_query_refused(state, now, key) {
+            request::refuse_query(state, key, NotRunReason::Quarantined, out);
+            admit::finished(&mut state.admission);
+            continue;
+        }
         let finished = query::start(&mut state.queries, &mut state.routes, now, key, out);
         let Some(finished) = finished else { continue };
         answer(state, finished, out);
--- a/crates/tier/src/tests/once.rs
+++ b/crates/tier/src/tests/once.rs
@@ -179,3 +179,48 @@
     assert!(fixture.out.is_empty());
     assert_eq!(fixture.state.queries.queries.len(), 1);
 }
+
+#[test]
+fn a_deferrable_order_waits_when_every_target_declines() {
+    let mut fixture = fixture(1);
+    let ticket = ticket(&mut fixture);
+    let deferrable = RequestView {
+        priority: Priority::Deferrable,
+        ..order(&ticket)
+    };
+    send(&mut fixture, caller(1), deferrable);
+    for _ in 0..2 {
+        let call = calls(&fixture.out).remove(0).call;
+        let reply = ReplyView {
+            status: ReplyStatus::Draining,
+            snapshot: 1,
+            body: b"",
+            load: None,
+        };
+        feed(&mut fixture, Event::Reply { call, reply });
+        assert!(answers(&fixture.out).is_empty());
+    }
+    assert!(calls(&fixture.out).is_empty());
+    feed(&mut fixture, Event::Timer(Timer::Tick));
+    let call = calls(&fixture.out).remove(0).call;
+    feed(&mut fixture, done(call, b"1"));
+    assert_eq!(answers(&fixture.out)[0].1.outcome, Outcome::Ran);
+}
+
+#[test]
+fn a_late_reply_settles_the_doubt_of_a_deadline() {
+    let mut fixture = fixture(1);
+    let ticket = ticket(&mut fixture);
+    send(&mut fixture, caller(1), order(&ticket));
+    let call = calls(&fixture.out).remove(0).call;
+    let query = fixture.state.queries.queries.keys().next();
+    let query = query.expect("the order runs");
+    feed(&mut fixture, Event::Timer(Timer::Deadline(query)));
+    let doubt = Outcome::Unknown(UnknownReason::DeadlinePassed);
+    assert_eq!(answers(&fixture.out)[0].1.outcome, doubt);
+    feed(&mut fixture, done(call, b"7"));
+    send(&mut fixture, caller(2), order(&ticket));
+    let answer = answers(&fixture.out).remove(0).1;
+    assert_eq!(answer.outcome, Outcome::Ran);
+    assert_eq!(&answer.results[0].body[..], b"7");
+}
--- a/crates/tier/src/tick.rs
+++ b/crates/tier/src/tick.rs
@@ -4,7 +4,7 @@
 
 use model::{Counter, Effect, Level, LogLine, Timer};
 
-use crate::{State, leave, platform, request};
+use crate::{State, leave, platform, poison, request};
 
 /// Sets the first tick.
 pub(crate) fn started(state: &mut State, now: Instant, out: &mut Vec<Effect>) {
@@ -18,7 +18,9 @@
 /// Runs the regular work of every area and sets the next tick.
 pub(crate) fn due(state: &mut State, now: Instant, out: &mut Vec<Effect>) {
     state.last_tick = Some(now);
-    fleet::tick(&mut state.fleet, &state.settings, now, &[], out);
+    let rows = poison::rows(state, now);
+    fleet::tick(&mut state.fleet, &state.settings, now, &rows, out);
+    poison::tick(state, &rows);
     platform::divide(state, out);
     platform::confine(state, now);
     request::tick(state, now, out);
