Measure what a service call costs a real instance

Cause: the reducer is a small part of what an instance spends; HTTP on both sides of it had no slope.

--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -17,14 +17,16 @@
 mod programs;
 mod rig;
 mod steer;
+mod usage;
 
 pub use error::RigError;
 pub use http::{Reply, get, query, query_at};
 pub use plan::{InstancePlan, Plan, ServicePlan, plan};
 pub use process::Signal;
 pub use programs::{Profile, build};
-pub use rig::{Instance, Rig, open, restart, signal, start, wait_exit, wait_ready};
+pub use rig::{Instance, Rig, open, process_id, restart, signal, start, wait_exit, wait_ready};
 pub use steer::{
     crash, ledger, metrics, publish, publish_fleet, publish_instances, state, steer_platform,
     steer_target, target_reports,
 };
+pub use usage::{Usage, usage};
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -96,10 +96,14 @@
     process.lines.borrow().iter().cloned().collect()
 }
 
+/// Returns the identifier of the process while it runs.
+pub(crate) fn id(process: &Process) -> Option<i32> {
+    process.child.id().and_then(|id| i32::try_from(id).ok())
+}
+
 /// Sends a signal.
 pub(crate) fn send_signal(process: &Process, signal: Signal) -> Result<(), RigError> {
-    let pid = process.child.id().and_then(|id| i32::try_from(id).ok());
-    let Some(pid) = pid.and_then(rustix::process::Pid::from_raw) else {
+    let Some(pid) = id(process).and_then(rustix::process::Pid::from_raw) else {
         return Err(RigError::NotRunning(process.name.clone()));
     };
     let signal = match signal {
--- a/crates/rig/src/rig.rs
+++ b/crates/rig/src/rig.rs
@@ -153,6 +153,17 @@
     }
 }
 
+/// Returns the process identifier of an instance.
+///
+/// # Errors
+///
+/// Returns an error if the instance does not run.
+pub fn process_id(rig: &Rig, instance: usize) -> Result<i32, RigError> {
+    let one = &rig.instances[instance];
+    let id = one.process.as_ref().and_then(process::id);
+    id.ok_or_else(|| RigError::NotRunning(one.name.clone()))
+}
+
 /// Waits for the end of an instance.
 ///
 /// # Errors
--- a/xtask/src/slopes/main.rs
+++ b/xtask/src/slopes/main.rs
@@ -19,6 +19,7 @@
 mod peers;
 mod plan;
 mod plot;
+mod process;
 mod reducer;
 mod sweep;
 #[cfg(test)]
--- a/xtask/src/slopes/plan.rs
+++ b/xtask/src/slopes/plan.rs
@@ -1,7 +1,8 @@
 //! What is measured.
 
 use crate::{
-    connections, figures::Figures, frames, idle, memory, peers, reducer, sweep::Sweep, tickets,
+    connections, figures::Figures, frames, idle, memory, peers, process, reducer, sweep::Sweep,
+    tickets,
 };
 
 /// Returns every sweep.
@@ -77,6 +78,13 @@
             quantities: frames::QUANTITIES,
             measure: frames::by_calls,
         },
+        Sweep {
+            name: "process_by_services",
+            size: "services_per_query_count",
+            sizes: &[5, 10, 20, 40, 60],
+            quantities: process::QUANTITIES,
+            measure: process::by_services,
+        },
         Sweep {
             name: "connections_by_instances_25",
             size: "instances_count",
