Test orders under random schedules and under every short one

Cause: at most once was tested at a single instance only. Change: a world of several reducers and recording targets delivers, loses, doubles and reorders every message, call, reply and timer and restarts instances as a schedule says; it checks each execution and each answer.

--- a/crates/tier/src/tests.rs
+++ b/crates/tier/src/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the whole reducer.
 
+mod every_schedule;
 mod fan_out;
 mod fixture;
 mod fold;
@@ -10,5 +11,7 @@
 mod once;
 mod poison;
 mod replay;
+mod schedules;
 mod snapshot;
 mod spreading;
+mod world;
