Take a reply that ends early as not arrived

Cause: a test against a target that closes at each stage of a call showed that the HTTP library hands out a body that was cut (after 0 or 1 of 2 bytes) as a whole one: it takes the end of the connection for the end of the body. A truncated reply would have been answered as complete. Change: a reply counts only if its body has the length that its header states; a reply without a length counts as not arrived. The other stages are as expected: refused before the connection is open, lost or truncated after it.

--- a/crates/balsamd/src/targets.rs
+++ b/crates/balsamd/src/targets.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use actix::Addr;
-use actix_web::http::header::HeaderMap;
+use actix_web::http::header::{CONTENT_LENGTH, HeaderMap};
 use awc::{
     Client, ClientResponse, Connector,
     error::{ConnectError, SendRequestError},
@@ -83,6 +83,21 @@
     call: &TargetCall,
     origin: &str,
 ) -> JoinHandle<()> {
+    let sending = send(pool, call, origin);
+    let shell = shell.clone();
+    let key = call.call;
+    actix_rt::spawn(async move {
+        let result = sending.await;
+        shell.do_send(CallEnded { call: key, result });
+    })
+}
+
+/// Sends a call and reads its whole reply.
+fn send(
+    pool: &Pool,
+    call: &TargetCall,
+    origin: &str,
+) -> impl Future<Output = Result<TargetReply, CallFailure>> + use<> {
     let url = format!("http://{}/v1/call", pool.address);
     let mut request = pool
         .client
@@ -95,15 +110,12 @@
         request = request.insert_header((SNAPSHOT_HEADER, snapshot.to_string()));
     }
     let sending = request.send_body(call.body.clone());
-    let shell = shell.clone();
-    let key = call.call;
-    actix_rt::spawn(async move {
-        let result = match sending.await {
+    async move {
+        match sending.await {
             Ok(response) => read_reply(response).await,
             Err(error) => Err(failure(&error)),
-        };
-        shell.do_send(CallEnded { call: key, result });
-    })
+        }
+    }
 }
 
 /// Tells a target that a call is no longer wanted. The call's own reply says what came of it.
@@ -142,8 +154,14 @@
     let snapshot = header(response.headers(), SNAPSHOT_HEADER).and_then(|text| text.parse().ok());
     let load =
         header(response.headers(), LOAD_HEADER).and_then(|text| serde_json::from_str(text).ok());
+    let length = header(response.headers(), CONTENT_LENGTH.as_str());
+    let length = length.and_then(|text| text.parse().ok());
     let body = response.body().limit(MAX_REPLY_BYTES).await;
     let body = body.map_err(|_| CallFailure::Truncated)?;
+    // The library takes the end of the connection for the end of the body.
+    if length != Some(body.len()) {
+        return Err(CallFailure::Truncated);
+    }
     let Some(status) = status else {
         return Err(CallFailure::Truncated);
     };
@@ -180,3 +198,6 @@
 fn call_id(origin: &str, call: CallKey) -> String {
     format!("{origin}:{}", call.data().as_ffi())
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/balsamd/src/targets/tests.rs
@@ -0,0 +1,131 @@
+//! How the loss of a connection is classified, against a target that closes at each stage.
+
+use std::{net::SocketAddr, time::Duration};
+
+use model::{CallFailure, CallKey, ReplyStatus, TargetCall, TargetKey};
+use rstest::rstest;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+use super::{Pool, open, send};
+
+const WHOLE_REPLY: &[u8] =
+    b"HTTP/1.1 200 OK\r\nbalsam-status: done\r\nbalsam-snapshot: 4\r\ncontent-length: 2\r\n\r\n{}";
+const NO_LENGTH: &[u8] = b"HTTP/1.1 200 OK\r\nbalsam-status: done\r\n\r\n{}";
+const NO_STATUS: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
+
+/// What the target does with the second connection attempt or call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// Nobody listens.
+    NotListening,
+    /// Closes the connection as soon as it is open.
+    Accepted,
+    /// Resets the connection as soon as it is open.
+    AcceptedAndReset,
+    /// Closes after it has read the call.
+    CallRead,
+    /// Closes after that many bytes of the reply.
+    Replied(usize),
+    /// Sends a whole reply that does not say what happened.
+    WithoutStatus,
+    /// Sends a reply of unknown length, whose end cannot be told from a loss.
+    WithoutLength,
+    /// Replies once, and closes the kept connection when the next call arrives on it.
+    SecondCallRead,
+}
+
+fn call(address: SocketAddr) -> TargetCall {
+    TargetCall {
+        call: CallKey::default(),
+        target: TargetKey::default(),
+        address,
+        request_id: "r-1".into(),
+        snapshot: None,
+        timeout: Duration::from_secs(1),
+        is_idempotent: false,
+        body: "{\"order\": 1}".into(),
+    }
+}
+
+async fn read_call(stream: &mut TcpStream) {
+    let mut read = Vec::new();
+    while !read.ends_with(b"{\"order\": 1}") {
+        let count = stream.read_buf(&mut read).await.expect("the call arrives");
+        assert_ne!(count, 0, "the call is cut");
+    }
+}
+
+async fn play(listener: TcpListener, stage: Stage) {
+    let (mut stream, _) = listener.accept().await.expect("a connection");
+    match stage {
+        Stage::NotListening | Stage::Accepted => {}
+        Stage::AcceptedAndReset => stream.set_zero_linger().expect("a socket"),
+        Stage::CallRead => read_call(&mut stream).await,
+        Stage::Replied(count) => {
+            read_call(&mut stream).await;
+            let part = &WHOLE_REPLY[..count];
+            stream.write_all(part).await.expect("the reply is sent");
+        }
+        Stage::WithoutStatus => {
+            read_call(&mut stream).await;
+            stream.write_all(NO_STATUS).await.expect("sent");
+        }
+        Stage::WithoutLength => {
+            read_call(&mut stream).await;
+            stream.write_all(NO_LENGTH).await.expect("sent");
+        }
+        Stage::SecondCallRead => {
+            read_call(&mut stream).await;
+            stream.write_all(WHOLE_REPLY).await.expect("sent");
+            read_call(&mut stream).await;
+        }
+    }
+}
+
+async fn end_of_call(stage: Stage) -> Result<ReplyStatus, CallFailure> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let pool: Pool = open(address, 1);
+    let target = (stage != Stage::NotListening).then(|| actix_rt::spawn(play(listener, stage)));
+    if stage == Stage::SecondCallRead {
+        let first = send(&pool, &call(address), "north-1:1").await;
+        assert_eq!(first.map(|reply| reply.status), Ok(ReplyStatus::Done));
+    }
+    let reply = send(&pool, &call(address), "north-1:1").await;
+    if let Some(target) = target {
+        target.await.expect("the target has played its part");
+    }
+    reply.map(|reply| reply.status)
+}
+
+#[rstest]
+#[case(Stage::NotListening, &[CallFailure::ConnectRefused])]
+#[case(Stage::Accepted, &[CallFailure::ConnectionLost])]
+#[case(Stage::AcceptedAndReset, &[CallFailure::ConnectionLost, CallFailure::ConnectRefused])]
+#[case(Stage::CallRead, &[CallFailure::ConnectionLost])]
+#[case(Stage::Replied(1), &[CallFailure::ConnectionLost, CallFailure::Truncated])]
+#[case(Stage::Replied(40), &[CallFailure::ConnectionLost, CallFailure::Truncated])]
+#[case(Stage::Replied(WHOLE_REPLY.len() - 2), &[CallFailure::Truncated])]
+#[case(Stage::Replied(WHOLE_REPLY.len() - 1), &[CallFailure::Truncated])]
+#[case(Stage::WithoutStatus, &[CallFailure::Truncated])]
+#[case(Stage::WithoutLength, &[CallFailure::Truncated])]
+#[case(Stage::SecondCallRead, &[CallFailure::ConnectionLost])]
+#[actix_rt::test]
+async fn a_call_that_may_have_arrived_is_never_called_unsent(
+    #[case] stage: Stage,
+    #[case] expected: &[CallFailure],
+) {
+    let Err(failure) = end_of_call(stage).await else {
+        panic!("no whole reply was sent");
+    };
+    assert!(expected.contains(&failure), "{failure:?}");
+}
+
+#[actix_rt::test]
+async fn a_whole_reply_counts() {
+    let end = end_of_call(Stage::Replied(WHOLE_REPLY.len())).await;
+    assert_eq!(end, Ok(ReplyStatus::Done));
+}
