Measure how configurations spread

Cause: nothing showed how long a revision needs or what the exchange costs. Change: `cargo xtask spread` joins reducers in simulated time and prints rounds, bytes, messages, reads, processor time, state and the detection of a stopped instance for 9, 50, 150 and 420 instances.

--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -23,6 +23,11 @@
         /// Arguments of the measuring program.
         arguments: Vec<OsString>,
     },
+    /// Measure how configurations spread.
+    Spread {
+        /// Arguments of the measuring program.
+        arguments: Vec<OsString>,
+    },
 }
 
 fn main() -> ExitCode {
@@ -34,6 +39,7 @@
         Task::Ci => check::ci(),
         Task::Codegen => codegen::write(),
         Task::Slopes { arguments } => measured::slopes(&arguments),
+        Task::Spread { arguments } => measured::spread(&arguments),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -62,5 +68,14 @@
             .descr("Measure how the cost of each role grows with its size")
             .command("slopes")
     };
-    construct!([ci, codegen, slopes])
+    let spread = {
+        let arguments = any::<OsString, _, _>("ARGUMENT", Some)
+            .help("`--size COUNT` for one fleet only")
+            .many();
+        construct!(Task::Spread { arguments })
+            .to_options()
+            .descr("Measure how configurations spread and what the exchange costs")
+            .command("spread")
+    };
+    construct!([ci, codegen, slopes, spread])
 }
--- a/xtask/src/measured.rs
+++ b/xtask/src/measured.rs
@@ -9,6 +9,11 @@
     release("slopes", arguments)
 }
 
+/// Runs the measurement of the spreading of configurations.
+pub fn spread(arguments: &[OsString]) -> Result<(), TaskError> {
+    release("spread", arguments)
+}
+
 fn release(program: &str, arguments: &[OsString]) -> Result<(), TaskError> {
     let status = Command::new("cargo")
         .args(["run", "--quiet", "--release", "--package", "xtask", "--bin"])
