Ask several times before suspecting an instance

Cause: a single lost question or reply made an instance suspected. Change: an unanswered question is repeated each quarter of the time after which the instance is suspected; any message of it ends the series. The count is of an instance's own suspicions from here on, and conditions are checked every 10 ms of simulated time.

--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -18,6 +18,8 @@
     pub(crate) name: String,
     pub(crate) address: SocketAddr,
     pub(crate) wants_reply: bool,
+    /// When the first unanswered question was sent, if this one repeats it.
+    pub(crate) first_sent_at: Option<Instant>,
 }
 
 /// Chooses this tick's receivers.
@@ -52,6 +54,7 @@
             name: member.row.id.name.clone(),
             address: member.row.address,
             wants_reply: index == 0 || is_joining || !member.is_present(),
+            first_sent_at: None,
         });
     let receivers = receivers.collect();
     fleet.rng = rng;
@@ -72,6 +75,8 @@
         let probe = Probe {
             name: receiver.name.clone(),
             sent_at: now,
+            first_sent_at: receiver.first_sent_at.unwrap_or(now),
+            is_repeated: false,
         };
         fleet.probes.insert(sequence, probe);
     }
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -21,7 +21,9 @@
     fleet.ticks_count += 1;
     suspicion::check(fleet, &settings.fleet, now, out);
     member::forget_gone(fleet, now);
-    for receiver in digest::receivers(fleet, &settings.fleet) {
+    let mut receivers = digest::receivers(fleet, &settings.fleet);
+    receivers.extend(suspicion::repeats(fleet, &settings.fleet, now));
+    for receiver in receivers {
         let digest = digest::outgoing(fleet, now, &receiver, quarantine);
         send(receiver.address, Message::Digest(digest), out);
     }
--- a/crates/fleet/src/suspicion.rs
+++ b/crates/fleet/src/suspicion.rs
@@ -4,7 +4,10 @@
 
 use model::{Effect, Level, LogLine, MemberState};
 
-use crate::{FleetState, Member, Probe, member};
+use crate::{FleetState, Member, Probe, digest::Receiver, member};
+
+/// Questions that stay unanswered before a member is suspected.
+const QUESTIONS_PER_SUSPICION: u32 = 4;
 
 /// Suspects an instance whose address refuses connections.
 pub fn peer_unreachable(
@@ -29,8 +32,9 @@
     now: Instant,
     out: &mut Vec<Effect>,
 ) {
-    let is_overdue =
-        |probe: &Probe| now.saturating_duration_since(probe.sent_at) >= settings.suspect_after;
+    let is_overdue = |probe: &Probe| {
+        now.saturating_duration_since(probe.first_sent_at) >= settings.suspect_after
+    };
     let overdue: Vec<Probe> = fleet
         .probes
         .values()
@@ -42,8 +46,7 @@
         let Some(member) = fleet.members.get_mut(&probe.name) else {
             continue;
         };
-        let is_heard_since = member.heard_at.is_some_and(|heard| heard > probe.sent_at);
-        if !is_heard_since {
+        if !is_heard_since(member, probe.first_sent_at) {
             suspect(member, now, out);
         }
     }
@@ -58,6 +61,40 @@
     }
 }
 
+/// Returns the members to ask again, so that a lost message alone never causes a suspicion.
+pub(crate) fn repeats(
+    fleet: &mut FleetState,
+    settings: &settings::Fleet,
+    now: Instant,
+) -> Vec<Receiver> {
+    let repeat_after = settings.suspect_after / QUESTIONS_PER_SUSPICION;
+    let mut repeats = Vec::new();
+    for probe in fleet.probes.values_mut() {
+        let is_due = now.saturating_duration_since(probe.sent_at) >= repeat_after;
+        if !is_due || probe.is_repeated {
+            continue;
+        }
+        let Some(member) = fleet.members.get(&probe.name) else {
+            continue;
+        };
+        if !member.is_present() || is_heard_since(member, probe.first_sent_at) {
+            continue;
+        }
+        probe.is_repeated = true;
+        repeats.push(Receiver {
+            name: probe.name.clone(),
+            address: member.row.address,
+            wants_reply: true,
+            first_sent_at: Some(probe.first_sent_at),
+        });
+    }
+    repeats
+}
+
+fn is_heard_since(member: &Member, since: Instant) -> bool {
+    member.heard_at.is_some_and(|heard_at| heard_at > since)
+}
+
 fn suspect(member: &mut Member, now: Instant, out: &mut Vec<Effect>) {
     let state = member.row.state;
     if matches!(state, MemberState::Suspected | MemberState::Gone) {
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -99,6 +99,10 @@
     pub name: String,
     /// When it was asked.
     pub sent_at: Instant,
+    /// When the first question of the series was sent.
+    pub first_sent_at: Instant,
+    /// Whether a further question of the series was sent after this one.
+    pub is_repeated: bool,
 }
 
 /// Whether this instance has caught up with the fleet since it started.
--- a/xtask/src/spread/world.rs
+++ b/xtask/src/spread/world.rs
@@ -18,6 +18,10 @@
 const PEER_DELAY: Duration = Duration::from_micros(1500);
 /// Time that the platform takes to answer.
 const PLATFORM_DELAY: Duration = Duration::from_millis(5);
+/// Simulated time between two checks of a condition.
+const CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Name of the log line of an instance's own suspicion.
+const SUSPICION_LINE: &str = "member-suspected";
 /// Length prefix of a frame.
 const FRAME_PREFIX_BYTES: u64 = 4;
 
@@ -29,6 +33,7 @@
     pub messages_count: u64,
     pub bodies_bytes: u64,
     pub reads_count: u64,
+    pub suspicions_count: u64,
 }
 
 /// One instance.
@@ -114,6 +119,7 @@
     mut holds: impl FnMut(&World) -> bool,
 ) -> bool {
     let end = world.now + duration;
+    let mut check_at = world.now;
     while let Some(entry) = world.queue.first_entry() {
         let (at, _) = *entry.key();
         if at > end {
@@ -125,6 +131,10 @@
             continue;
         }
         deliver(world, index, due);
+        if world.now < check_at {
+            continue;
+        }
+        check_at = world.now + CHECK_INTERVAL;
         if holds(world) {
             return true;
         }
@@ -202,6 +212,9 @@
         }
         Effect::SetTimer { timer, after } => push(world, after, index, Due::Timer(timer)),
         Effect::ReadPlatform(read) => read_platform(world, index, read),
+        Effect::Log(line) if line.name == SUSPICION_LINE => {
+            world.nodes[index].counts.suspicions_count += 1;
+        }
         _ => {}
     }
 }
