Announce an accepted configuration at once

Cause: a revision travelled only with the digests of the next tick, and a lost question for its body was repeated after two ticks; with 30% loss 150 instances needed 4.9 s, or 5.6 s from a single reader. Change: accepting sends digests at once; whoever receives an older revision answers even if no reply was wanted; a body is asked for again after one tick.

--- a/crates/fleet/src/accept.rs
+++ b/crates/fleet/src/accept.rs
@@ -8,7 +8,7 @@
 use note::Note;
 use settings::Settings;
 
-use crate::{FleetState, freshness, join, reading};
+use crate::{FleetState, exchange, freshness, join, reading};
 
 /// Takes in a value that the platform returned; returns the note if it was accepted.
 pub fn note_published<'a>(
@@ -47,6 +47,7 @@
         return None;
     }
     accept(fleet, note?, body, out);
+    exchange::announce_revision(fleet, settings, now, out);
     join::check(fleet, &settings.fleet, now, out);
     fleet.note.as_ref()
 }
@@ -71,6 +72,7 @@
     }
     let note = note.filter(|note| note.revision > fleet.revision())?;
     accept(fleet, note, body, out);
+    exchange::announce_revision(fleet, settings, now, out);
     join::check(fleet, &settings.fleet, now, out);
     fleet.note.as_ref()
 }
--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -94,7 +94,9 @@
     quarantine: &[QuarantineRow],
 ) -> Digest {
     let mut digest = compose(fleet, now, &asked.from.id.name, quarantine);
-    digest.sequence = asked.sequence;
+    if asked.wants_reply {
+        digest.sequence = asked.sequence;
+    }
     digest
 }
 
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -8,7 +8,7 @@
 use crate::{FleetState, digest, digest::Receiver, freshness, join, member, reading, suspicion};
 
 /// Time after which an unanswered request for a published value is repeated to another instance.
-const NOTE_RETRY_AFTER_TICKS_COUNT: u32 = 2;
+const NOTE_RETRY_AFTER_TICKS_COUNT: u32 = 1;
 
 /// Runs the regular work: suspicion, digests, reads of the platform and readiness.
 pub fn tick(
@@ -49,6 +49,7 @@
         name: member.row.id.name.clone(),
         address: member.row.address,
         wants_reply: false,
+        first_sent_at: None,
     });
     let receivers: Vec<Receiver> = receivers.collect();
     for receiver in receivers {
@@ -57,6 +58,20 @@
     }
 }
 
+/// Tells a few instances at once that a newer configuration was accepted.
+pub(crate) fn announce_revision(
+    fleet: &mut FleetState,
+    settings: &Settings,
+    now: Instant,
+    out: &mut Vec<Effect>,
+) {
+    for mut receiver in digest::receivers(fleet, &settings.fleet) {
+        receiver.wants_reply = false;
+        let digest = digest::outgoing(fleet, now, &receiver, &[]);
+        send(receiver.address, Message::Digest(digest), out);
+    }
+}
+
 /// Takes in a digest of another instance.
 pub fn digest_received(
     fleet: &mut FleetState,
@@ -81,7 +96,8 @@
     if digest.revision > fleet.revision() {
         want(fleet, settings, now, digest, out);
     }
-    if digest.wants_reply {
+    // Whoever is behind hears it at once, even if it asked for no reply.
+    if digest.wants_reply || digest.revision < fleet.revision() {
         let reply = digest::reply(fleet, now, digest, quarantine);
         send(digest.from.address, Message::Digest(reply), out);
     }
