Spread the cold load of replicas over the instances

Cause: the offsets that spread what does not divide were sums of connections. With 32 connections and two instances, both replicas of a service gave their one cold call to the same instance, and the other answered "cold" for the whole service.

Change: the cold load has an offset of its own, the sum of the bearable loads.

Conclusion: every instance keeps some replica of a cold service.

--- a/crates/route/src/apply.rs
+++ b/crates/route/src/apply.rs
@@ -6,7 +6,7 @@
 use note::{Note, TargetState, ZoneState};
 
 use crate::{
-    Front, Latency, Reach, Routes, Service, ShardMap, Target, Warmth, Zone, share, warmth,
+    Front, Latency, Offsets, Reach, Routes, Service, ShardMap, Target, Warmth, Zone, share, warmth,
 };
 
 /// Replaces the fronts, services, targets and zones by those of a note.
@@ -89,16 +89,16 @@
             }),
         };
         let mut targets = Vec::new();
-        let mut connections_count = 0_u32;
+        let mut offsets = Offsets::open(&service.name);
         for target in &service.targets {
             let Some(&zone) = zones.get(&target.zone) else {
                 continue;
             };
-            connections_count = connections_count.wrapping_add(target.connections_max_count);
+            offsets = offsets.after(target);
             let place = Place {
                 service: key,
                 zone,
-                offset: share::offset(&service.name, connections_count),
+                offsets,
             };
             let known = known_targets.remove(&target.name);
             targets.push(apply_target(routes, target, place, known, out));
@@ -120,7 +120,7 @@
 struct Place {
     service: ServiceKey,
     zone: ZoneKey,
-    offset: u32,
+    offsets: Offsets,
 }
 
 fn apply_target(
@@ -138,8 +138,16 @@
         }
         withdraw(routes, key, out);
     }
-    let share_count = share::first_share(routes, published.connections_max_count, place.offset);
-    let cold_share_count = share::first_share(routes, published.cold_bearable_count, place.offset);
+    let share_count = share::first_share(
+        routes,
+        published.connections_max_count,
+        place.offsets.connections_count,
+    );
+    let cold_share_count = share::first_share(
+        routes,
+        published.cold_bearable_count,
+        place.offsets.cold_count,
+    );
     let key = routes.targets.insert(Target {
         name: published.name.clone(),
         service: place.service,
@@ -149,7 +157,7 @@
         connections_max_count: published.connections_max_count,
         cold_bearable_count: published.cold_bearable_count,
         is_leaving,
-        offset: place.offset,
+        offsets: place.offsets,
         share_count,
         cold_share_count,
         in_flight_count: 0,
@@ -181,8 +189,16 @@
     out: &mut Vec<Effect>,
 ) {
     let is_leaving = published.state == TargetState::Leaving;
-    let entitled_count = share::first_share(routes, published.connections_max_count, place.offset);
-    let cold_count = share::first_share(routes, published.cold_bearable_count, place.offset);
+    let entitled_count = share::first_share(
+        routes,
+        published.connections_max_count,
+        place.offsets.connections_count,
+    );
+    let cold_count = share::first_share(
+        routes,
+        published.cold_bearable_count,
+        place.offsets.cold_count,
+    );
     let target = &mut routes.targets[key];
     // A target that was out of use is cold until its calls prove otherwise.
     if target.is_leaving && !is_leaving {
@@ -190,7 +206,7 @@
     }
     target.service = place.service;
     target.zone = place.zone;
-    target.offset = place.offset;
+    target.offsets = place.offsets;
     target.slots_count = published.slots_count;
     target.connections_max_count = published.connections_max_count;
     target.cold_bearable_count = published.cold_bearable_count;
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -33,7 +33,7 @@
     probe_answered, probe_failed, serves_only,
 };
 pub use reach::{Reach, is_every_target_asked};
-pub use share::{Division, GROWTH_DELAY, part, set_instances};
+pub use share::{Division, GROWTH_DELAY, Offsets, part, set_instances};
 pub use snapshot::{Cover, best_snapshot};
 pub use table::{Front, Limits, Routes, Service, ShardMap, Target, Zone};
 pub use tick::tick;
--- a/crates/route/src/share.rs
+++ b/crates/route/src/share.rs
@@ -96,13 +96,35 @@
     )
 }
 
-/// Returns the offset that spreads what does not divide: the replicas of a service take up the
-/// ranks one after the other, so that a small limit still leaves every instance some replica.
-///
-/// `connections_count` is the sum of the limits of the service's replicas up to this one.
-pub(crate) fn offset(service_name: &str, connections_count: u32) -> u32 {
-    let name_sum: u32 = service_name.bytes().map(u32::from).sum();
-    name_sum.wrapping_add(connections_count)
+/// Offsets that spread what does not divide: the replicas of a service take up the ranks one after
+/// the other, so that a small limit still leaves every instance some replica.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Offsets {
+    /// Sum of the connections of the service's replicas up to this one.
+    pub connections_count: u32,
+    /// Sum of the loads that these replicas bear in cold start.
+    pub cold_count: u32,
+}
+
+impl Offsets {
+    /// Returns the offsets before the first replica, which differ from service to service.
+    pub(crate) fn open(service_name: &str) -> Offsets {
+        let name_sum: u32 = service_name.bytes().map(u32::from).sum();
+        Offsets {
+            connections_count: name_sum,
+            cold_count: name_sum,
+        }
+    }
+
+    /// Returns the offsets of the next replica.
+    pub(crate) fn after(self, target: &note::Target) -> Offsets {
+        Offsets {
+            connections_count: self
+                .connections_count
+                .wrapping_add(target.connections_max_count),
+            cold_count: self.cold_count.wrapping_add(target.cold_bearable_count),
+        }
+    }
 }
 
 fn divide(routes: &mut Routes, decide: impl Fn(u32, u32) -> u32, out: &mut Vec<Effect>) {
@@ -122,7 +144,11 @@
     out: &mut Vec<Effect>,
 ) {
     let target = &routes.targets[key];
-    let entitled_count = first_share(routes, target.connections_max_count, target.offset);
+    let entitled_count = first_share(
+        routes,
+        target.connections_max_count,
+        target.offsets.connections_count,
+    );
     let share_count = decide(target.share_count, entitled_count);
     let cold_count = warmth::cold_share(&routes.division, target);
     let target = &mut routes.targets[key];
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -11,7 +11,12 @@
 use serde::Serialize;
 use slotmap::SlotMap;
 
-use crate::{latency::Latency, reach::Reach, share::Division, warmth::Warmth};
+use crate::{
+    latency::Latency,
+    reach::Reach,
+    share::{Division, Offsets},
+    warmth::Warmth,
+};
 
 /// Everything known about the fronts and what serves them.
 #[derive(Clone, Debug, Default, Serialize)]
@@ -117,8 +122,8 @@
     pub cold_bearable_count: u32,
     /// Whether operators are withdrawing it.
     pub is_leaving: bool,
-    /// Offset that spreads what does not divide among the instances.
-    pub offset: u32,
+    /// Offsets that spread what does not divide among the instances.
+    pub offsets: Offsets,
     /// Connections that this instance may hold.
     pub share_count: u32,
     /// Concurrent calls that this instance may have in flight while the target is cold.
--- a/crates/route/src/tests/share.rs
+++ b/crates/route/src/tests/share.rs
@@ -5,7 +5,9 @@
     test_runner::{Config, RngSeed},
 };
 
-use crate::part;
+use findings::Findings;
+
+use crate::{Routes, apply, part, set_instances};
 
 fn config() -> Config {
     Config {
@@ -37,3 +39,38 @@
         prop_assert!(most - least <= 1);
     }
 }
+
+/// With two replicas that bear one call each in cold start, each of two instances may use one.
+#[test]
+fn a_cold_service_leaves_every_instance_some_replica() {
+    let zones = r#"[{"name": "north", "state": "in"}]"#;
+    let target = |index: u32| {
+        format!(
+            r#"{{"name": "parts-01-t{index}", "zone": "north", "address": "127.0.0.1:{index}",
+            "slots_count": 4, "connections_max_count": 32, "cold_bearable_count": 1, "state": "in"}}"#
+        )
+    };
+    let document = format!(
+        r#"{{"revision": 1, "added": ["zone/north", "service/parts-01", "front/parts"],
+        "changed": [], "withdrawn": [], "fleet": {{"zones": {zones}, "released_fingerprints": [],
+        "services": [{{"name": "parts-01", "targets": [{}, {}]}}],
+        "fronts": [{{"name": "parts", "zones": [],
+        "shard_maps": [{{"from_snapshot": 1, "services": ["parts-01"]}}]}}]}}}}"#,
+        target(1),
+        target(2),
+    );
+    let mut findings = Findings::default();
+    let note = note::read(&document, &mut findings);
+    let note = note.unwrap_or_else(|| panic!("{findings}"));
+    for rank in 0..2 {
+        let mut routes = Routes::default();
+        let mut out = Vec::new();
+        set_instances(&mut routes, 2, rank, &mut out);
+        apply(&mut routes, &note, &mut out);
+        let shares = routes
+            .targets
+            .values()
+            .map(|target| target.cold_share_count);
+        assert_eq!(shares.sum::<u32>(), 1, "instance {rank}");
+    }
+}
--- a/crates/route/src/warmth.rs
+++ b/crates/route/src/warmth.rs
@@ -48,7 +48,7 @@
         bearable_count,
         division.instances_count,
         division.own_rank,
-        target.offset,
+        target.offsets.cold_count,
     )
 }
 
