Let only calls end the count of lost calls

Cause: each lost connection sends a load probe, and its answer cleared the count of lost calls. A target whose load port answers while its calls are cut off was never given up; it drained the retry budget, answers went partial and the request ended in quarantine.

Change: an answered probe keeps the count, so every further lost call makes the target unreachable until the next probe.

Conclusion: what the instance sees itself outranks the load report.

--- a/crates/route/src/reach.rs
+++ b/crates/route/src/reach.rs
@@ -70,9 +70,13 @@
 }
 
 /// Notes that a probe was answered.
+///
+/// That says nothing about calls, so only a reply to a call ends the count of lost ones: a target
+/// whose calls keep failing costs one call for each probe.
 pub(crate) fn probe_answered(target: &mut Target, now: Instant) {
     target.reach = Reach {
         heard_at: Some(now),
+        lost_count: target.reach.lost_count,
         ..Reach::default()
     };
 }
