Divide the targets before a configuration is put in force

Cause: an instance that learned the configuration from a peer applied it as if it were alone, and opened every connection of every target. Targets refused some, so they counted as unreachable and then as cold.

Change: the division is brought up to date first.

Conclusion: a joining instance takes no more than its share.

--- a/crates/tier/src/platform.rs
+++ b/crates/tier/src/platform.rs
@@ -33,7 +33,11 @@
 }
 
 /// Brings the routes into line with the accepted configuration.
+///
+/// The division comes first: an instance that has just heard of the others must not take for itself
+/// what they hold.
 pub(crate) fn put_in_force(state: &mut State, now: Instant, out: &mut Vec<Effect>) {
+    divide(state, out);
     let Some(note) = &state.fleet.note else {
         return;
     };
