--- a/xtask/src/slopes/instance.rs
+++ b/xtask/src/slopes/instance.rs
@@ -10,6 +10,7 @@
     CallerKey, Effect, Event, Kind, LoadReport, PlatformRead, Priority, ReplyStatus, ReplyView,
     RequestView, TargetCall, TargetKey, TargetPhase, Timer,
 };
+use settings::Settings;
 use slotmap::KeyData;
 use tier::State;
 
@@ -76,8 +77,13 @@
 
 /// Starts an instance, lets it read the platform and answers its load probes.
 pub fn join(platform: Platform) -> Instance {
+    join_as(document::settings(), platform)
+}
+
+/// Starts an instance with settings of its own.
+pub fn join_as(settings: Settings, platform: Platform) -> Instance {
     let mut instance = Instance {
-        state: tier::open(document::settings(), INCARNATION, SEED),
+        state: tier::open(settings, INCARNATION, SEED),
         now: Instant::now(),
         out: Vec::new(),
         events_count: 0,
--- a/xtask/src/slopes/main.rs
+++ b/xtask/src/slopes/main.rs
@@ -20,11 +20,13 @@
 mod plan;
 mod plot;
 mod process;
+mod readers;
 mod reducer;
 mod sweep;
 #[cfg(test)]
 mod tests;
 mod tickets;
+mod worked;
 
 use std::{fs, path::Path, process::ExitCode};
 
@@ -86,7 +88,7 @@
             }
         }
     }
-    plan::add_worked_out(&mut figures);
+    worked::add_all(&mut figures);
     if arguments.write {
         write(&figures)?;
     }
--- a/xtask/src/slopes/peers.rs
+++ b/xtask/src/slopes/peers.rs
@@ -23,11 +23,9 @@
 
 /// Heap of the membership, and time and bytes of the exchange, against the instances.
 pub fn by_instances(instances_count: u32) -> Vec<f64> {
-    let list: Vec<serde_json::Value> = (0..instances_count).map(listed).collect();
-    let list = serde_json::to_vec(&list).expect("a list can be encoded");
     let platform = Platform {
         note: document::encoded(&document::note(TARGETS_COUNT, 1)),
-        instances: Bytes::from(list),
+        instances: Bytes::from(list(instances_count)),
     };
     let mut kept = Vec::new();
     let allocations = allocation_counter::measure(|| {
@@ -97,6 +95,12 @@
     }
 }
 
+/// Returns the platform's list of instances.
+pub fn list(instances_count: u32) -> Vec<u8> {
+    let list: Vec<serde_json::Value> = (0..instances_count).map(listed).collect();
+    serde_json::to_vec(&list).expect("a list can be encoded")
+}
+
 fn listed(peer: u32) -> serde_json::Value {
     json!({
         "name": name(peer), "zone": document::zone_name(peer),
@@ -104,11 +108,13 @@
     })
 }
 
-fn name(peer: u32) -> String {
+/// Returns the name of an instance.
+pub fn name(peer: u32) -> String {
     format!("{}-instance-{peer}", document::zone_name(peer))
 }
 
-fn address(peer: u32) -> SocketAddr {
+/// Returns the address of an instance's peers' port.
+pub fn address(peer: u32) -> SocketAddr {
     let [_, _, high, low] = peer.to_be_bytes();
     ([127, 2, high, low], 7000).into()
 }
--- a/xtask/src/slopes/plan.rs
+++ b/xtask/src/slopes/plan.rs
@@ -1,8 +1,7 @@
 //! What is measured.
 
 use crate::{
-    connections, figures::Figures, frames, idle, memory, peers, process, reducer, sweep::Sweep,
-    tickets,
+    connections, frames, idle, memory, peers, process, readers, reducer, sweep::Sweep, tickets,
 };
 
 /// Returns every sweep.
@@ -85,6 +84,13 @@
             quantities: process::QUANTITIES,
             measure: process::by_services,
         },
+        Sweep {
+            name: "readers_by_instances",
+            size: "instances_count",
+            sizes: &[5, 9, 50, 150, 420],
+            quantities: readers::QUANTITIES,
+            measure: readers::by_instances,
+        },
         Sweep {
             name: "connections_by_instances_25",
             size: "instances_count",
@@ -101,6 +107,3 @@
         },
     ]
 }
-
-/// Adds the figures that follow from others at the size of two years from now.
-pub fn add_worked_out(_figures: &mut Figures) {}
