Add cargo xtask measure and count lateness only where no slot was awaited

Cause: the decisions had no figures. With them, two faults showed: a call sent from the waiting queue had no hedge timer, and calls that queued behind a straggler turned their target cold.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -6,6 +6,11 @@
 //!   deferrable queries receive a minimum share;
 //! - a query that left the queue is never started.
 
+mod lane;
 mod queue;
 
-pub use queue::{Admission, Verdict, finished, has_queue, next, offer, withdrawn};
+pub use lane::{Lane, Waiting, is_idle};
+pub use queue::{
+    Admission, Candidate, Next, Verdict, finished, has_queue, next, not_started, offer, set_limit,
+    withdrawn,
+};
--- a/crates/model/src/answer.rs
+++ b/crates/model/src/answer.rs
@@ -8,7 +8,7 @@
 use crate::{Outcome, Snapshot};
 
 /// Why a service is missing from an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum MissingReason {
     /// No reply had arrived when the answer was due.
--- a/crates/query/src/answer.rs
+++ b/crates/query/src/answer.rs
@@ -1,6 +1,6 @@
 //! Making the answer of a query.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use model::{
     Answer, CallKey, Counter, Coverage, Effect, Missing, MissingReason, QueryKey, ShardResult,
@@ -24,8 +24,14 @@
         cancel_calls(queries, routes, now, &calls, out);
     }
     let Query {
-        requester, ticket, ..
+        requester,
+        ticket,
+        front,
+        ..
     } = query;
+    let ran_for = query
+        .started_at
+        .map_or(Duration::ZERO, |started_at| now - started_at);
     let answer = make_answer(
         &query.request_id,
         query.snapshot,
@@ -43,6 +49,8 @@
     Some(Finished {
         requester,
         ticket,
+        front,
+        ran_for,
         answer,
     })
 }
--- a/crates/query/src/end.rs
+++ b/crates/query/src/end.rs
@@ -12,6 +12,7 @@
     Call, Cause, Finished, Queries, ShardState,
     answer::{cancel_calls, finish},
     budget,
+    hedge::arm_shard,
     shard::{self, finish_if_complete, give_up},
     tick::note_event,
     waiting::wake,
@@ -156,6 +157,7 @@
 ) {
     let cause = Cause::Retry;
     let Err(reason) = shard::call(queries, routes, now, key, shard_index, cause, out) else {
+        arm_shard(queries, now, key, shard_index, out);
         return;
     };
     let reason = match reason {
@@ -188,6 +190,7 @@
         took: (!was_paused).then(|| now - call.sent_at),
         is_cancelled: call.cancelled_at.is_some(),
         is_noted_late: call.is_noted_late,
+        is_queued: call.is_queued,
     };
     route::call_ended(routes, now, &report, out);
     if call.cancelled_at.is_none()
--- a/crates/query/src/hedge.rs
+++ b/crates/query/src/hedge.rs
@@ -6,7 +6,7 @@
 use route::Routes;
 
 use crate::{
-    Cause, Queries, Shard, ShardState, budget,
+    Cause, Queries, Query, Shard, ShardState, budget,
     send::{Sent, send},
     waiting::is_contended,
 };
@@ -14,6 +14,9 @@
 /// Shortest time between two timers of one query, so that shards that are late one after the other
 /// share a timer.
 const TIMER_STEP: Duration = Duration::from_millis(1);
+/// A late call that could not be hedged is looked at again after this part of the time in which most
+/// calls end.
+const RETRY_DIVISOR: u32 = 4;
 /// Lateness of a timer from which on the process counts as paused.
 const PAUSE_LATENESS: Duration = Duration::from_millis(20);
 
@@ -30,7 +33,31 @@
         query.hedge_due = None;
         return;
     };
-    let due = due.max(now + TIMER_STEP);
+    arm_at(query, now, key, due, out);
+}
+
+/// Sets the timer for the call of a shard, unless an earlier one is set.
+pub(crate) fn arm_shard(
+    queries: &mut Queries,
+    now: Instant,
+    key: QueryKey,
+    shard_index: usize,
+    out: &mut Vec<Effect>,
+) {
+    let Some(query) = queries.queries.get_mut(key) else {
+        return;
+    };
+    if query.ticket.is_some() {
+        return;
+    }
+    let Some(late_at) = query.shards[shard_index].late_at else {
+        return;
+    };
+    arm_at(query, now, key, late_at, out);
+}
+
+fn arm_at(query: &mut Query, now: Instant, key: QueryKey, late_at: Instant, out: &mut Vec<Effect>) {
+    let due = late_at.max(now + TIMER_STEP);
     if query.hedge_due.is_some_and(|set| set > now && set <= due) {
         return;
     }
@@ -88,10 +115,10 @@
     }
     let service = shard.service;
     let calls = shard.calls.clone();
-    postpone(shard, routes, now);
-    note_late(queries, routes, &calls);
+    postpone(shard, routes, now, RETRY_DIVISOR);
+    note_late(queries, routes, now, &calls, out);
     if is_overloaded
-        || is_contended(queries, service)
+        || is_contended(queries, service, now)
         || !has_idle_replica(queries, routes, key, shard_index)
     {
         return;
@@ -115,29 +142,35 @@
     targets.any(|&target| !shard.tried.contains(&target) && route::has_free_slot(routes, target))
 }
 
-fn note_late(queries: &mut Queries, routes: &mut Routes, calls: &[CallKey]) {
+/// Notes the lateness of calls, each one once as evidence against its target.
+fn note_late(
+    queries: &mut Queries,
+    routes: &mut Routes,
+    now: Instant,
+    calls: &[CallKey],
+    out: &mut Vec<Effect>,
+) {
     for &key in calls {
         let Some(call) = queries.calls.get_mut(key) else {
             continue;
         };
-        if !std::mem::replace(&mut call.is_noted_late, true) {
-            route::call_late(routes, call.target);
-        }
+        let was_noted = std::mem::replace(&mut call.is_noted_late, true);
+        route::call_late(routes, now, call.target, call.is_queued || was_noted, out);
     }
 }
 
-/// Lets a shard be looked at again after another time span in which most calls end.
-fn postpone(shard: &mut Shard, routes: &Routes, now: Instant) {
+/// Lets a shard be looked at again after a part of the time in which most calls end.
+fn postpone(shard: &mut Shard, routes: &Routes, now: Instant, divisor: u32) {
     let service = routes.services.get(shard.service);
     shard.late_at = service
         .and_then(|service| service.latency.late_after)
-        .map(|late_after| now + late_after);
+        .map(|late_after| now + late_after / divisor);
 }
 
 fn postpone_all(queries: &mut Queries, routes: &Routes, now: Instant, key: QueryKey) {
     for shard in &mut queries.queries[key].shards {
         if shard.late_at.is_some() {
-            postpone(shard, routes, now);
+            postpone(shard, routes, now, 1);
         }
     }
 }
--- a/crates/query/src/send.rs
+++ b/crates/query/src/send.rs
@@ -47,12 +47,14 @@
         Err(NoChoice::Busy) => return Ok(Sent::Busy),
         Err(NoChoice::Missing(reason)) => return Err(reason),
     };
+    let is_queued = route::call_started(routes, now, target);
     let call = queries.calls.insert(Call {
         query: key,
         shard_index,
         target,
         cause,
         sent_at: now,
+        is_queued,
         is_noted_late: false,
         cancelled_at: None,
         is_abandoned: false,
@@ -63,7 +65,6 @@
         Cause::Hedge => None,
         Cause::Primary | Cause::Retry => late_at(routes, shard.service, now),
     };
-    route::call_started(routes, target);
     let time_left = query.deadline.saturating_duration_since(now);
     out.push(Effect::Call(TargetCall {
         call,
--- a/crates/query/src/shard.rs
+++ b/crates/query/src/shard.rs
@@ -36,7 +36,7 @@
                 shard_index,
                 cause,
             };
-            wait(queries, service, priority, shard);
+            wait(queries, now, service, priority, shard);
         }
     }
     Ok(())
--- a/crates/query/src/table.rs
+++ b/crates/query/src/table.rs
@@ -1,6 +1,9 @@
 //! The table of queries and their calls.
 
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use model::{
@@ -127,6 +130,8 @@
     /// When it was sent.
     #[serde(skip)]
     pub sent_at: Instant,
+    /// Whether it has to wait for a slot of its target.
+    pub is_queued: bool,
     /// Whether it was noted as late.
     pub is_noted_late: bool,
     /// When it was cancelled.
@@ -155,6 +160,10 @@
     pub requester: Requester,
     /// Ticket of a request that runs at most once.
     pub ticket: Option<String>,
+    /// Name of the front.
+    pub front: String,
+    /// Time since it was started.
+    pub ran_for: Duration,
     /// The answer.
     pub answer: Answer,
 }
--- a/crates/query/src/waiting.rs
+++ b/crates/query/src/waiting.rs
@@ -1,6 +1,9 @@
 //! Shards that wait for a target, because each one that could be used is busy.
 
-use std::{collections::VecDeque, time::Instant};
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
 
 use model::{Effect, Priority, QueryKey, ServiceKey};
 use route::Routes;
@@ -8,10 +11,14 @@
 
 use crate::{
     Cause, Queries, ShardState,
+    hedge::arm_shard,
     send::{Sent, send},
     shard::{fail, finish_if_complete},
 };
 
+/// Time for which shards have to wait without a break until their service counts as overloaded.
+const CONTENDED_AFTER: Duration = Duration::from_millis(30);
+
 /// One waiting shard.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub struct WaitingShard {
@@ -28,6 +35,9 @@
 /// The waiting shards of one service, one queue for each priority.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct WaitingShards {
+    /// Since when shards have been waiting without a break.
+    #[serde(skip)]
+    pub since: Option<Instant>,
     /// Queues in order of importance.
     pub queues: [VecDeque<WaitingShard>; 3],
 }
@@ -35,6 +45,7 @@
 /// Lets a shard wait.
 pub(crate) fn wait(
     queries: &mut Queries,
+    now: Instant,
     service: ServiceKey,
     priority: Priority,
     shard: WaitingShard,
@@ -43,12 +54,17 @@
         return;
     };
     let waiting = entry.or_default();
+    waiting.since.get_or_insert(now);
     waiting.queues[priority as usize].push_back(shard);
 }
 
-/// Tells whether shards wait for a service.
-pub(crate) fn is_contended(queries: &Queries, service: ServiceKey) -> bool {
-    queries.waiting.contains_key(service)
+/// Tells whether shards have been waiting for a service so long that its targets are overloaded.
+///
+/// A short wait is often caused by stragglers, which a hedge removes.
+pub(crate) fn is_contended(queries: &Queries, service: ServiceKey, now: Instant) -> bool {
+    let waiting = queries.waiting.get(service);
+    let since = waiting.and_then(|waiting| waiting.since);
+    since.is_some_and(|since| now >= since + CONTENDED_AFTER)
 }
 
 /// Calls targets for the waiting shards of a service as long as one may have another call.
@@ -72,7 +88,7 @@
             shard.cause,
             out,
         ) {
-            Ok(Sent::Called) => {}
+            Ok(Sent::Called) => arm_shard(queries, now, shard.query, shard.shard_index, out),
             Ok(Sent::Busy) => {
                 put_back(queries, service, priority, shard);
                 return;
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -8,7 +8,10 @@
 
 /// Calls in flight for each slot of a target, all instances together: one executes, the other one
 /// is on its way or waits, so that the slot never idles.
-const CALLS_PER_SLOT: u32 = 2;
+const CALLS_PER_SLOT: u32 = 3;
+/// Queries of a front that run for each slot of its smallest service: a query waits for its slowest
+/// service, so most of its slots are free again long before it ends.
+const QUERIES_PER_SLOT: u32 = 10;
 /// Mean latency that is assumed of a target in this instance's zone before its first call.
 const NEAR_LATENCY: Duration = Duration::from_millis(1);
 /// Mean latency that is assumed of a target in another zone before its first call.
@@ -82,7 +85,7 @@
     let Some(target) = routes.targets.get(key) else {
         return false;
     };
-    target.in_flight_count + target.foreign_count < target.slots_count
+    target.in_flight_count + target.foreign_count < target.slots_count * CALLS_PER_SLOT
 }
 
 /// Returns the time that a call needs to reach a target.
@@ -93,6 +96,28 @@
     }
 }
 
+/// Returns how many queries of a front its targets can serve at the same time.
+///
+/// The service with the fewest warm slots decides; one without any is answered for in part at once,
+/// so it limits nothing.
+pub fn running_limit(routes: &Routes, front: &str) -> u32 {
+    let Some(front) = routes.fronts.get(front) else {
+        return u32::MAX;
+    };
+    let services = front.shard_maps.iter().flat_map(|map| map.services.iter());
+    let slots_counts = services.filter_map(|&key| {
+        let service = routes.services.get(key)?;
+        let targets = service.targets.iter().map(|&key| &routes.targets[key]);
+        let usable = targets.filter(|target| {
+            may_receive_work(routes, target, &front.zones) && !target.warmth.is_cold
+        });
+        let calls_count: u32 = usable.map(|target| limit(routes, target)).sum();
+        Some(calls_count / CALLS_PER_SLOT).filter(|&slots_count| slots_count > 0)
+    });
+    let slots_count = slots_counts.min().unwrap_or(u32::MAX);
+    slots_count.saturating_mul(QUERIES_PER_SLOT)
+}
+
 /// Returns how many calls this instance may have in flight to a target, warmth aside.
 ///
 /// What other instances do not use may be used here, but never less than an equal part.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -25,7 +25,7 @@
 mod tests;
 
 pub use apply::apply;
-pub use choose::{NoChoice, Want, choose, has_free_slot, way_there};
+pub use choose::{NoChoice, Want, choose, has_free_slot, running_limit, way_there};
 pub use confine::confine;
 pub use latency::Latency;
 pub use observe::{
--- a/crates/route/src/observe.rs
+++ b/crates/route/src/observe.rs
@@ -33,14 +33,20 @@
     pub is_cancelled: bool,
     /// Whether it was already noted as late.
     pub is_noted_late: bool,
+    /// Whether it had to wait for a slot.
+    pub is_queued: bool,
 }
 
 /// Notes that a call was sent.
-pub fn call_started(routes: &mut Routes, key: TargetKey) {
+///
+/// Returns whether it has to wait for a slot, so that its latency says little about the target.
+pub fn call_started(routes: &mut Routes, now: Instant, key: TargetKey) -> bool {
     let Some(target) = routes.targets.get_mut(key) else {
-        return;
+        return true;
     };
     target.in_flight_count += 1;
+    reach::called(target, now);
+    target.in_flight_count + target.foreign_count > target.slots_count
 }
 
 /// Notes that a call ended, which frees its connection.
@@ -72,7 +78,7 @@
         learn_latency(routes, service, took);
     }
     if is_late(routes, service, took) {
-        if !report.is_noted_late {
+        if !report.is_noted_late && !report.is_queued {
             warmth::was_late(routes, report.target);
         }
         return;
@@ -84,8 +90,24 @@
 }
 
 /// Notes that a call in flight has become late.
-pub fn call_late(routes: &mut Routes, key: TargetKey) {
-    warmth::was_late(routes, key);
+pub fn call_late(
+    routes: &mut Routes,
+    now: Instant,
+    key: TargetKey,
+    is_queued: bool,
+    out: &mut Vec<Effect>,
+) {
+    if !is_queued {
+        warmth::was_late(routes, key);
+    }
+    let Some(target) = routes.targets.get_mut(key) else {
+        return;
+    };
+    let service = routes.services.get(target.service);
+    let Some(late_after) = service.and_then(|service| service.latency.late_after) else {
+        return;
+    };
+    reach::check_silence(target, now, key, late_after, out);
 }
 
 /// Takes in the age of a call that was cancelled because another one was faster.
--- a/crates/route/src/reach.rs
+++ b/crates/route/src/reach.rs
@@ -13,6 +13,11 @@
 const PROBE_DELAY: Duration = Duration::from_millis(200);
 /// Longest delay between two probes of an unreachable target.
 const PROBE_DELAY_MAX: Duration = Duration::from_secs(2);
+/// A target with calls in flight is asked whether it still replies after this many times the time in
+/// which most calls end.
+const SILENCE_FACTOR: u32 = 10;
+/// Shortest silence after which a target is asked whether it still replies.
+const SILENCE_MIN: Duration = Duration::from_millis(50);
 /// Time after which a probe without an answer is repeated.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -31,6 +36,9 @@
     /// When the next probe is due, if the target is unreachable.
     #[serde(skip)]
     pub probe_due: Option<Instant>,
+    /// Since when the target owes a reply without having sent any.
+    #[serde(skip)]
+    pub silent_since: Option<Instant>,
     /// When the target was last heard of.
     #[serde(skip)]
     pub heard_at: Option<Instant>,
@@ -45,9 +53,37 @@
 /// Notes a whole reply.
 pub(crate) fn heard(target: &mut Target, now: Instant) {
     target.reach.heard_at = Some(now);
+    target.reach.silent_since = (target.in_flight_count > 0).then_some(now);
     target.reach.lost_count = 0;
 }
 
+/// Notes that a call was sent.
+pub(crate) fn called(target: &mut Target, now: Instant) {
+    target.reach.silent_since.get_or_insert(now);
+}
+
+/// Stops the use of a target that accepts calls but does not reply to any, and asks it for its load.
+pub(crate) fn check_silence(
+    target: &mut Target,
+    now: Instant,
+    key: TargetKey,
+    late_after: Duration,
+    out: &mut Vec<Effect>,
+) {
+    let limit = (late_after * SILENCE_FACTOR).max(SILENCE_MIN);
+    let is_silent = target
+        .reach
+        .silent_since
+        .is_some_and(|since| now >= since + limit);
+    if !is_silent || target.reach.is_unreachable {
+        return;
+    }
+    mark_unreachable(target, now);
+    if target.reach.probed_at.is_none() {
+        probe(target, now, key, out);
+    }
+}
+
 /// Notes that a call got no whole reply.
 ///
 /// A refused connection means that no process listens. A lost one may be the fault of the call, so
@@ -77,6 +113,7 @@
     target.reach = Reach {
         heard_at: Some(now),
         lost_count: target.reach.lost_count,
+        silent_since: (target.in_flight_count > 0).then_some(now),
         ..Reach::default()
     };
 }
--- a/crates/route/src/warmth.rs
+++ b/crates/route/src/warmth.rs
@@ -12,7 +12,7 @@
 use crate::{Routes, Target, share::Division, share::part};
 
 /// Late calls in a row after which a target counts as cold.
-const LATE_MAX_COUNT: u32 = 4;
+const LATE_MAX_COUNT: u32 = 5;
 /// Calls without execution (shed, or no connection) in a row after which a target counts as cold.
 const SHED_MAX_COUNT: u32 = 2;
 /// Time for which a target must report to be warm before an instance without a part of its bearable
--- a/crates/settings/src/areas.rs
+++ b/crates/settings/src/areas.rs
@@ -135,8 +135,8 @@
             timeout_max: Duration::from_secs(30),
             body_max_bytes: 64 * 1024,
             answer_reserve: Duration::from_millis(2),
-            hedge_quantile_ratio: 0.98,
-            hedge_budget_ratio: 0.02,
+            hedge_quantile_ratio: 0.975,
+            hedge_budget_ratio: 0.028,
             retry_budget_ratio: 0.1,
         }
     }
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -8,6 +8,7 @@
 //!   state, so the same events at the same times yield the same effects;
 //! - every request event yields exactly one answer effect, sooner or later.
 
+mod capacity;
 mod dump;
 mod forward;
 mod late;
--- a/crates/tier/src/request.rs
+++ b/crates/tier/src/request.rs
@@ -1,8 +1,8 @@
 //! A caller's request: checks, admission and deadline.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use admit::Verdict;
+use admit::{Candidate, Verdict};
 use model::{
     CallerKey, Counter, Effect, Kind, NotRunReason, Outcome, QueryKey, RequestView, Requester,
     ServiceKey,
@@ -10,7 +10,7 @@
 use query::Finished;
 use route::Front;
 
-use crate::{State, late, leave, poison, settle, ticket};
+use crate::{State, capacity, late, leave, poison, settle, ticket};
 
 /// Checks a request, then starts it, queues it or refuses it.
 pub(crate) fn offered(
@@ -49,18 +49,22 @@
     if ticket.is_some() {
         name_service(state, key);
     }
-    let admission = &mut state.admission;
-    match admit::offer(admission, &state.settings.admit, key, request.priority) {
+    let candidate = Candidate {
+        key,
+        front: request.front,
+        priority: request.priority,
+        deadline: state.queries.queries[key].deadline,
+    };
+    match admit::offer(&mut state.admission, &state.settings.admit, now, &candidate) {
         Verdict::Start => {
             let finished = query::start(&mut state.queries, &mut state.routes, now, key, out);
             settle::settle(state, now, finished, out);
         }
         Verdict::Wait => {}
-        Verdict::Refuse => {
-            state.queries.queries.remove(key);
-            let reason = NotRunReason::Overloaded;
-            refuse(state, requester, request.request_id, ticket, reason, out);
+        Verdict::WaitInsteadOf(evicted) => {
+            refuse_query(state, evicted, NotRunReason::Overloaded, out)
         }
+        Verdict::Refuse => refuse_query(state, key, NotRunReason::Overloaded, out),
     }
 }
 
@@ -75,7 +79,7 @@
         settle::settle(state, now, finished, out);
         return;
     }
-    admit::withdrawn(&mut state.admission, key, query.priority);
+    admit::withdrawn(&mut state.admission, &query.front, key, query.priority);
     refuse_query(state, key, NotRunReason::Overloaded, out);
 }
 
@@ -119,7 +123,10 @@
 
 /// Hedges the late calls of a query.
 pub(crate) fn hedge(state: &mut State, now: Instant, key: QueryKey, out: &mut Vec<Effect>) {
-    let is_overloaded = admit::has_queue(&state.admission);
+    let Some(query) = state.queries.queries.get(key) else {
+        return;
+    };
+    let is_overloaded = admit::has_queue(&state.admission, &query.front);
     query::hedge(
         &mut state.queries,
         &mut state.routes,
@@ -135,6 +142,7 @@
     route::tick(&mut state.routes, now, out);
     query::tick(&mut state.queries, &mut state.routes, now, out);
     settle::settle(state, now, None, out);
+    capacity::update(state, now, out);
 }
 
 /// Answers a request that does not run.
@@ -153,6 +161,8 @@
     let finished = Finished {
         requester,
         ticket: ticket.map(str::to_owned),
+        front: String::new(),
+        ran_for: Duration::ZERO,
         answer: ticket::bare(request_id, Outcome::NotRun(reason)),
     };
     settle::answer(state, finished, out);
--- a/crates/tier/src/settle.rs
+++ b/crates/tier/src/settle.rs
@@ -2,6 +2,7 @@
 
 use std::time::Instant;
 
+use admit::Next;
 use model::{Answer, Counter, Effect, Message, NotRunReason, Requester};
 use query::Finished;
 
@@ -16,13 +17,19 @@
 ) {
     let mut next = finished.or_else(|| state.queries.ended.pop());
     while let Some(finished) = next {
-        answer(state, finished, out);
-        admit::finished(&mut state.admission);
-        start_waiting(state, now, out);
+        let front = finished.front.clone();
+        end(state, now, finished, out);
+        start_waiting(state, now, &front, out);
         next = state.queries.ended.pop();
     }
 }
 
+fn end(state: &mut State, now: Instant, finished: Finished, out: &mut Vec<Effect>) {
+    let admission = &mut state.admission;
+    admit::finished(admission, now, &finished.front, finished.ran_for);
+    answer(state, finished, out);
+}
+
 /// Answers a query and, if it ran under a ticket, every resend that waits.
 pub(crate) fn answer(state: &mut State, finished: Finished, out: &mut Vec<Effect>) {
     ticket::finished(state, &finished, out);
@@ -52,16 +59,28 @@
     });
 }
 
-fn start_waiting(state: &mut State, now: Instant, out: &mut Vec<Effect>) {
-    while let Some(key) = admit::next(&mut state.admission, &state.settings.admit) {
+/// Starts as many waiting queries of a front as there is room for.
+pub(crate) fn start_waiting(state: &mut State, now: Instant, front: &str, out: &mut Vec<Effect>) {
+    loop {
+        let settings = &state.settings.admit;
+        let Some(next) = admit::next(&mut state.admission, settings, now, front) else {
+            return;
+        };
+        let key = match next {
+            Next::Start(key) => key,
+            Next::Refuse(key) => {
+                request::refuse_query(state, key, NotRunReason::Overloaded, out);
+                continue;
+            }
+        };
         if poison::is_query_refused(state, now, key) {
             request::refuse_query(state, key, NotRunReason::Quarantined, out);
-            admit::finished(&mut state.admission);
+            admit::not_started(&mut state.admission, front);
             continue;
         }
         let finished = query::start(&mut state.queries, &mut state.routes, now, key, out);
-        let Some(finished) = finished else { continue };
-        answer(state, finished, out);
-        admit::finished(&mut state.admission);
+        if let Some(finished) = finished {
+            end(state, now, finished, out);
+        }
     }
 }
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -18,6 +18,11 @@
     Ci,
     /// Generate the Rust code of the messages between instances.
     Codegen,
+    /// Measure the decisions of the reducer.
+    Measure {
+        /// Arguments of the measuring program.
+        arguments: Vec<OsString>,
+    },
     /// Measure how the cost of each role grows.
     Slopes {
         /// Arguments of the measuring program.
@@ -38,6 +43,7 @@
     let result = match task {
         Task::Ci => check::ci(),
         Task::Codegen => codegen::write(),
+        Task::Measure { arguments } => measured::measure(&arguments),
         Task::Slopes { arguments } => measured::slopes(&arguments),
         Task::Spread { arguments } => measured::spread(&arguments),
     };
@@ -59,6 +65,15 @@
         .to_options()
         .descr("Generate the code of the messages between instances")
         .command("codegen");
+    let measure = {
+        let arguments = any::<OsString, _, _>("ARGUMENT", Some)
+            .help("`--case FILE.json`, `--seed N`, `--json`; all of cases/ if none is named")
+            .many();
+        construct!(Task::Measure { arguments })
+            .to_options()
+            .descr("Measure the decisions of the reducer on a virtual clock")
+            .command("measure")
+    };
     let slopes = {
         let arguments = any::<OsString, _, _>("ARGUMENT", Some)
             .help("`--only TEXT` for some sweeps, `--write` to update docs/slopes and the page")
@@ -77,5 +92,5 @@
             .descr("Measure how configurations spread and what the exchange costs")
             .command("spread")
     };
-    construct!([ci, codegen, slopes, spread])
+    construct!([ci, codegen, measure, slopes, spread])
 }
--- a/xtask/src/measured.rs
+++ b/xtask/src/measured.rs
@@ -4,6 +4,11 @@
 
 use crate::error::TaskError;
 
+/// Runs the measurement of decisions.
+pub fn measure(arguments: &[OsString]) -> Result<(), TaskError> {
+    release("measure", arguments)
+}
+
 /// Runs the measurement of slopes.
 pub fn slopes(arguments: &[OsString]) -> Result<(), TaskError> {
     release("slopes", arguments)
