--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -6,8 +6,8 @@
 
 use crate::{Routes, Target, confine, snapshot, warmth};
 
-/// Calls in flight for each slot of a target, all instances together: one executes, the other one
-/// is on its way or waits, so that the slot never idles.
+/// Calls in flight for each slot of a target, all instances together: one executes, the others are
+/// on their way or wait, so that the slot never idles.
 const CALLS_PER_SLOT: u32 = 3;
 /// Queries of a front that run for each slot of its smallest service: a query waits for its slowest
 /// service, so most of its slots are free again long before it ends.
