Relay departures before arrivals

Cause: after a start of all instances every row counted as news, so the word of a stopped one waited behind them; 420 instances needed 13.3 s until all suspected it, 150 with 10% loss 5.2 s. Change: rows of instances that are not alive are relayed first, then the least relayed and the newest.

--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -1,6 +1,6 @@
 //! What a digest carries, and who receives one.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Instant};
+use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr, time::Instant};
 
 use model::{Digest, MemberRow, MemberState, QuarantineRow};
 use rand::{RngExt, seq::IteratorRandom};
@@ -117,7 +117,7 @@
     }
 }
 
-/// Chooses the rows: what is wrong about the receiver, the least relayed change, and any other.
+/// Chooses the rows: what is wrong about the receiver, the most urgent change, and any other.
 fn rows(fleet: &mut FleetState, receiver: &str) -> Vec<MemberRow> {
     let mut names: Vec<String> = Vec::new();
     let about_receiver = fleet.members.get(receiver);
@@ -127,7 +127,12 @@
     let relays_max_count = relays_max_count(fleet.members.len());
     let others = fleet.members.iter().filter(|(name, _)| *name != receiver);
     let changed = others.filter(|(_, member)| member.relayed_count < relays_max_count);
-    if let Some((name, _)) = changed.min_by_key(|(_, member)| member.relayed_count) {
+    // Departures go before arrivals, which the arriving instance tells by itself.
+    let urgency = |member: &Member| {
+        let is_alive = member.row.state == MemberState::Alive;
+        (is_alive, member.relayed_count, Reverse(member.since))
+    };
+    if let Some((name, _)) = changed.min_by_key(|(_, member)| urgency(member)) {
         names.push(name.clone());
     }
     let index = fleet.rng.random_range(0..fleet.members.len().max(1));
