Take turns in trying the platform

Cause: instances that are no readers tried the platform by chance when the freshness ran out; where one of 420 instances saw it, that one tried only after 71.8 s. Change: the instances of a zone take turns by their place in the order of readers, at the same rate, so all have tried after the zone's size divided by the rate.

--- a/crates/fleet/src/reading.rs
+++ b/crates/fleet/src/reading.rs
@@ -7,7 +7,7 @@
 use settings::Settings;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{FleetState, Join, Voucher, freshness, join};
+use crate::{FleetState, Join, Voucher, join};
 
 /// Shortest time between the starts of two reads of the configuration.
 const NOTE_GAP: Duration = Duration::from_millis(500);
@@ -38,6 +38,11 @@
     if fleet.is_leaving {
         return false;
     }
+    readers_before(fleet) < readers_per_zone_count as usize
+}
+
+/// Counts the instances of the zone whose hash is smaller than this instance's.
+fn readers_before(fleet: &FleetState) -> usize {
     let weight = |name: &str| (xxh3_64(name.as_bytes()), name.to_owned());
     let own = weight(&fleet.id.name);
     let others = fleet
@@ -45,7 +50,7 @@
         .values()
         .filter(|member| member.row.state == MemberState::Alive && member.row.zone == fleet.zone);
     let before = others.filter(|member| weight(&member.row.id.name) < own);
-    before.count() < readers_per_zone_count as usize
+    before.count()
 }
 
 /// Starts the reads that are due.
@@ -79,7 +84,8 @@
 
 /// Lets an instance that is no reader try the platform when the freshness runs out.
 ///
-/// The chance shrinks with the zone's size, so the attempts of a zone stay constant.
+/// The instances of a zone take turns, as many each second as the zone has readers, so the attempts
+/// of a zone stay constant and all have tried after a time that grows with the zone.
 pub(crate) fn volunteer(
     fleet: &mut FleetState,
     settings: &Settings,
@@ -87,21 +93,23 @@
     out: &mut Vec<Effect>,
 ) {
     let limit = settings.fleet.freshness_limit / 2;
-    let is_waiting_long = fleet
-        .join_since
-        .is_some_and(|since| now.saturating_duration_since(since) > limit);
-    let is_running_out = freshness::freshness_age(fleet, now) > limit;
-    if fleet.reading.is_reader || fleet.is_leaving || !is_running_out || !is_waiting_long {
+    let Some(known_at) = fleet.vouched_at.max(fleet.join_since) else {
+        return;
+    };
+    let waited = now.saturating_duration_since(known_at);
+    if fleet.reading.is_reader || fleet.is_leaving || waited <= limit {
         return;
     }
     let members = fleet.members.values();
-    let zone_count = 1 + members
-        .filter(|m| m.is_present() && m.row.zone == fleet.zone)
-        .count();
-    let tick_s = settings.fleet.tick.as_secs_f64();
-    let readers_count = f64::from(settings.fleet.readers_per_zone_count);
-    let chance_ratio = (readers_count * tick_s / zone_count as f64).min(1.0);
-    if fleet.rng.random_bool(chance_ratio) {
+    let in_zone = members.filter(|member| member.is_present() && member.row.zone == fleet.zone);
+    let zone_count = in_zone.count() + 1;
+    let rate_per_s = f64::from(settings.fleet.readers_per_zone_count);
+    let place_s = readers_before(fleet) as f64 / rate_per_s;
+    let period_s = zone_count as f64 / rate_per_s;
+    let turns = |at: Duration| ((at.as_secs_f64() - place_s) / period_s).floor();
+    let waited = waited - limit;
+    let is_turn = turns(waited) > turns(waited.saturating_sub(settings.fleet.tick));
+    if is_turn {
         fleet.reading.volunteer_until = Some(now + NOTE_GAP);
         platform_due(fleet, settings, now, out);
     }
