Add the operators' client and the load generator

balsamctl queries, shows status and state, waits for a revision, and checks, compares and composes notes. balsamload sends by a seeded Poisson schedule and counts latency from the scheduled arrival; one reducer decides what to send and what to count.

--- /dev/null
+++ b/crates/balsamctl/src/error.rs
@@ -0,0 +1,18 @@
+//! Why a command could not do its work.
+
+use displaydoc::Display;
+
+/// Why a command could not do its work.
+#[derive(Debug, Display)]
+pub enum CommandError {
+    /// cannot read `{0}`: {1}
+    Read(String, std::io::Error),
+    /// no reply from {0}: {1}
+    NoReply(String, String),
+    /// {0} replied {1}: {2}
+    Refused(String, u16, String),
+    /// {0} replied with something other than JSON: {1}
+    NotJson(String, serde_json::Error),
+}
+
+impl std::error::Error for CommandError {}
--- /dev/null
+++ b/crates/balsamload/src/client.rs
@@ -0,0 +1,149 @@
+//! HTTP requests to instances and to the target that is called directly.
+
+use std::{net::SocketAddr, time::Duration};
+
+use awc::{Client, Connector};
+use bytes::Bytes;
+use model::{Outcome, Priority, to_word};
+use serde::Deserialize;
+
+use crate::{
+    event::{AnswerSummary, Calls, Outgoing},
+    options::Options,
+    prometheus,
+};
+
+/// Time beyond a request's own timeout after which its answer is given up.
+const ANSWER_GRACE: Duration = Duration::from_secs(2);
+/// Time that a read of counters or tickets may take.
+const READ_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest answer that is read.
+const MAX_ANSWER_BYTES: usize = 16 * 1_048_576;
+
+#[derive(Deserialize)]
+struct AnswerBody {
+    outcome: Outcome,
+    coverage: CoverageBody,
+    #[serde(default)]
+    results: Vec<ResultBody>,
+}
+
+#[derive(Deserialize)]
+struct CoverageBody {
+    answered_count: u32,
+    total_count: u32,
+}
+
+#[derive(Deserialize)]
+struct ResultBody {
+    body: EchoBody,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct EchoBody {
+    query: QueryBody,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct QueryBody {
+    number: Option<u64>,
+}
+
+#[derive(Deserialize)]
+struct TicketsBody {
+    tickets: Vec<String>,
+}
+
+/// Creates a client without a limit of connections, because arrivals do not wait for each other.
+pub fn open() -> Client {
+    Client::builder()
+        .connector(Connector::new().limit(0))
+        .disable_redirects()
+        .disable_timeout()
+        .finish()
+}
+
+/// Sends a request and returns what its answer says, or nothing if there is none to read.
+pub async fn send(client: Client, options: Options, outgoing: Outgoing) -> Option<AnswerSummary> {
+    let address = options.instances[outgoing.instance];
+    let front = &options.fronts[outgoing.front];
+    let number = outgoing.number;
+    let mut request = client
+        .post(format!("http://{address}/v1/fronts/{front}/query"))
+        .timeout(options.timeout + ANSWER_GRACE)
+        .insert_header((
+            "balsam-request-id",
+            format!("load-{}-{number}", options.seed),
+        ))
+        .insert_header(("balsam-timeout-ms", options.timeout.as_millis().to_string()));
+    if outgoing.priority != Priority::Normal {
+        request = request.insert_header(("balsam-priority", to_word(&outgoing.priority)));
+    }
+    if let Some(ticket) = outgoing.ticket {
+        request = request.insert_header(("balsam-ticket", ticket));
+        if let Some(service) = &options.service {
+            request = request.insert_header(("balsam-service", service.as_str()));
+        }
+    }
+    let mut response = request.send_body(body(number)).await.ok()?;
+    let bytes = response.body().limit(MAX_ANSWER_BYTES).await.ok()?;
+    let answer: AnswerBody = serde_json::from_slice(&bytes).ok()?;
+    let mixed_up = answer
+        .results
+        .iter()
+        .filter(|result| options.is_echo_checked && result.body.query.number != Some(number));
+    Some(AnswerSummary {
+        outcome: answer.outcome,
+        answered_count: answer.coverage.answered_count,
+        total_count: answer.coverage.total_count,
+        mixed_up_count: u32::try_from(mixed_up.count()).unwrap_or(u32::MAX),
+    })
+}
+
+/// Calls a target directly; tells whether it executed the call.
+pub async fn call_direct(
+    client: Client,
+    address: SocketAddr,
+    timeout: Duration,
+    number: u64,
+) -> bool {
+    let request = client
+        .post(format!("http://{address}/v1/call"))
+        .timeout(timeout)
+        .insert_header(("balsam-call-id", format!("load:0:{number}")))
+        .insert_header(("balsam-idempotent", "true"))
+        .insert_header(("balsam-timeout-ms", timeout.as_millis().to_string()));
+    let Ok(mut response) = request.send_body(body(number)).await else {
+        return false;
+    };
+    let status = response.headers().get("balsam-status");
+    let is_done = status.is_some_and(|status| status == "done");
+    is_done && response.body().await.is_ok()
+}
+
+/// Asks an instance for tickets; returns none if it refuses.
+pub async fn fetch_tickets(client: Client, address: SocketAddr, count: u32) -> Vec<String> {
+    let url = format!("http://{address}/v1/tickets?count={count}");
+    let request = client.post(url).timeout(READ_TIMEOUT);
+    let Ok(mut response) = request.send().await else {
+        return Vec::new();
+    };
+    match response.json::<TicketsBody>().await {
+        Ok(body) => body.tickets,
+        Err(_) => Vec::new(),
+    }
+}
+
+/// Reads the counters of an instance.
+pub async fn read_calls(client: Client, address: SocketAddr) -> Option<Calls> {
+    let request = client.get(format!("http://{address}/metrics"));
+    let mut response = request.timeout(READ_TIMEOUT).send().await.ok()?;
+    let text = response.body().limit(MAX_ANSWER_BYTES).await.ok()?;
+    Some(prometheus::read(std::str::from_utf8(&text).ok()?))
+}
+
+fn body(number: u64) -> Bytes {
+    format!("{{\"number\":{number}}}").into()
+}
--- /dev/null
+++ b/crates/balsamload/src/report.rs
@@ -0,0 +1,191 @@
+//! The report: figures, table, JSON and charts.
+
+mod chart;
+mod table;
+
+use std::{collections::BTreeMap, fs, path::Path};
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use crate::{
+    error::LoadError,
+    options::Options,
+    state::{Second, State},
+};
+
+/// Quantiles that are reported.
+const QUANTILES: [(&str, f64); 7] = [
+    ("p50", 0.5),
+    ("p75", 0.75),
+    ("p90", 0.9),
+    ("p95", 0.95),
+    ("p99", 0.99),
+    ("p99.9", 0.999),
+    ("max", 1.0),
+];
+
+/// The figures of a load.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// Requests asked for in one second.
+    pub rate_per_s: f64,
+    /// Time from the start to the last answer.
+    pub duration_ms: u64,
+    /// Requests sent.
+    pub sent_count: u64,
+    /// Answers with every service.
+    pub complete_count: u64,
+    /// Answers with some services missing.
+    pub partial_count: u64,
+    /// Refusals by reason.
+    pub refusals: BTreeMap<String, u64>,
+    /// Unknown outcomes by reason.
+    pub unknowns: BTreeMap<String, u64>,
+    /// Requests without an answer that could be read.
+    pub failed_count: u64,
+    /// Results that did not repeat their query.
+    pub mixed_up_count: u64,
+    /// Answered services over services asked, all answers together.
+    pub coverage_ratio: f64,
+    /// Hedges and retries over first calls.
+    pub extra_load_ratio: f64,
+    /// Time from the scheduled arrival to the answer.
+    pub latency: Quantiles,
+    /// Time from the sending to the answer.
+    pub service: Quantiles,
+    /// Time of direct calls, if there were any.
+    pub direct: Option<Quantiles>,
+    /// Course by second.
+    pub seconds: Vec<SecondRow>,
+    /// Points of the curve of latencies.
+    #[serde(skip)]
+    pub curve: Vec<CurvePoint>,
+}
+
+/// Quantiles of a time.
+#[derive(Clone, Debug, Serialize)]
+pub struct Quantiles {
+    /// Number of times.
+    pub count: u64,
+    /// Mean in microseconds.
+    pub mean_us: f64,
+    /// Microseconds by quantile.
+    pub quantiles_us: BTreeMap<&'static str, u64>,
+}
+
+/// One second of the load.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct SecondRow {
+    /// Answers that arrived.
+    pub answers_count: u64,
+    /// Requests that failed, were refused or are of unknown outcome.
+    pub unanswered_count: u64,
+    /// Answered services over services asked; 1 without answers.
+    pub coverage_ratio: f64,
+    /// Hedges and retries over first calls.
+    pub extra_load_ratio: f64,
+    /// Longest latency in microseconds.
+    pub latency_max_us: u64,
+}
+
+/// A point of the curve of latencies.
+#[derive(Clone, Copy, Debug)]
+pub struct CurvePoint {
+    /// Number of nines of the quantile: 1 is 90%, 2 is 99%.
+    pub nines: f64,
+    /// Latency.
+    pub latency_ms: f64,
+}
+
+/// Computes the figures.
+pub fn make(options: &Options, state: &State) -> Report {
+    let tally = &state.tally;
+    let seconds: Vec<SecondRow> = tally.seconds.iter().map(second_row).collect();
+    let sum = |value: fn(&Second) -> f64| tally.seconds.iter().map(value).sum();
+    let answered: f64 = sum(|second| second.answered_count as f64);
+    let total: f64 = sum(|second| second.total_count as f64);
+    let primary: f64 = sum(|second| second.calls.primary_count);
+    let extra: f64 = sum(|second| second.calls.hedge_count + second.calls.retry_count);
+    Report {
+        rate_per_s: options.rate_per_s,
+        duration_ms: u64::try_from(state.began_at.elapsed().as_millis()).unwrap_or(u64::MAX),
+        sent_count: state.schedule.arrivals_count,
+        complete_count: tally.complete_count,
+        partial_count: tally.partial_count,
+        refusals: tally.refusals.clone(),
+        unknowns: tally.unknowns.clone(),
+        failed_count: tally.failed_count,
+        mixed_up_count: tally.mixed_up_count,
+        coverage_ratio: ratio(answered, total, 1.0),
+        extra_load_ratio: ratio(extra, primary, 0.0),
+        latency: quantiles(&tally.latency),
+        service: quantiles(&tally.service),
+        direct: options.direct.map(|_| quantiles(&tally.direct)),
+        seconds,
+        curve: curve(&tally.latency),
+    }
+}
+
+/// Writes the reports that were asked for.
+///
+/// # Errors
+///
+/// Returns an error if a file cannot be written.
+pub fn write(options: &Options, report: &Report) -> Result<(), LoadError> {
+    if !options.is_quiet {
+        println!("{}", table::render(report));
+    }
+    if let Some(path) = &options.json {
+        let text = serde_json::to_string_pretty(report).unwrap_or_default();
+        write_file(path, &text)?;
+    }
+    if let Some(path) = &options.svg {
+        write_file(path, &chart::draw(report)?)?;
+    }
+    Ok(())
+}
+
+fn write_file(path: &Path, text: &str) -> Result<(), LoadError> {
+    let written = fs::write(path, text);
+    written.map_err(|error| LoadError::Write(path.display().to_string(), error))
+}
+
+fn quantiles(histogram: &Histogram<u64>) -> Quantiles {
+    let named = QUANTILES.iter();
+    let named = named.map(|&(name, quantile)| (name, histogram.value_at_quantile(quantile)));
+    Quantiles {
+        count: histogram.len(),
+        mean_us: histogram.mean(),
+        quantiles_us: named.collect(),
+    }
+}
+
+fn second_row(second: &Second) -> SecondRow {
+    let calls = &second.calls;
+    let extra = calls.hedge_count + calls.retry_count;
+    SecondRow {
+        answers_count: second.answers_count,
+        unanswered_count: second.unanswered_count,
+        coverage_ratio: ratio(second.answered_count as f64, second.total_count as f64, 1.0),
+        extra_load_ratio: ratio(extra, calls.primary_count, 0.0),
+        latency_max_us: second.latency_max_us,
+    }
+}
+
+/// Returns the latencies at tenths of nines, up to four nines.
+fn curve(histogram: &Histogram<u64>) -> Vec<CurvePoint> {
+    let points = (0..=40).map(|tenth| {
+        let nines = f64::from(tenth) / 10.0;
+        let quantile = 1.0 - 10_f64.powf(-nines);
+        CurvePoint {
+            nines,
+            latency_ms: histogram.value_at_quantile(quantile) as f64 / 1000.0,
+        }
+    });
+    points.collect()
+}
+
+fn ratio(part: f64, whole: f64, fallback: f64) -> f64 {
+    if whole > 0.0 { part / whole } else { fallback }
+}
--- /dev/null
+++ b/crates/balsamload/src/report/chart.rs
@@ -0,0 +1,108 @@
+//! The report as charts in SVG.
+
+use plotters::{
+    coord::Shift,
+    prelude::{
+        BLUE, ChartBuilder, DrawingArea, IntoDrawingArea, LineSeries, RED, SVGBackend, WHITE,
+    },
+    style::RGBColor,
+};
+
+use super::Report;
+use crate::error::LoadError;
+
+/// Width and height of all charts together.
+const SIZE_PIXELS: (u32, u32) = (900, 1050);
+/// Charts, one below the other.
+const CHARTS_COUNT: usize = 3;
+const LABEL_AREA_PIXELS: u32 = 55;
+const MARGIN_PIXELS: u32 = 12;
+const TITLE_PIXELS: u32 = 18;
+
+type Area<'a> = DrawingArea<SVGBackend<'a>, Shift>;
+
+/// One line of a chart.
+struct Line {
+    title: &'static str,
+    x_label: &'static str,
+    y_label: &'static str,
+    color: RGBColor,
+    points: Vec<(f64, f64)>,
+}
+
+/// Draws the curve of latencies, and coverage and extra load by second.
+///
+/// # Errors
+///
+/// Returns an error if a chart cannot be drawn.
+pub fn draw(report: &Report) -> Result<String, LoadError> {
+    let mut svg = String::new();
+    {
+        let root = SVGBackend::with_string(&mut svg, SIZE_PIXELS).into_drawing_area();
+        root.fill(&WHITE).map_err(failed)?;
+        let areas = root.split_evenly((CHARTS_COUNT, 1));
+        for (area, line) in areas.iter().zip(lines(report)) {
+            draw_line(area, &line)?;
+        }
+        root.present().map_err(failed)?;
+    }
+    Ok(svg)
+}
+
+fn lines(report: &Report) -> [Line; CHARTS_COUNT] {
+    let curve = report.curve.iter();
+    let curve = curve.map(|point| (point.nines, point.latency_ms));
+    let seconds = || report.seconds.iter().enumerate();
+    let coverage = seconds().map(|(second, row)| (second as f64, row.coverage_ratio));
+    let extra = seconds().map(|(second, row)| (second as f64, row.extra_load_ratio));
+    [
+        Line {
+            title: "Latency from scheduled arrival",
+            x_label: "nines of the quantile (1 = 90 %, 2 = 99 %, 3 = 99.9 %)",
+            y_label: "ms",
+            color: BLUE,
+            points: curve.collect(),
+        },
+        Line {
+            title: "Coverage by second",
+            x_label: "s",
+            y_label: "answered / asked",
+            color: BLUE,
+            points: coverage.collect(),
+        },
+        Line {
+            title: "Extra load by second",
+            x_label: "s",
+            y_label: "hedges and retries / first calls",
+            color: RED,
+            points: extra.collect(),
+        },
+    ]
+}
+
+fn draw_line(area: &Area<'_>, line: &Line) -> Result<(), LoadError> {
+    let x_max = line.points.iter().map(|point| point.0).fold(1.0, f64::max);
+    let y_max = line.points.iter().map(|point| point.1).fold(0.01, f64::max);
+    let mut chart = ChartBuilder::on(area)
+        .caption(line.title, ("sans-serif", TITLE_PIXELS))
+        .margin(MARGIN_PIXELS)
+        .x_label_area_size(LABEL_AREA_PIXELS)
+        .y_label_area_size(LABEL_AREA_PIXELS)
+        .build_cartesian_2d(0.0..x_max, 0.0..y_max * 1.1)
+        .map_err(failed)?;
+    chart
+        .configure_mesh()
+        .x_desc(line.x_label)
+        .y_desc(line.y_label)
+        .draw()
+        .map_err(failed)?;
+    let points = line.points.iter().copied();
+    chart
+        .draw_series(LineSeries::new(points, &line.color))
+        .map_err(failed)?;
+    Ok(())
+}
+
+fn failed(error: impl std::fmt::Display) -> LoadError {
+    LoadError::Draw(error.to_string())
+}
--- /dev/null
+++ b/crates/balsamload/src/report/table.rs
@@ -0,0 +1,52 @@
+//! The report as a table.
+
+use comfy_table::{Table, presets::UTF8_FULL_CONDENSED};
+
+use super::{QUANTILES, Quantiles, Report};
+
+/// Returns the report as text.
+pub fn render(report: &Report) -> String {
+    let mut table = Table::new();
+    table.load_style(UTF8_FULL_CONDENSED);
+    let mut header = vec!["time in ms".to_owned(), "count".to_owned()];
+    header.extend(QUANTILES.iter().map(|(name, _)| (*name).to_owned()));
+    table.set_header(header);
+    table.add_row(row("latency from scheduled arrival", &report.latency));
+    table.add_row(row("service time from sending", &report.service));
+    if let Some(direct) = &report.direct {
+        table.add_row(row("direct call", direct));
+    }
+    let mut text = table.to_string();
+    for (name, value) in lines(report) {
+        text.push_str(&format!("\n{name:<22} {value}"));
+    }
+    text
+}
+
+fn lines(report: &Report) -> Vec<(&'static str, String)> {
+    let mut lines = vec![
+        ("requests", report.sent_count.to_string()),
+        ("complete answers", report.complete_count.to_string()),
+        ("partial answers", report.partial_count.to_string()),
+        ("failed", report.failed_count.to_string()),
+        ("mixed-up results", report.mixed_up_count.to_string()),
+        ("coverage", format!("{:.4}", report.coverage_ratio)),
+        ("extra load", format!("{:.4}", report.extra_load_ratio)),
+    ];
+    for (reason, count) in &report.refusals {
+        lines.push(("refused", format!("{count} ({reason})")));
+    }
+    for (reason, count) in &report.unknowns {
+        lines.push(("outcome unknown", format!("{count} ({reason})")));
+    }
+    lines
+}
+
+fn row(name: &str, quantiles: &Quantiles) -> Vec<String> {
+    let mut cells = vec![name.to_owned(), quantiles.count.to_string()];
+    cells.extend(QUANTILES.iter().map(|(name, _)| {
+        let micros = quantiles.quantiles_us.get(name).copied().unwrap_or(0);
+        format!("{:.2}", micros as f64 / 1000.0)
+    }));
+    cells
+}
--- /dev/null
+++ b/crates/balsamload/src/state.rs
@@ -0,0 +1,136 @@
+//! What has been sent and what has come back.
+
+use std::{collections::BTreeMap, time::Instant};
+
+use hdrhistogram::Histogram;
+use slotmap::SlotMap;
+
+use crate::{
+    error::LoadError,
+    event::{Calls, RequestKey},
+    options::Options,
+    schedule::{self, Arrival, Schedule},
+};
+
+/// Longest latency that is told apart, in microseconds.
+const LATENCY_MAX_US: u64 = 600_000_000;
+/// Significant digits of a latency.
+const LATENCY_DIGITS: u8 = 3;
+
+/// Everything that the program knows.
+#[derive(Clone, Debug)]
+pub struct State {
+    /// What load was asked for.
+    pub options: Options,
+    /// The schedule.
+    pub schedule: Schedule,
+    /// When the load began.
+    pub began_at: Instant,
+    /// Requests whose end is awaited.
+    pub sent: SlotMap<RequestKey, Sent>,
+    /// Tickets by instance, and the arrivals that wait for one.
+    pub tickets: Vec<Tickets>,
+    /// Last counters by instance.
+    pub calls: Vec<Option<Calls>>,
+    /// Whether the end has been noted.
+    pub is_finished: bool,
+    /// What has come back.
+    pub tally: Tally,
+}
+
+/// A request whose end is awaited.
+#[derive(Clone, Copy, Debug)]
+pub struct Sent {
+    /// When it was due.
+    pub due_at: Instant,
+    /// When it was sent.
+    pub sent_at: Instant,
+}
+
+/// Tickets of one instance.
+#[derive(Clone, Debug, Default)]
+pub struct Tickets {
+    /// Tickets that are not used yet.
+    pub free: Vec<String>,
+    /// Arrivals that wait for a ticket.
+    pub waiting: Vec<Arrival>,
+    /// Whether tickets have been asked for.
+    pub is_asked: bool,
+}
+
+/// What has come back.
+#[derive(Clone, Debug)]
+pub struct Tally {
+    /// Time from the scheduled arrival to the answer.
+    pub latency: Histogram<u64>,
+    /// Time from the sending to the answer.
+    pub service: Histogram<u64>,
+    /// Time from the sending of a direct call to its reply.
+    pub direct: Histogram<u64>,
+    /// Answers with every service.
+    pub complete_count: u64,
+    /// Answers with some services missing.
+    pub partial_count: u64,
+    /// Refusals by reason.
+    pub refusals: BTreeMap<String, u64>,
+    /// Unknown outcomes by reason.
+    pub unknowns: BTreeMap<String, u64>,
+    /// Requests without an answer that could be read.
+    pub failed_count: u64,
+    /// Results that did not repeat their query.
+    pub mixed_up_count: u64,
+    /// Course of the load by second.
+    pub seconds: Vec<Second>,
+}
+
+/// One second of the load.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Second {
+    /// Answers that arrived.
+    pub answers_count: u64,
+    /// Services in them.
+    pub answered_count: u64,
+    /// Services asked for them.
+    pub total_count: u64,
+    /// Requests that failed, were refused or are of unknown outcome.
+    pub unanswered_count: u64,
+    /// Longest latency, in microseconds.
+    pub latency_max_us: u64,
+    /// Calls that the instances sent.
+    pub calls: Calls,
+}
+
+/// Returns the state of a load that begins now.
+///
+/// # Errors
+///
+/// Returns an error if latencies cannot be counted.
+pub fn open(options: &Options, now: Instant) -> Result<State, LoadError> {
+    let instances_count = options.instances.len();
+    Ok(State {
+        options: options.clone(),
+        schedule: schedule::open(options, now),
+        began_at: now,
+        sent: SlotMap::with_key(),
+        tickets: vec![Tickets::default(); instances_count],
+        calls: vec![None; options.operators.len()],
+        is_finished: false,
+        tally: Tally {
+            latency: histogram()?,
+            service: histogram()?,
+            direct: histogram()?,
+            complete_count: 0,
+            partial_count: 0,
+            refusals: BTreeMap::new(),
+            unknowns: BTreeMap::new(),
+            failed_count: 0,
+            mixed_up_count: 0,
+            seconds: Vec::new(),
+        },
+    })
+}
+
+fn histogram() -> Result<Histogram<u64>, LoadError> {
+    Histogram::new_with_bounds(1, LATENCY_MAX_US, LATENCY_DIGITS)
+        .map_err(|error| LoadError::Histogram(error.to_string()))
+}
--- /dev/null
+++ b/crates/balsamload/src/tests/counting.rs
@@ -0,0 +1,103 @@
+//! Tests of what is counted.
+
+use std::time::{Duration, Instant};
+
+use model::{NotRunReason, Outcome, UnknownReason};
+use rstest::rstest;
+
+use super::fixture::{feed, open, options, sent};
+use crate::{
+    event::{AnswerSummary, Calls, Effect, Event},
+    prometheus,
+};
+
+const ANSWER: AnswerSummary = AnswerSummary {
+    outcome: Outcome::Ran,
+    answered_count: 20,
+    total_count: 20,
+    mixed_up_count: 0,
+};
+
+#[test]
+fn latency_counts_from_the_scheduled_arrival() {
+    let now = Instant::now();
+    let mut state = open(&options(), now);
+    let due = state.schedule.next_at;
+    let late = due + Duration::from_millis(300);
+    let request = sent(&feed(&mut state, late, Event::ArrivalDue))[0];
+    let answered = late + Duration::from_millis(100);
+    let event = Event::Answered {
+        request,
+        answer: ANSWER,
+    };
+    feed(&mut state, answered, event);
+    let latency_us = state.tally.latency.max();
+    let service_us = state.tally.service.max();
+    assert!((400_000..401_000).contains(&latency_us), "{latency_us}");
+    assert!((100_000..101_000).contains(&service_us), "{service_us}");
+}
+
+#[rstest]
+#[case::partial(AnswerSummary { answered_count: 19, ..ANSWER }, [0, 1, 0, 0])]
+#[case::complete(ANSWER, [1, 0, 0, 0])]
+#[case::refused(
+    AnswerSummary { outcome: Outcome::NotRun(NotRunReason::Overloaded), ..ANSWER },
+    [0, 0, 1, 0]
+)]
+#[case::unknown(
+    AnswerSummary { outcome: Outcome::Unknown(UnknownReason::OwnerGone), ..ANSWER },
+    [0, 0, 0, 1]
+)]
+fn an_answer_is_counted_once(#[case] answer: AnswerSummary, #[case] expected: [u64; 4]) {
+    let now = Instant::now();
+    let mut state = open(&options(), now);
+    let late = now + Duration::from_secs(1);
+    let request = sent(&feed(&mut state, late, Event::ArrivalDue))[0];
+    for _ in 0..2 {
+        feed(&mut state, late, Event::Answered { request, answer });
+    }
+    let tally = &state.tally;
+    let counted = [
+        tally.complete_count,
+        tally.partial_count,
+        tally.refusals.values().sum(),
+        tally.unknowns.values().sum(),
+    ];
+    assert_eq!(counted, expected);
+}
+
+#[test]
+fn the_load_ends_with_the_last_reply() {
+    let now = Instant::now();
+    let mut state = open(&options(), now);
+    let late = now + Duration::from_secs(2);
+    let requests = sent(&feed(&mut state, late, Event::ArrivalDue));
+    let mut ends = 0;
+    for request in requests {
+        let out = feed(&mut state, late, Event::Failed { request });
+        ends += out.iter().filter(|one| **one == Effect::Finish).count();
+    }
+    assert_eq!(ends, 1);
+    assert_eq!(state.tally.failed_count, state.schedule.arrivals_count);
+}
+
+#[test]
+fn the_extra_load_is_what_the_counters_have_grown_by() {
+    let text = "# HELP x\nbalsamd_primary_calls_total{otel_scope_name=\"balsamd\"} 200\n\
+                balsamd_hedge_calls_total 3\nbalsamd_retry_calls_total 1\n";
+    let after = prometheus::read(text);
+    let before = Calls {
+        primary_count: 100.0,
+        ..Calls::default()
+    };
+    let now = Instant::now();
+    let mut state = open(&options(), now);
+    for calls in [before, after] {
+        feed(&mut state, now, Event::CallsRead { instance: 0, calls });
+    }
+    let calls = state.tally.seconds[0].calls;
+    assert_eq!(
+        (calls.primary_count, calls.hedge_count, calls.retry_count),
+        (100.0, 3.0, 1.0)
+    );
+}
--- /dev/null
+++ b/crates/balsamload/src/tests/schedule.rs
@@ -0,0 +1,66 @@
+//! Tests of the schedule.
+
+use std::time::{Duration, Instant};
+
+use super::fixture::{feed, open, options, sent};
+use crate::event::{Effect, Event};
+
+#[test]
+fn arrivals_do_not_wait_for_replies() {
+    let now = Instant::now();
+    let mut state = open(&options(), now);
+    feed(&mut state, now, Event::Started);
+    let out = feed(&mut state, now + Duration::from_secs(2), Event::ArrivalDue);
+    let count = sent(&out).len();
+    assert!((60..140).contains(&count), "{count} of about 100 arrivals");
+    assert!(!out.contains(&Effect::Finish));
+}
+
+#[test]
+fn the_same_seed_gives_the_same_schedule() {
+    let now = Instant::now();
+    let run = || {
+        let mut state = open(&options(), now);
+        feed(&mut state, now + Duration::from_secs(2), Event::ArrivalDue)
+    };
+    assert_eq!(run(), run());
+}
+
+#[test]
+fn a_request_that_runs_once_waits_for_its_ticket() {
+    let now = Instant::now();
+    let options = crate::options::Options {
+        once_percent: 100,
+        ..options()
+    };
+    let mut state = open(&options, now);
+    feed(&mut state, now, Event::Started);
+    let later = now + Duration::from_secs(2);
+    assert!(sent(&feed(&mut state, later, Event::ArrivalDue)).is_empty());
+    let tickets = ["t-1".to_owned(), "t-2".to_owned()];
+    let event = Event::Tickets {
+        instance: 0,
+        tickets: &tickets,
+    };
+    assert_eq!(sent(&feed(&mut state, later, event)).len(), 2);
+}
+
+#[test]
+fn requests_without_a_ticket_fail() {
+    let now = Instant::now();
+    let options = crate::options::Options {
+        once_percent: 100,
+        ..options()
+    };
+    let mut state = open(&options, now);
+    feed(&mut state, now, Event::Started);
+    let later = now + Duration::from_secs(2);
+    feed(&mut state, later, Event::ArrivalDue);
+    let event = Event::Tickets {
+        instance: 0,
+        tickets: &[],
+    };
+    let out = feed(&mut state, later, event);
+    assert_eq!(state.tally.failed_count, state.schedule.arrivals_count);
+    assert!(out.contains(&Effect::Finish));
+}
