Add the demonstration, a status of instances and gauges

cargo xtask demo runs three instances under load, slows a target, takes a zone out and back, and ends with 0 only if every promise held.

/status and the gauges of /metrics come from one view of the state.

Seen: with 30 queries a second no call to the slow target was hedged in 3 s, because an instance needs 64 calls of a service before it knows what late is.

--- a/crates/balsamd/src/main.rs
+++ b/crates/balsamd/src/main.rs
@@ -17,6 +17,7 @@
 mod operators;
 mod peers;
 mod platform;
+mod reports;
 mod shell;
 mod targets;
 mod timers;
--- a/crates/balsamd/src/metrics.rs
+++ b/crates/balsamd/src/metrics.rs
@@ -1,11 +1,12 @@
-//! Counters of the reducer as OpenTelemetry metrics in Prometheus text.
+//! Counters and status of the reducer as OpenTelemetry metrics in Prometheus text.
 
 use std::collections::BTreeMap;
 
 use model::{Counter, to_word};
-use opentelemetry::metrics::{Meter, MeterProvider};
+use opentelemetry::metrics::{Gauge, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
+use tier::Status;
 
 use crate::error::StartError;
 
@@ -41,6 +42,52 @@
     })
 }
 
+/// Takes one value out of a status.
+type ReadStatus = fn(&Status) -> u64;
+
+/// What the status of an instance shows as gauges.
+#[derive(Clone, Debug)]
+pub struct Gauges {
+    gauges: Vec<(Gauge<u64>, ReadStatus)>,
+}
+
+/// Age that is shown if nobody has confirmed the revision.
+const NEVER_CONFIRMED_MS: u64 = u64::MAX;
+
+/// Creates the gauges, which [`set_gauges`] sets whenever the metrics are read.
+pub fn open_gauges(metrics: &Metrics) -> Gauges {
+    let values: [(&str, ReadStatus); 10] = [
+        ("revision", |status| status.revision),
+        ("confirmed_ms", |status| {
+            status.confirmed_ms.unwrap_or(NEVER_CONFIRMED_MS)
+        }),
+        ("ready", |status| u64::from(status.is_ready)),
+        ("leaving", |status| u64::from(status.is_leaving)),
+        ("queries_running", |status| status.running_count),
+        ("queries_waiting", |status| status.waiting_count),
+        ("calls_in_flight", |status| status.calls_count),
+        ("members", |status| status.members_count),
+        ("targets", |status| status.targets_count),
+        ("targets_unreachable", |status| {
+            status.unreachable_targets_count
+        }),
+    ];
+    let gauges = values.map(|(name, value)| {
+        let name = format!("balsamd_{name}");
+        (metrics.meter.u64_gauge(name).build(), value)
+    });
+    Gauges {
+        gauges: gauges.into(),
+    }
+}
+
+/// Sets the gauges to what a status says.
+pub fn set_gauges(gauges: &Gauges, status: &Status) {
+    for (gauge, value) in &gauges.gauges {
+        gauge.record(value(status), &[]);
+    }
+}
+
 /// Adds to a counter.
 pub fn add(metrics: &mut Metrics, counter: Counter, amount_count: u64) {
     let meter = &metrics.meter;
--- a/crates/balsamd/src/operators.rs
+++ b/crates/balsamd/src/operators.rs
@@ -11,8 +11,9 @@
 
 use crate::{
     error::StartError,
-    metrics,
-    shell::{DumpWanted, Shell},
+    metrics::{self, Gauges},
+    reports::{DumpWanted, StatusWanted},
+    shell::Shell,
     waits::ReadyWanted,
 };
 
@@ -23,6 +24,7 @@
 struct Context {
     shell: Addr<Shell>,
     registry: Registry,
+    gauges: Gauges,
 }
 
 /// Serves the operators' port until the process ends.
@@ -33,15 +35,21 @@
 pub fn spawn(
     shell: Addr<Shell>,
     registry: Registry,
+    gauges: Gauges,
     listen: &settings::Listen,
 ) -> Result<(), StartError> {
-    let context = Context { shell, registry };
+    let context = Context {
+        shell,
+        registry,
+        gauges,
+    };
     let server = HttpServer::new(move || {
         App::new()
             .app_data(web::Data::new(context.clone()))
             .route("/live", web::get().to(live))
             .route("/ready", web::get().to(ready))
             .route("/metrics", web::get().to(export_metrics))
+            .route("/status", web::get().to(status))
             .route("/state", web::get().to(state))
     });
     let server = server
@@ -79,6 +87,10 @@
 }
 
 async fn export_metrics(context: web::Data<Context>) -> HttpResponse {
+    let Ok(status) = context.shell.send(StatusWanted).await else {
+        return HttpResponse::ServiceUnavailable().body("the instance has stopped\n");
+    };
+    metrics::set_gauges(&context.gauges, &status.0);
     match metrics::export(&context.registry) {
         Ok(text) => HttpResponse::Ok()
             .content_type("text/plain; version=0.0.4")
@@ -87,6 +99,13 @@
     }
 }
 
+async fn status(context: web::Data<Context>) -> HttpResponse {
+    match context.shell.send(StatusWanted).await {
+        Ok(status) => HttpResponse::Ok().json(status.0),
+        Err(error) => HttpResponse::InternalServerError().body(error.to_string()),
+    }
+}
+
 async fn state(context: web::Data<Context>) -> HttpResponse {
     match context.shell.send(DumpWanted).await {
         Ok(dump) => HttpResponse::Ok()
--- a/crates/balsamd/src/shell.rs
+++ b/crates/balsamd/src/shell.rs
@@ -71,6 +71,7 @@
     let limits = settings.query.clone();
     let metrics = metrics::open()?;
     let registry = metrics::registry(&metrics);
+    let gauges = metrics::open_gauges(&metrics);
     let incarnation = incarnation();
     let origin = format!("{}:{incarnation}", settings.instance.name);
     let user_agent = format!("balsamd/{}", settings.instance.name);
@@ -97,7 +98,7 @@
     };
     let address = shell.start();
     callers::spawn(address.clone(), &listen, &limits)?;
-    operators::spawn(address.clone(), registry, &listen)?;
+    operators::spawn(address.clone(), registry, gauges, &listen)?;
     peers::spawn_listener(address.clone(), peers);
     spawn_signals(address)?;
     logs::write(&listening(&listen));
@@ -396,17 +397,3 @@
         handle(self, context, Event::Leave);
     }
 }
-
-/// Asks for the state of the process in JSON.
-#[derive(Debug, Message)]
-#[rtype(result = "String")]
-pub struct DumpWanted;
-
-impl Handler<DumpWanted> for Shell {
-    type Result = String;
-
-    fn handle(&mut self, _: DumpWanted, _: &mut Self::Context) -> String {
-        let dump = serde_json::to_string_pretty(&tier::dump(&self.state));
-        dump.unwrap_or_else(|error| format!("{{\"error\": \"{error}\"}}"))
-    }
-}
--- a/crates/balsamload/src/client.rs
+++ b/crates/balsamload/src/client.rs
@@ -5,7 +5,7 @@
 use awc::{Client, Connector};
 use bytes::Bytes;
 use model::{Outcome, Priority, to_word};
-use serde::Deserialize;
+use serde::{Deserialize, de::IgnoredAny};
 
 use crate::{
     event::{AnswerSummary, Calls, Outgoing},
@@ -32,6 +32,8 @@
 struct CoverageBody {
     answered_count: u32,
     total_count: u32,
+    #[serde(default)]
+    missing: Vec<IgnoredAny>,
 }
 
 #[derive(Deserialize)]
@@ -96,12 +98,21 @@
         .filter(|result| options.is_echo_checked && result.body.query.number != Some(number));
     Some(AnswerSummary {
         outcome: answer.outcome,
+        is_coverage_true: is_coverage_true(&answer),
         answered_count: answer.coverage.answered_count,
         total_count: answer.coverage.total_count,
         mixed_up_count: u32::try_from(mixed_up.count()).unwrap_or(u32::MAX),
     })
 }
 
+/// Tells whether the counts of an answer agree with its results and its missing services.
+fn is_coverage_true(answer: &AnswerBody) -> bool {
+    let coverage = &answer.coverage;
+    let missing_count = coverage.total_count.checked_sub(coverage.answered_count);
+    answer.results.len() == coverage.answered_count as usize
+        && missing_count.is_some_and(|count| count as usize == coverage.missing.len())
+}
+
 /// Calls a target directly; tells whether it executed the call.
 pub async fn call_direct(
     client: Client,
--- a/crates/balsamload/src/commands.rs
+++ b/crates/balsamload/src/commands.rs
@@ -17,7 +17,7 @@
         .descr("Open-loop load for a fleet")
         .footer(
             "Exit codes: 0 every request was answered or refused; 1 the load could not be run; \
-             3 requests failed or results were mixed up",
+             3 requests failed, results were mixed up or coverage was untrue",
         )
         .run()
 }
@@ -36,7 +36,7 @@
         eprintln!("error: {error}");
         return ExitCode::FAILURE;
     }
-    if report.failed_count + report.mixed_up_count > 0 {
+    if report.failed_count + report.mixed_up_count + report.untrue_count > 0 {
         return ExitCode::from(EXIT_FAILED_REQUESTS);
     }
     ExitCode::SUCCESS
--- a/crates/balsamload/src/event.rs
+++ b/crates/balsamload/src/event.rs
@@ -21,6 +21,8 @@
     pub total_count: u32,
     /// Results that do not repeat the query.
     pub mixed_up_count: u32,
+    /// Whether the stated coverage agrees with the results.
+    pub is_coverage_true: bool,
 }
 
 /// Counters of an instance that show the extra load.
--- a/crates/balsamload/src/reduce.rs
+++ b/crates/balsamload/src/reduce.rs
@@ -160,6 +160,7 @@
     let service_us = micros(now.saturating_duration_since(sent.sent_at));
     let tally = &mut state.tally;
     tally.mixed_up_count += u64::from(answer.mixed_up_count);
+    tally.untrue_count += u64::from(!answer.is_coverage_true);
     let is_answered = match answer.outcome {
         Outcome::Ran if answer.answered_count == answer.total_count => {
             tally.complete_count += 1;
--- a/crates/balsamload/src/report.rs
+++ b/crates/balsamload/src/report.rs
@@ -46,6 +46,8 @@
     pub failed_count: u64,
     /// Results that did not repeat their query.
     pub mixed_up_count: u64,
+    /// Answers whose coverage disagrees with their results.
+    pub untrue_count: u64,
     /// Answered services over services asked, all answers together.
     pub coverage_ratio: f64,
     /// Hedges and retries over first calls.
@@ -117,6 +119,7 @@
         unknowns: tally.unknowns.clone(),
         failed_count: tally.failed_count,
         mixed_up_count: tally.mixed_up_count,
+        untrue_count: tally.untrue_count,
         coverage_ratio: ratio(answered, total, 1.0),
         extra_load_ratio: ratio(extra, primary, 0.0),
         latency: quantiles(&tally.latency),
--- a/crates/balsamload/src/report/table.rs
+++ b/crates/balsamload/src/report/table.rs
@@ -30,6 +30,7 @@
         ("partial answers", report.partial_count.to_string()),
         ("failed", report.failed_count.to_string()),
         ("mixed-up results", report.mixed_up_count.to_string()),
+        ("untrue coverage", report.untrue_count.to_string()),
         ("coverage", format!("{:.4}", report.coverage_ratio)),
         ("extra load", format!("{:.4}", report.extra_load_ratio)),
     ];
--- a/crates/balsamload/src/state.rs
+++ b/crates/balsamload/src/state.rs
@@ -79,6 +79,8 @@
     pub failed_count: u64,
     /// Results that did not repeat their query.
     pub mixed_up_count: u64,
+    /// Answers whose coverage disagrees with their results.
+    pub untrue_count: u64,
     /// Course of the load by second.
     pub seconds: Vec<Second>,
 }
@@ -125,6 +127,7 @@
             unknowns: BTreeMap::new(),
             failed_count: 0,
             mixed_up_count: 0,
+            untrue_count: 0,
             seconds: Vec::new(),
         },
     })
--- a/crates/balsamload/src/tests/counting.rs
+++ b/crates/balsamload/src/tests/counting.rs
@@ -16,6 +16,7 @@
     answered_count: 20,
     total_count: 20,
     mixed_up_count: 0,
+    is_coverage_true: true,
 };
 
 #[test]
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -20,6 +20,7 @@
 mod request;
 mod settle;
 mod state;
+mod status;
 mod tick;
 mod ticket;
 
@@ -29,3 +30,4 @@
 pub use dump::{Dump, dump};
 pub use reduce::reduce;
 pub use state::{State, is_ready, open, revision};
+pub use status::{Status, status};
--- /dev/null
+++ b/crates/tier/src/status.rs
@@ -0,0 +1,69 @@
+//! What operators want to know about an instance at a glance.
+
+use std::time::{Duration, Instant};
+
+use model::Revision;
+use serde::Serialize;
+
+use crate::{State, is_ready, revision};
+
+/// What operators want to know about an instance at a glance.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Status {
+    /// Name of the instance.
+    pub name: String,
+    /// Availability zone of the instance.
+    pub zone: String,
+    /// Accepted revision, or 0.
+    pub revision: Revision,
+    /// Age of the newest confirmation of the revision; nothing if nobody has confirmed it.
+    pub confirmed_ms: Option<u64>,
+    /// Whether the instance should receive requests.
+    pub is_ready: bool,
+    /// Whether the instance is shutting down.
+    pub is_leaving: bool,
+    /// Queries that run.
+    pub running_count: u64,
+    /// Queries that wait for admission.
+    pub waiting_count: u64,
+    /// Calls to targets whose end is awaited.
+    pub calls_count: u64,
+    /// Other instances that are known.
+    pub members_count: u64,
+    /// Targets of the accepted configuration.
+    pub targets_count: u64,
+    /// Targets that cannot be reached.
+    pub unreachable_targets_count: u64,
+}
+
+/// Returns the status of an instance.
+pub fn status(state: &State, now: Instant) -> Status {
+    let lanes = state.admission.lanes.values();
+    let running = lanes.clone().map(|lane| u64::from(lane.running_count));
+    let waiting = lanes.flat_map(|lane| &lane.queues);
+    let waiting_count: usize = waiting.map(|queue| queue.len()).sum();
+    let targets = state.routes.targets.values();
+    let unreachable = targets.filter(|target| target.reach.is_unreachable);
+    Status {
+        name: state.settings.instance.name.clone(),
+        zone: state.settings.instance.zone.clone(),
+        revision: revision(state),
+        confirmed_ms: millis(fleet::freshness_age(&state.fleet, now)),
+        is_ready: is_ready(state),
+        is_leaving: state.fleet.is_leaving,
+        running_count: running.sum(),
+        waiting_count: waiting_count as u64,
+        calls_count: state.queries.calls.len() as u64,
+        members_count: state.fleet.members.len() as u64,
+        targets_count: state.routes.targets.len() as u64,
+        unreachable_targets_count: unreachable.count() as u64,
+    }
+}
+
+/// Returns whole milliseconds, or nothing for a time without end.
+fn millis(duration: Duration) -> Option<u64> {
+    if duration == Duration::MAX {
+        return None;
+    }
+    u64::try_from(duration.as_millis()).ok()
+}
--- /dev/null
+++ b/xtask/src/demo/step.rs
@@ -0,0 +1,172 @@
+//! Carrying out a step.
+
+use std::{process::Stdio, time::Instant};
+
+use note::ZoneState;
+use rig::Rig;
+use serde_json::{Value, json};
+use tokio::process::{Child, Command};
+
+use super::{
+    observe::{Counts, Mark, Observation},
+    script::{LOAD, SLOW_TARGET, Step, ZONE},
+};
+use crate::error::TaskError;
+
+/// File with the report of the load, in the rig's directory.
+const REPORT_FILE: &str = "load.json";
+
+/// What runs beside the steps.
+#[derive(Debug, Default)]
+pub struct Running {
+    load: Option<Child>,
+}
+
+/// Carries out a step and returns what it observed.
+pub async fn run(
+    rig: &mut Rig,
+    running: &mut Running,
+    step: &Step,
+    seconds: f64,
+) -> Result<Observation, TaskError> {
+    match *step {
+        Step::Say(text) => println!("\n{seconds:5.1} s  {text}"),
+        Step::Query => return query(rig).await,
+        Step::StartLoad => running.load = Some(start_load(rig)?),
+        Step::SetLatency { latency_ms } => {
+            rig::steer_target(rig, SLOW_TARGET, &json!({"latency_ms": latency_ms})).await?;
+        }
+        Step::SetZone(state) => return set_zone(rig, state).await,
+        Step::Sleep(duration) => tokio::time::sleep(duration).await,
+        Step::Note(mark) => return Ok(Observation::Counts(mark, counts(rig, mark).await?)),
+        Step::Status => status(rig).await?,
+        Step::AwaitLoad => return await_load(rig, running).await,
+    }
+    Ok(Observation::Done)
+}
+
+async fn query(rig: &Rig) -> Result<Observation, TaskError> {
+    let began = Instant::now();
+    let reply = rig::query(rig, 0, "contract-desk", &[], "{\"lot\": 7}").await?;
+    let took = began.elapsed();
+    println!(
+        "         {}, {} of {} services, snapshot {}, {:.1} ms",
+        reply.body["outcome"]["state"],
+        reply.body["coverage"]["answered_count"],
+        reply.body["coverage"]["total_count"],
+        reply.body["snapshot"],
+        took.as_secs_f64() * 1000.0,
+    );
+    Ok(Observation::Answer(reply.body))
+}
+
+fn start_load(rig: &Rig) -> Result<Child, TaskError> {
+    let mut command = Command::new(rig.programs.join("balsamload"));
+    for one in &rig.instances {
+        command.arg("--instance").arg(one.callers.to_string());
+        command.arg("--operators").arg(one.operators.to_string());
+    }
+    command.args(["--front", "contract-desk", "--rate", "60", "--check-echo"]);
+    command.args(["--timeout-ms", "1000", "--quiet"]);
+    command.arg("--duration-s").arg(LOAD.as_secs().to_string());
+    command
+        .arg("--json")
+        .arg(rig.directory.path().join(REPORT_FILE));
+    command.stdin(Stdio::null()).kill_on_drop(true);
+    let child = command.spawn();
+    child.map_err(|error| TaskError::File("balsamload".to_owned(), error))
+}
+
+async fn set_zone(rig: &mut Rig, state: ZoneState) -> Result<Observation, TaskError> {
+    let began = Instant::now();
+    let revision = rig::publish(rig, |fleet| {
+        let zones = fleet.zones.iter_mut().filter(|zone| zone.name == ZONE);
+        zones.for_each(|zone| zone.state = state);
+    })
+    .await?;
+    for instance in 0..rig.instances.len() {
+        rig::wait_ready(rig, instance, revision).await?;
+    }
+    let after = began.elapsed();
+    println!(
+        "         revision {revision} in force everywhere after {} ms",
+        after.as_millis()
+    );
+    Ok(Observation::InForce(after))
+}
+
+async fn counts(rig: &Rig, mark: Mark) -> Result<Counts, TaskError> {
+    let reports = rig::target_reports(rig).await?;
+    let reports: Vec<&Value> = reports
+        .as_object()
+        .into_iter()
+        .flat_map(|all| all.values())
+        .collect();
+    let in_zone = reports.iter().filter(|report| report["zone"] == ZONE);
+    let received = in_zone.filter_map(|report| report["counts"]["received_count"].as_u64());
+    let excess = reports
+        .iter()
+        .filter_map(|report| report["counts"]["cold_excess_count"].as_u64());
+    let mut hedges_count = 0.0;
+    for instance in 0..rig.instances.len() {
+        let metrics = rig::metrics(rig, instance).await?;
+        let hedges = metrics.get("balsamd_hedge_calls_total");
+        hedges_count += hedges.copied().unwrap_or(0.0);
+    }
+    let counts = Counts {
+        zone_received_count: received.sum(),
+        cold_excess_count: excess.sum(),
+        connections_ratio: reports
+            .iter()
+            .map(|one| connections_ratio(one))
+            .fold(0.0, f64::max),
+        hedges_count,
+    };
+    println!(
+        "         {mark:?}: zone {ZONE} has received {} calls, {} hedges so far",
+        counts.zone_received_count, counts.hedges_count
+    );
+    Ok(counts)
+}
+
+fn connections_ratio(report: &Value) -> f64 {
+    let peak = report["counts"]["connections_peak_count"].as_f64();
+    let refused = report["counts"]["connections_refused_count"].as_f64();
+    let limit = report["behaviour"]["connections_max_count"].as_f64();
+    let wanted = peak.unwrap_or(0.0) + refused.unwrap_or(0.0);
+    wanted / limit.unwrap_or(1.0)
+}
+
+async fn status(rig: &Rig) -> Result<(), TaskError> {
+    let mut command = Command::new(rig.programs.join("balsamctl"));
+    command.arg("status");
+    for one in &rig.instances {
+        command.arg("--instance").arg(one.operators.to_string());
+    }
+    let ended = command.status().await;
+    match ended {
+        Ok(status) if status.success() => Ok(()),
+        Ok(_) => Err(TaskError::Command("balsamctl status".to_owned())),
+        Err(error) => Err(TaskError::File("balsamctl".to_owned(), error)),
+    }
+}
+
+async fn await_load(rig: &Rig, running: &mut Running) -> Result<Observation, TaskError> {
+    let file_error = |error| TaskError::File(REPORT_FILE.to_owned(), error);
+    if let Some(mut load) = running.load.take() {
+        load.wait().await.map_err(file_error)?;
+    }
+    let path = rig.directory.path().join(REPORT_FILE);
+    let text = std::fs::read_to_string(path).map_err(file_error)?;
+    let report: Value = serde_json::from_str(&text)
+        .map_err(|error| TaskError::File(REPORT_FILE.to_owned(), error.into()))?;
+    println!(
+        "         {} requests, coverage {:.4}, extra load {:.4}, p50 {} us, p99 {} us",
+        report["sent_count"],
+        report["coverage_ratio"].as_f64().unwrap_or(0.0),
+        report["extra_load_ratio"].as_f64().unwrap_or(0.0),
+        report["latency"]["quantiles_us"]["p50"],
+        report["latency"]["quantiles_us"]["p99"],
+    );
+    Ok(Observation::Load(report))
+}
--- a/xtask/src/error.rs
+++ b/xtask/src/error.rs
@@ -13,6 +13,16 @@
     Protobuf(String),
     /// `{0}` is not up to date, run `cargo xtask codegen`
     Outdated(&'static str),
+    /// {0}
+    Rig(rig::RigError),
+    /// these promises were broken: {0}
+    Broken(String),
+}
+
+impl From<rig::RigError> for TaskError {
+    fn from(error: rig::RigError) -> TaskError {
+        TaskError::Rig(error)
+    }
 }
 
 impl std::error::Error for TaskError {}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -4,12 +4,13 @@
 
 mod check;
 mod codegen;
+mod demo;
 mod error;
 mod measured;
 
 use std::{ffi::OsString, process::ExitCode};
 
-use bpaf::{Parser, any, construct, pure};
+use bpaf::{Parser, any, construct, long, pure};
 
 /// A task and its arguments.
 #[derive(Clone, Debug)]
@@ -23,6 +24,11 @@
         /// Arguments of the measuring program.
         arguments: Vec<OsString>,
     },
+    /// Show a fleet on loopback under load and failures.
+    Demo {
+        /// Leave it running instead.
+        is_kept: bool,
+    },
     /// Measure how the cost of each role grows.
     Slopes {
         /// Arguments of the measuring program.
@@ -44,6 +50,7 @@
         Task::Ci => check::ci(),
         Task::Codegen => codegen::write(),
         Task::Measure { arguments } => measured::measure(&arguments),
+        Task::Demo { is_kept } => demo::run(is_kept),
         Task::Slopes { arguments } => measured::slopes(&arguments),
         Task::Spread { arguments } => measured::spread(&arguments),
     };
@@ -74,6 +81,15 @@
             .descr("Measure the decisions of the reducer on a virtual clock")
             .command("measure")
     };
+    let demo = {
+        let is_kept = long("keep")
+            .help("Leave everything running for a person to try")
+            .switch();
+        construct!(Task::Demo { is_kept })
+            .to_options()
+            .descr("Show a fleet on loopback under load and failures")
+            .command("demo")
+    };
     let slopes = {
         let arguments = any::<OsString, _, _>("ARGUMENT", Some)
             .help("`--only TEXT` for some sweeps, `--write` to update docs/slopes and the page")
@@ -92,5 +108,5 @@
             .descr("Measure how configurations spread and what the exchange costs")
             .command("spread")
     };
-    construct!([ci, codegen, measure, slopes, spread])
+    construct!([ci, codegen, demo, measure, slopes, spread])
 }
