--- a/crates/rig/src/plan.rs
+++ b/crates/rig/src/plan.rs
@@ -28,6 +28,9 @@
     pub slots_count: u32,
     /// Connections that each target accepts.
     pub connections_max_count: u32,
+    /// Concurrent calls that each target bears in cold start from all instances together. With
+    /// less than one for each instance, some must wait before they may try their first call.
+    pub cold_bearable_count: u32,
 }
 
 /// What a rig consists of.
@@ -66,6 +69,7 @@
             targets_count: 2,
             slots_count: 4,
             connections_max_count: 32,
+            cold_bearable_count: u32::try_from(zones.len()).unwrap_or(1),
         }],
         settings: serde_json::json!({}),
         seed: 1,
@@ -112,7 +116,7 @@
                 address: addresses(),
                 slots_count: front.slots_count,
                 connections_max_count: front.connections_max_count,
-                cold_bearable_count: 1,
+                cold_bearable_count: front.cold_bearable_count,
                 state: TargetState::In,
             }
         });
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -35,6 +35,7 @@
             targets_count: 2,
             slots_count: 3,
             connections_max_count: 30,
+            cold_bearable_count: 3,
         }],
         ..rig::plan(&ZONES, 0)
     };
--- a/xtask/src/slopes/process.rs
+++ b/xtask/src/slopes/process.rs
@@ -57,6 +57,7 @@
             targets_count: 2,
             slots_count: 4,
             connections_max_count: 25,
+            cold_bearable_count: 1,
         }],
         settings: json!({}),
         seed: 1,
