Test which values are accepted and who reads

Cause: refusals, the take-over of readers, reads without a platform and the readiness after a long sleep had no test of their own. Change: cases for each, on one reducer or on joined ones.

--- a/crates/tier/src/tests.rs
+++ b/crates/tier/src/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the whole reducer.
 
+mod accept;
 mod every_schedule;
 mod fan_out;
 mod fixture;
