Measure the detection of stopped targets

Cause: the figures for the lazy detection of failures lacked targets. Change: cargo xtask spread also measures questions and detection at several rates of requests.

--- a/xtask/src/spread/main.rs
+++ b/xtask/src/spread/main.rs
@@ -9,6 +9,7 @@
 
 mod documents;
 mod measure;
+mod targets;
 mod world;
 
 use std::process::ExitCode;
@@ -20,6 +21,9 @@
 /// Shares of the messages that are lost.
 const LOSSES_RATIO: [f64; 3] = [0.0, 0.1, 0.3];
 
+/// Requests to all services with which the detection of a stopped target is measured.
+const REQUESTS_PER_S: [u32; 5] = [0, 1, 4, 20, 100];
+
 /// What the command is asked to do.
 #[derive(Clone, Debug)]
 struct Arguments {
@@ -42,6 +46,9 @@
         println!("{}", measure::detection(size_count, 0.0));
         println!("{}", measure::detection(size_count, 0.1));
     }
+    for requests_per_s in REQUESTS_PER_S {
+        println!("{}", targets::detection(requests_per_s));
+    }
     println!("{}", measure::acceptance());
     ExitCode::SUCCESS
 }
