Let callers of a leaving instance reconnect elsewhere

Cause: a caller that keeps its connection to an instance that shuts down could send into the exit. Change: while shutting down, every response closes its connection.

--- a/crates/balsamd/src/callers.rs
+++ b/crates/balsamd/src/callers.rs
@@ -1,14 +1,17 @@
 //! The callers' HTTP port.
 
 use std::{
-    sync::{Arc, OnceLock},
+    sync::{
+        Arc, OnceLock,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
 use actix::Addr;
 use actix_web::{
     App, HttpRequest, HttpResponse, HttpServer,
-    http::{StatusCode, header::HeaderMap},
+    http::{ConnectionType, StatusCode, header::HeaderMap},
     web,
 };
 use bytes::Bytes;
@@ -41,6 +44,7 @@
 struct Context {
     shell: Addr<Shell>,
     body_max_bytes: usize,
+    is_leaving: Arc<AtomicBool>,
 }
 
 /// Serves the callers' port until the process ends.
@@ -52,10 +56,12 @@
     shell: Addr<Shell>,
     listen: &settings::Listen,
     limits: &settings::Query,
+    is_leaving: Arc<AtomicBool>,
 ) -> Result<(), StartError> {
     let context = Context {
         shell,
         body_max_bytes: limits.body_max_bytes as usize,
+        is_leaving,
     };
     let server = HttpServer::new(move || {
         App::new()
@@ -105,10 +111,22 @@
     context.shell.do_send(request);
     let answer = answer.await;
     guard.is_answered = true;
-    match answer {
+    let response = match answer {
         Ok(answer) => respond(&answer),
         Err(_) => HttpResponse::InternalServerError().body("the instance has stopped\n"),
+    };
+    close_if_leaving(&context, response)
+}
+
+/// Closes the connection after its response if the instance shuts down, so that the caller's next
+/// request goes to another instance.
+fn close_if_leaving(context: &Context, mut response: HttpResponse) -> HttpResponse {
+    if context.is_leaving.load(Ordering::Relaxed) {
+        response
+            .head_mut()
+            .set_connection_type(ConnectionType::Close);
     }
+    response
 }
 
 /// Reports a caller as gone if its request is dropped before the answer.
@@ -151,10 +169,11 @@
     }
     let (reply, tickets) = oneshot::channel();
     context.shell.do_send(TicketsWanted { count, reply });
-    match tickets.await {
+    let response = match tickets.await {
         Ok(tickets) if !tickets.is_empty() => HttpResponse::Ok().json(TicketsBody { tickets }),
         _ => HttpResponse::ServiceUnavailable().body("no tickets: the instance is shutting down\n"),
-    }
+    };
+    close_if_leaving(&context, response)
 }
 
 /// The parameters of a request that its headers carry.
--- a/crates/balsamd/src/shell.rs
+++ b/crates/balsamd/src/shell.rs
@@ -3,7 +3,10 @@
 use std::{
     borrow::Cow,
     net::SocketAddr,
-    sync::{Arc, OnceLock},
+    sync::{
+        Arc, OnceLock,
+        atomic::{AtomicBool, Ordering},
+    },
     time::SystemTime,
 };
 
@@ -41,6 +44,8 @@
 /// The actor: the reducer's state and what its effects need.
 pub struct Shell {
     pub(crate) state: State,
+    /// Tells the callers' port to let callers reconnect elsewhere.
+    pub(crate) is_leaving: Arc<AtomicBool>,
     pub(crate) clock: Clock,
     pub(crate) metrics: Metrics,
     pub(crate) timers: Option<Timers>,
@@ -82,7 +87,9 @@
     let peers = TcpListener::bind(listen.peers)
         .await
         .map_err(|error| StartError::Listen("peers", listen.peers, error))?;
+    let is_leaving = Arc::new(AtomicBool::new(false));
     let shell = Shell {
+        is_leaving: is_leaving.clone(),
         state: tier::open(settings, incarnation, seed()?),
         clock: clock::system(),
         metrics,
@@ -97,7 +104,7 @@
         effects: Vec::new(),
     };
     let address = shell.start();
-    callers::spawn(address.clone(), &listen, &limits)?;
+    callers::spawn(address.clone(), &listen, &limits, is_leaving)?;
     operators::spawn(address.clone(), registry, gauges, &listen)?;
     peers::spawn_listener(address.clone(), peers);
     spawn_signals(address)?;
@@ -394,6 +401,7 @@
     type Result = ();
 
     fn handle(&mut self, _: LeaveWanted, context: &mut Self::Context) {
+        self.is_leaving.store(true, Ordering::Relaxed);
         handle(self, context, Event::Leave);
     }
 }
