Measure orders under faults on real processes

Cause: what callers see of the outcomes was not measured. Change: `cargo xtask orders` runs sixteen callers against three instances and a service of four targets, through crashes, kills, pauses, shedding, silence and a rolling replacement, and compares what each caller was told with the targets' ledger; naive callers repeat at another target on any error. It fails if an order was doubled or an outcome was false.

--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -29,6 +29,11 @@
         /// Leave it running instead.
         is_kept: bool,
     },
+    /// Measure what becomes of orders under faults.
+    Orders {
+        /// Arguments of the measuring program.
+        arguments: Vec<OsString>,
+    },
     /// Measure how the cost of each role grows.
     Slopes {
         /// Arguments of the measuring program.
@@ -51,6 +56,7 @@
         Task::Codegen => codegen::write(),
         Task::Measure { arguments } => measured::measure(&arguments),
         Task::Demo { is_kept } => demo::run(is_kept),
+        Task::Orders { arguments } => measured::orders(&arguments),
         Task::Slopes { arguments } => measured::slopes(&arguments),
         Task::Spread { arguments } => measured::spread(&arguments),
     };
@@ -90,6 +96,15 @@
             .descr("Show a fleet on loopback under load and failures")
             .command("demo")
     };
+    let orders = {
+        let arguments = any::<OsString, _, _>("ARGUMENT", Some)
+            .help("`--seconds NUMBER` under each fault, `--only TEXT` for some faults")
+            .many();
+        construct!(Task::Orders { arguments })
+            .to_options()
+            .descr("Measure what becomes of orders under faults, against naive callers")
+            .command("orders")
+    };
     let slopes = {
         let arguments = any::<OsString, _, _>("ARGUMENT", Some)
             .help("`--only TEXT` for some sweeps, `--write` to update docs/slopes and the page")
@@ -108,5 +123,5 @@
             .descr("Measure how configurations spread and what the exchange costs")
             .command("spread")
     };
-    construct!([ci, codegen, demo, measure, slopes, spread])
+    construct!([ci, codegen, demo, measure, orders, slopes, spread])
 }
--- a/xtask/src/measured.rs
+++ b/xtask/src/measured.rs
@@ -19,6 +19,11 @@
     release("spread", arguments)
 }
 
+/// Runs the measurement of orders under faults.
+pub fn orders(arguments: &[OsString]) -> Result<(), TaskError> {
+    release("orders", arguments)
+}
+
 fn release(program: &str, arguments: &[OsString]) -> Result<(), TaskError> {
     let status = Command::new("cargo")
         .args(["run", "--quiet", "--release", "--package", "xtask", "--bin"])
