Let a declined order try each replica without the retry budget

Cause: with one target of four shedding, a quarter of the orders ended as not run although three replicas were idle: the budget of retries, a tenth of the calls, was spent. Change: an order that a target declined goes to the next replica whatever the budget; each replica is tried once, so the extra calls are bounded.

--- a/crates/query/src/end.rs
+++ b/crates/query/src/end.rs
@@ -97,7 +97,10 @@
         status if query.ticket.is_some() && !status.is_not_run() => {
             give_up(queries, key, shard_index, MissingReason::Failed);
         }
-        ReplyStatus::Shed => retry_in_budget(queries, routes, now, key, shard_index, out),
+        // A refused order costs its caller more than the few calls that each replica once adds.
+        ReplyStatus::Shed if query.ticket.is_none() => {
+            retry_in_budget(queries, routes, now, key, shard_index, out)
+        }
         _ => retry(queries, routes, now, key, shard_index, out),
     }
     finish_if_complete(queries, routes, now, key, out)
