Bound the orders that wait for a target

Cause: deferrable orders that every target declined keep their place among the running queries while they wait, so many could keep reads out. Change: at most 64 wait in this way; a further one is answered as not run. The measurement of orders takes their priority as an argument.

--- a/crates/query/src/park.rs
+++ b/crates/query/src/park.rs
@@ -10,6 +10,9 @@
     shard::{self, finish_if_complete},
 };
 
+/// Shards that are parked at the same time, so that orders cannot take every running query's place.
+const PARKED_MAX_COUNT: usize = 64;
+
 /// Lets a shard wait for the next tick, if its request may wait until its deadline.
 ///
 /// Only a request none of whose calls can have run may be tried again.
@@ -24,6 +27,9 @@
     if !may_wait || !matches!(shard.state, ShardState::Open) || !shard.calls.is_empty() {
         return false;
     }
+    if queries.parked.len() >= PARKED_MAX_COUNT {
+        return false;
+    }
     queries.parked.push((key, shard_index));
     true
 }
--- a/xtask/src/orders/exchange.rs
+++ b/xtask/src/orders/exchange.rs
@@ -31,12 +31,14 @@
     client: &Client,
     instance: SocketAddr,
     ticket: &str,
+    priority: &str,
     body: &str,
 ) -> Event {
     let request = client
         .post(format!("http://{instance}/v1/fronts/parts/query"))
         .timeout(REPLY_TIMEOUT)
         .insert_header(("balsam-timeout-ms", ORDER_TIMEOUT_MS))
+        .insert_header(("balsam-priority", priority))
         .insert_header(("balsam-ticket", ticket));
     let Ok(mut response) = request.send_body(body.to_owned()).await else {
         return Event::NoReply;
--- a/xtask/src/orders/latency.rs
+++ b/xtask/src/orders/latency.rs
@@ -44,7 +44,7 @@
             record(&mut tickets, start);
             let body = format!("{{\"order\":\"{number} {instance}\"}}");
             let start = Instant::now();
-            exchange::send_to_instance(&client, instance, &ticket, &body).await;
+            exchange::send_to_instance(&client, instance, &ticket, "normal", &body).await;
             record(latencies, start);
         }
     }
--- a/xtask/src/orders/load.rs
+++ b/xtask/src/orders/load.rs
@@ -27,6 +27,7 @@
 /// What all callers share.
 struct Shared {
     policy: Policy,
+    priority: String,
     places: Vec<SocketAddr>,
     /// Whether the balancer sends callers to a place.
     is_listed: Vec<AtomicBool>,
@@ -55,7 +56,7 @@
 }
 
 /// Starts the callers.
-pub fn spawn(rig: &Rig, policy: Policy) -> Load {
+pub fn spawn(rig: &Rig, policy: Policy, priority: &str) -> Load {
     let targets = rig.note.fleet.services.iter();
     let targets = targets.flat_map(|service| service.targets.iter().map(|one| one.address));
     let places: Vec<SocketAddr> = match policy {
@@ -64,6 +65,7 @@
     };
     let shared = Arc::new(Shared {
         policy,
+        priority: priority.to_owned(),
         is_listed: places.iter().map(|_| AtomicBool::new(true)).collect(),
         places,
         orders_count: AtomicU32::new(0),
@@ -99,7 +101,8 @@
             Effect::Send { place, ticket } => match ticket {
                 Some(ticket) => {
                     let instance = address(shared, place);
-                    exchange::send_to_instance(client, instance, &ticket, &body).await
+                    exchange::send_to_instance(client, instance, &ticket, &shared.priority, &body)
+                        .await
                 }
                 None => {
                     let call_id = format!("caller:1:{number}-{place}");
--- a/xtask/src/orders/main.rs
+++ b/xtask/src/orders/main.rs
@@ -26,6 +26,7 @@
 struct Arguments {
     seconds: u64,
     only: Option<String>,
+    priority: String,
 }
 
 fn main() -> ExitCode {
@@ -55,7 +56,15 @@
         .help("Only faults whose name contains this text, or `latency`")
         .argument("TEXT")
         .optional();
-    construct!(Arguments { seconds, only })
+    let priority = long("priority")
+        .help("Priority of the orders: urgent, normal or deferrable")
+        .argument("WORD")
+        .fallback("normal".to_owned());
+    construct!(Arguments {
+        seconds,
+        only,
+        priority
+    })
 }
 
 async fn run(arguments: &Arguments) -> Result<bool, RigError> {
@@ -76,7 +85,7 @@
                 // The instances would hold most of the targets' connections.
                 plan.instances.clear();
             }
-            let verdict = one_fault(&plan, policy, fault, arguments.seconds).await?;
+            let verdict = one_fault(&plan, policy, fault, arguments).await?;
             println!("{}", judge::row(policy, fault, &verdict));
             is_kept &= policy == Policy::Naive || judge::is_kept(&verdict);
         }
@@ -91,15 +100,21 @@
     plan: &Plan,
     policy: Policy,
     fault: Fault,
-    seconds: u64,
+    arguments: &Arguments,
 ) -> Result<Verdict, RigError> {
     let mut rig = rig::open(plan).await?;
     let behaviour = json!({"latency_ms": TARGET_LATENCY_MS, "restart_after_ms": 200});
     for target in fault::target_names(&rig) {
         rig::steer_target(&rig, &target, &behaviour).await?;
     }
-    let running = load::spawn(&rig, policy);
-    fault::disturb(&mut rig, fault, &running, Duration::from_secs(seconds)).await?;
+    let running = load::spawn(&rig, policy, &arguments.priority);
+    fault::disturb(
+        &mut rig,
+        fault,
+        &running,
+        Duration::from_secs(arguments.seconds),
+    )
+    .await?;
     let ends = running.close().await;
     let ledger = rig::ledger(&rig).await?;
     rig.close().await?;
