Judge cold starts by calls in their own place, and test the promises

Cause: a target that turned cold without a word went on receiving calls: its slow replies were still in time by the late quantile, and calls that stood in its queue could not be hedged away within the budget. After a pause, old calls counted as late.

--- a/crates/admit/src/lane.rs
+++ b/crates/admit/src/lane.rs
@@ -10,6 +10,9 @@
 
 /// Weight of the newest sample in a mean is one in this many.
 const MEAN_WEIGHT: u32 = 16;
+/// One sample moves a mean as if it were at most this many times the mean, so that a pause of the
+/// process does not pass for slow work.
+const MEAN_CLIP: u32 = 4;
 /// Time left that a start needs, in mean times of a run.
 const RUN_MARGIN: u32 = 3;
 /// Time left that is enough for a start however long other queries took: otherwise a time of slow
@@ -135,5 +138,6 @@
         *mean = sample;
         return;
     }
-    *mean = (*mean * (MEAN_WEIGHT - 1) + sample) / MEAN_WEIGHT;
+    let clipped = sample.min(*mean * MEAN_CLIP);
+    *mean = (*mean * (MEAN_WEIGHT - 1) + clipped) / MEAN_WEIGHT;
 }
--- a/crates/query/src/end.rs
+++ b/crates/query/src/end.rs
@@ -193,7 +193,7 @@
         took: (!was_paused).then(|| now - call.sent_at),
         is_cancelled: call.cancelled_at.is_some(),
         is_noted_late: call.is_noted_late,
-        is_queued: call.is_queued,
+        calls_per_slot_count: call.calls_per_slot_count,
     };
     route::call_ended(routes, now, &report, out);
     if call.cancelled_at.is_none()
--- a/crates/query/src/hedge.rs
+++ b/crates/query/src/hedge.rs
@@ -117,17 +117,21 @@
     let calls = shard.calls.clone();
     postpone(shard, routes, now, RETRY_DIVISOR);
     note_late(queries, routes, now, &calls, out);
-    if is_overloaded
-        || is_contended(queries, service, now)
-        || !has_idle_replica(queries, routes, key, shard_index)
-    {
+    if !has_idle_replica(queries, routes, key, shard_index) {
         return;
     }
-    if !budget::spend(&mut queries.budgets.hedges) {
+    // Calls beyond what a cold target bears are taken off it, whatever the budget says: they would
+    // keep it from warming up.
+    let is_rescue = calls.iter().any(|&call| {
+        let call = queries.calls.get(call);
+        call.is_some_and(|call| route::is_overfull(routes, call.target))
+    });
+    let is_crowded = is_overloaded || is_contended(queries, service, now);
+    if !is_rescue && (is_crowded || !budget::spend(&mut queries.budgets.hedges)) {
         return;
     }
     let sent = send(queries, routes, now, key, shard_index, Cause::Hedge, out);
-    if sent != Ok(Sent::Called) {
+    if sent != Ok(Sent::Called) && !is_rescue {
         queries.budgets.hedges.saved_count += 1.0;
     }
 }
@@ -143,6 +147,8 @@
 }
 
 /// Notes the lateness of calls, each one once as evidence against its target.
+///
+/// A call that was sent before the process last woke up is no evidence.
 fn note_late(
     queries: &mut Queries,
     routes: &mut Routes,
@@ -154,8 +160,17 @@
         let Some(call) = queries.calls.get_mut(key) else {
             continue;
         };
-        let was_noted = std::mem::replace(&mut call.is_noted_late, true);
-        route::call_late(routes, now, call.target, call.is_queued || was_noted, out);
+        if queries.resumed_at.is_some_and(|at| call.sent_at < at) {
+            continue;
+        }
+        let age = now - call.sent_at;
+        let is_late =
+            route::is_late_for_its_place(routes, call.target, age, call.calls_per_slot_count);
+        if is_late && !std::mem::replace(&mut call.is_noted_late, true) {
+            route::call_late(routes, now, call.target, out);
+        } else {
+            route::check_silence(routes, now, call.target, out);
+        }
     }
 }
 
--- a/crates/query/src/send.rs
+++ b/crates/query/src/send.rs
@@ -47,14 +47,14 @@
         Err(NoChoice::Busy) => return Ok(Sent::Busy),
         Err(NoChoice::Missing(reason)) => return Err(reason),
     };
-    let is_queued = route::call_started(routes, now, target);
+    let calls_per_slot_count = route::call_started(routes, now, target);
     let call = queries.calls.insert(Call {
         query: key,
         shard_index,
         target,
         cause,
         sent_at: now,
-        is_queued,
+        calls_per_slot_count,
         is_noted_late: false,
         cancelled_at: None,
         is_abandoned: false,
--- a/crates/query/src/table.rs
+++ b/crates/query/src/table.rs
@@ -130,8 +130,8 @@
     /// When it was sent.
     #[serde(skip)]
     pub sent_at: Instant,
-    /// Whether it has to wait for a slot of its target.
-    pub is_queued: bool,
+    /// Calls that each slot of its target had when it was sent.
+    pub calls_per_slot_count: u32,
     /// Whether it was noted as late.
     pub is_noted_late: bool,
     /// When it was cancelled.
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -88,6 +88,12 @@
     target.in_flight_count + target.foreign_count < target.slots_count * CALLS_PER_SLOT
 }
 
+/// Tells whether a cold target has more calls of this instance than it bears.
+pub fn is_overfull(routes: &Routes, key: TargetKey) -> bool {
+    let target = routes.targets.get(key);
+    target.is_some_and(|target| target.in_flight_count > warmth::allowance(target))
+}
+
 /// Returns the time that a call needs to reach a target.
 pub fn way_there(routes: &Routes, key: TargetKey) -> Duration {
     match routes.targets.get(key) {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -25,12 +25,12 @@
 mod tests;
 
 pub use apply::apply;
-pub use choose::{NoChoice, Want, choose, has_free_slot, running_limit, way_there};
+pub use choose::{NoChoice, Want, choose, has_free_slot, is_overfull, running_limit, way_there};
 pub use confine::confine;
 pub use latency::Latency;
 pub use observe::{
-    CallEnd, CallReport, call_ended, call_late, call_outrun, call_started, load_reported,
-    probe_answered, probe_failed, serves_only,
+    CallEnd, CallReport, call_ended, call_late, call_outrun, call_started, check_silence,
+    is_late_for_its_place, load_reported, probe_answered, probe_failed, serves_only,
 };
 pub use reach::{Reach, is_every_target_asked};
 pub use share::{Division, GROWTH_DELAY, Offsets, part, set_instances};
--- a/crates/route/src/observe.rs
+++ b/crates/route/src/observe.rs
@@ -11,6 +11,9 @@
 /// A single call moves the mean latency as if it took at most this many times the mean.
 const MEAN_CLIP: u32 = 4;
 
+/// A call is slow if it takes more than this many halves of the median of its service.
+const SLOW_HALVES: u32 = 3;
+
 /// How a call to a target ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallEnd {
@@ -33,20 +36,21 @@
     pub is_cancelled: bool,
     /// Whether it was already noted as late.
     pub is_noted_late: bool,
-    /// Whether it had to wait for a slot.
-    pub is_queued: bool,
+    /// Calls that each slot of the target had when it was sent.
+    pub calls_per_slot_count: u32,
 }
 
 /// Notes that a call was sent.
 ///
-/// Returns whether it has to wait for a slot, so that its latency says little about the target.
-pub fn call_started(routes: &mut Routes, now: Instant, key: TargetKey) -> bool {
+/// Returns how many calls each slot of the target has with it, so that its latency can be judged.
+pub fn call_started(routes: &mut Routes, now: Instant, key: TargetKey) -> u32 {
     let Some(target) = routes.targets.get_mut(key) else {
-        return true;
+        return 1;
     };
     target.in_flight_count += 1;
     reach::called(target, now);
-    target.in_flight_count + target.foreign_count > target.slots_count
+    let calls_count = target.in_flight_count + target.foreign_count;
+    calls_count.div_ceil(target.slots_count.max(1))
 }
 
 /// Notes that a call ended, which frees its connection.
@@ -77,12 +81,17 @@
     if !is_cold || !warmth::has_other_warm(routes, report.target) {
         learn_latency(routes, service, took);
     }
-    if is_late(routes, service, took) {
-        if !report.is_noted_late && !report.is_queued {
+    let in_own_place = took / report.calls_per_slot_count;
+    if is_late(routes, service, in_own_place) {
+        if !report.is_noted_late {
             warmth::was_late(routes, report.target);
         }
         return;
     }
+    // A target that is still cold answers slowly long before it answers late.
+    if is_cold && is_slow(routes, service, in_own_place) {
+        return;
+    }
     let Some(target) = routes.targets.get_mut(report.target) else {
         return;
     };
@@ -90,16 +99,24 @@
 }
 
 /// Notes that a call in flight has become late.
-pub fn call_late(
-    routes: &mut Routes,
-    now: Instant,
+pub fn call_late(routes: &mut Routes, now: Instant, key: TargetKey, out: &mut Vec<Effect>) {
+    warmth::was_late(routes, key);
+    check_silence(routes, now, key, out);
+}
+
+/// Tells whether a call of some age is late even if it waited behind others for a slot.
+pub fn is_late_for_its_place(
+    routes: &Routes,
     key: TargetKey,
-    is_queued: bool,
-    out: &mut Vec<Effect>,
-) {
-    if !is_queued {
-        warmth::was_late(routes, key);
-    }
+    age: Duration,
+    calls_per_slot_count: u32,
+) -> bool {
+    let target = routes.targets.get(key);
+    target.is_some_and(|target| is_late(routes, target.service, age / calls_per_slot_count))
+}
+
+/// Asks a target that owes replies and sends none whether it still works.
+pub fn check_silence(routes: &mut Routes, now: Instant, key: TargetKey, out: &mut Vec<Effect>) {
     let Some(target) = routes.targets.get_mut(key) else {
         return;
     };
@@ -178,6 +195,15 @@
     latency::record(&mut service.latency, took, late_ratio);
 }
 
+/// Tells whether a call took much longer than most calls of its service.
+fn is_slow(routes: &Routes, service: ServiceKey, took: Duration) -> bool {
+    let service = routes.services.get(service);
+    service.is_some_and(|service| {
+        let median = service.latency.median;
+        !median.is_zero() && took > median * SLOW_HALVES / 2
+    })
+}
+
 fn is_late(routes: &Routes, service: ServiceKey, took: Duration) -> bool {
     let service = routes.services.get(service);
     service
--- a/crates/tier/src/tests.rs
+++ b/crates/tier/src/tests.rs
@@ -11,6 +11,7 @@
 mod net;
 mod once;
 mod poison;
+mod promises;
 mod replay;
 mod schedules;
 mod snapshot;
--- a/xtask/src/measure/effects.rs
+++ b/xtask/src/measure/effects.rs
@@ -167,6 +167,10 @@
         result.body != target::result(&result.service, snapshot, number)
     });
     world.tally.wrong_answers_count += u64::from(is_wrong);
+    if let Some(kept) = &mut world.tally.kept_results {
+        let results = answer.results.iter();
+        kept.insert(number, results.map(|result| result.body.clone()).collect());
+    }
     if caller.arrived_at < world.case.measure_from {
         return;
     }
--- a/xtask/src/measure/policy.rs
+++ b/xtask/src/measure/policy.rs
@@ -8,7 +8,7 @@
     case::Case,
     drive, naive,
     tally::{self, Figures},
-    world,
+    world::{self, World},
 };
 
 /// One way to serve requests.
@@ -28,18 +28,7 @@
 /// Measures one case with one policy.
 pub fn measure(case: &Case, policy: Policy, seed: u64) -> Result<Figures, MeasureError> {
     let mut world = world::open(case, seed, policy != Policy::Oracle);
-    if policy == Policy::Naive {
-        let mut state = naive::open();
-        drive::run(&mut world, |_, event, out| {
-            naive::reduce(&mut state, event, out);
-        });
-    } else {
-        let settings = settings(case, policy)?;
-        let mut state = tier::open(settings, 1, seed);
-        drive::run(&mut world, |now, event, out| {
-            tier::reduce(&mut state, now, event, out);
-        });
-    }
+    drive(&mut world, policy, seed)?;
     let measured = case.duration.saturating_sub(case.measure_from);
     let capacity_count = crate::fleet::capacity_per_second(case) * measured.as_secs_f64();
     let name = match policy {
@@ -51,6 +40,23 @@
     Ok(figures)
 }
 
+/// Runs a world with one policy.
+pub fn drive(world: &mut World, policy: Policy, seed: u64) -> Result<(), MeasureError> {
+    if policy == Policy::Naive {
+        let mut state = naive::open();
+        drive::run(world, |_, event, out| {
+            naive::reduce(&mut state, event, out);
+        });
+        return Ok(());
+    }
+    let settings = settings(&world.case, policy)?;
+    let mut state = tier::open(settings, 1, seed);
+    drive::run(world, |now, event, out| {
+        tier::reduce(&mut state, now, event, out);
+    });
+    Ok(())
+}
+
 fn settings(case: &Case, policy: Policy) -> Result<Settings, MeasureError> {
     let document = serde_json::json!({
         "instance": {"name": "measured", "zone": case.zones[0]},
--- a/xtask/src/measure/reduce.rs
+++ b/xtask/src/measure/reduce.rs
@@ -54,7 +54,7 @@
         return;
     }
     let gap = Exp::new(world.arrivals_per_second).expect("the rate is positive");
-    let gap = Duration::from_secs_f64(gap.sample(&mut world.rng));
+    let gap = Duration::from_secs_f64(gap.sample(&mut world.arrivals_rng));
     out.push(later(gap, Happening::Arrival));
     let priority = draw_priority(world);
     let number = world.requests_count;
@@ -79,7 +79,7 @@
 }
 
 fn draw_priority(world: &mut World) -> Priority {
-    let draw: f64 = world.rng.random();
+    let draw: f64 = world.arrivals_rng.random();
     let priorities = &world.case.priorities;
     if draw < priorities.urgent_ratio {
         return Priority::Urgent;
--- a/xtask/src/measure/tally.rs
+++ b/xtask/src/measure/tally.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
+use bytes::Bytes;
 use hdrhistogram::Histogram;
 use model::MissingReason;
 use serde::Serialize;
@@ -44,6 +45,8 @@
     pub missing_counts: BTreeMap<MissingReason, u64>,
     /// Highest ratio of calls to a cold target, all instances together, to what it bears.
     pub max_cold_overload_ratio: f64,
+    /// Results of every answer by number of the request, if they are to be kept.
+    pub kept_results: Option<BTreeMap<u64, Vec<Bytes>>>,
     /// Events that the policy took in.
     pub events_count: u64,
     /// Time that the policy took for them.
@@ -72,6 +75,7 @@
             wrong_answers_count: 0,
             missing_counts: BTreeMap::new(),
             max_cold_overload_ratio: 0.0,
+            kept_results: None,
             events_count: 0,
             reduce_time: Duration::ZERO,
         }
--- a/xtask/src/measure/world.rs
+++ b/xtask/src/measure/world.rs
@@ -24,7 +24,9 @@
 pub struct World {
     /// The case.
     pub case: Case,
-    /// Generator of arrivals and latencies.
+    /// Generator of arrivals, which are the same for every policy.
+    pub arrivals_rng: ChaCha8Rng,
+    /// Generator of latencies.
     pub rng: ChaCha8Rng,
     /// Whether some calls take much longer.
     pub has_stragglers: bool,
@@ -149,7 +151,8 @@
         }
     }
     World {
-        rng: ChaCha8Rng::seed_from_u64(seed),
+        arrivals_rng: ChaCha8Rng::seed_from_u64(seed),
+        rng: ChaCha8Rng::seed_from_u64(seed ^ u64::MAX),
         has_stragglers,
         arrivals_per_second: case.load_ratio * fleet::capacity_per_second(case),
         requests_count: 0,
