--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -5,7 +5,9 @@
 use model::{Counter, Digest, Effect, Message, QuarantineRow, Revision};
 use settings::Settings;
 
-use crate::{FleetState, digest, digest::Receiver, freshness, join, member, reading, suspicion};
+use crate::{
+    FleetState, digest, digest::Receiver, freshness, join, member, readers, reading, suspicion,
+};
 
 /// Time after which an unanswered request for a published value is repeated to another instance.
 const NOTE_RETRY_AFTER_TICKS_COUNT: u32 = 1;
@@ -28,7 +30,7 @@
         send(receiver.address, Message::Digest(digest), out);
     }
     reading::platform_due(fleet, settings, now, out);
-    reading::volunteer(fleet, settings, now, out);
+    readers::volunteer(fleet, settings, now, out);
     join::check(fleet, &settings.fleet, now, out);
     let age = freshness::freshness_age(fleet, now);
     fleet.is_lapsed = age > settings.fleet.freshness_limit;
--- /dev/null
+++ b/crates/fleet/src/readers.rs
@@ -0,0 +1,68 @@
+//! The choice of the instances that read the platform for their zone.
+
+use std::time::{Duration, Instant};
+
+use model::{Effect, MemberState};
+use settings::Settings;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{FleetState, reading};
+
+/// Time in which a single attempt of an instance that is no reader starts.
+const ATTEMPT_TERM: Duration = Duration::from_millis(500);
+
+/// Tells whether this instance is one of its zone's readers.
+///
+/// The instances with the smallest hashes read, so every instance with the same members chooses the
+/// same readers, and the next one takes over when one goes.
+pub fn is_reader(fleet: &FleetState, readers_per_zone_count: u32) -> bool {
+    if fleet.is_leaving {
+        return false;
+    }
+    readers_before(fleet) < readers_per_zone_count as usize
+}
+
+/// Counts the instances of the zone whose hash is smaller than this instance's.
+fn readers_before(fleet: &FleetState) -> usize {
+    let weight = |name: &str| (xxh3_64(name.as_bytes()), name.to_owned());
+    let own = weight(&fleet.id.name);
+    let others = fleet
+        .members
+        .values()
+        .filter(|member| member.row.state == MemberState::Alive && member.row.zone == fleet.zone);
+    let before = others.filter(|member| weight(&member.row.id.name) < own);
+    before.count()
+}
+
+/// Lets an instance that is no reader try the platform when the freshness runs out.
+///
+/// The instances of a zone take turns, as many each second as the zone has readers, so the attempts
+/// of a zone stay constant and all have tried after a time that grows with the zone.
+pub(crate) fn volunteer(
+    fleet: &mut FleetState,
+    settings: &Settings,
+    now: Instant,
+    out: &mut Vec<Effect>,
+) {
+    let limit = settings.fleet.freshness_limit / 2;
+    let Some(known_at) = fleet.vouched_at.max(fleet.join_since) else {
+        return;
+    };
+    let waited = now.saturating_duration_since(known_at);
+    if fleet.reading.is_reader || fleet.is_leaving || waited <= limit {
+        return;
+    }
+    let members = fleet.members.values();
+    let in_zone = members.filter(|member| member.is_present() && member.row.zone == fleet.zone);
+    let zone_count = in_zone.count() + 1;
+    let rate_per_s = f64::from(settings.fleet.readers_per_zone_count);
+    let place_s = readers_before(fleet) as f64 / rate_per_s;
+    let period_s = zone_count as f64 / rate_per_s;
+    let turns = |at: Duration| ((at.as_secs_f64() - place_s) / period_s).floor();
+    let waited = waited - limit;
+    let is_turn = turns(waited) > turns(waited.saturating_sub(settings.fleet.tick));
+    if is_turn {
+        fleet.reading.volunteer_until = Some(now + ATTEMPT_TERM);
+        reading::platform_due(fleet, settings, now, out);
+    }
+}
--- a/crates/fleet/src/reading.rs
+++ b/crates/fleet/src/reading.rs
@@ -1,13 +1,12 @@
-//! Reads of the platform: who reads, when, and how often.
+//! Reads of the platform: when, and how often.
 
 use std::time::{Duration, Instant};
 
-use model::{Counter, Effect, MemberState, PlatformRead, Timer};
+use model::{Counter, Effect, PlatformRead, Timer};
 use rand::RngExt;
 use settings::Settings;
-use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{FleetState, Join, Voucher, join};
+use crate::{FleetState, Join, Voucher, join, readers::is_reader};
 
 /// Shortest time between the starts of two reads of the configuration.
 const NOTE_GAP: Duration = Duration::from_millis(500);
@@ -30,29 +29,6 @@
     platform_due(fleet, settings, now, out);
 }
 
-/// Tells whether this instance is one of its zone's readers.
-///
-/// The instances with the smallest hashes read, so every instance with the same members chooses the
-/// same readers, and the next one takes over when one goes.
-pub fn is_reader(fleet: &FleetState, readers_per_zone_count: u32) -> bool {
-    if fleet.is_leaving {
-        return false;
-    }
-    readers_before(fleet) < readers_per_zone_count as usize
-}
-
-/// Counts the instances of the zone whose hash is smaller than this instance's.
-fn readers_before(fleet: &FleetState) -> usize {
-    let weight = |name: &str| (xxh3_64(name.as_bytes()), name.to_owned());
-    let own = weight(&fleet.id.name);
-    let others = fleet
-        .members
-        .values()
-        .filter(|member| member.row.state == MemberState::Alive && member.row.zone == fleet.zone);
-    let before = others.filter(|member| weight(&member.row.id.name) < own);
-    before.count()
-}
-
 /// Starts the reads that are due.
 pub fn platform_due(
     fleet: &mut FleetState,
@@ -82,39 +58,6 @@
     }
 }
 
-/// Lets an instance that is no reader try the platform when the freshness runs out.
-///
-/// The instances of a zone take turns, as many each second as the zone has readers, so the attempts
-/// of a zone stay constant and all have tried after a time that grows with the zone.
-pub(crate) fn volunteer(
-    fleet: &mut FleetState,
-    settings: &Settings,
-    now: Instant,
-    out: &mut Vec<Effect>,
-) {
-    let limit = settings.fleet.freshness_limit / 2;
-    let Some(known_at) = fleet.vouched_at.max(fleet.join_since) else {
-        return;
-    };
-    let waited = now.saturating_duration_since(known_at);
-    if fleet.reading.is_reader || fleet.is_leaving || waited <= limit {
-        return;
-    }
-    let members = fleet.members.values();
-    let in_zone = members.filter(|member| member.is_present() && member.row.zone == fleet.zone);
-    let zone_count = in_zone.count() + 1;
-    let rate_per_s = f64::from(settings.fleet.readers_per_zone_count);
-    let place_s = readers_before(fleet) as f64 / rate_per_s;
-    let period_s = zone_count as f64 / rate_per_s;
-    let turns = |at: Duration| ((at.as_secs_f64() - place_s) / period_s).floor();
-    let waited = waited - limit;
-    let is_turn = turns(waited) > turns(waited.saturating_sub(settings.fleet.tick));
-    if is_turn {
-        fleet.reading.volunteer_until = Some(now + NOTE_GAP);
-        platform_due(fleet, settings, now, out);
-    }
-}
-
 /// Notes that the configuration was read; returns whether the answer can be trusted to be current.
 pub(crate) fn note_read(
     fleet: &mut FleetState,
