Take a zone with targets out, and let targets leave, in the property test

Cause: the zone that the random operations took out had no targets, so the property that no work goes to a zone that is out was only tested by one fixed case, and leaving targets were not tested. Change: the operations take out the zone south, which holds every second replica, and let its targets leave. Checked by a trial change that ignores zones that are out: the property fails.

--- a/crates/tier/src/tests/spreading.rs
+++ b/crates/tier/src/tests/spreading.rs
@@ -27,6 +27,7 @@
     PublishFaulty,
     PublishOlder,
     TakeOut(bool),
+    Drain(bool),
     Cut(usize),
     Join,
     Platform(usize, bool),
@@ -44,6 +45,7 @@
         1 => Just(Op::PublishFaulty),
         1 => Just(Op::PublishOlder),
         2 => any::<bool>().prop_map(Op::TakeOut),
+        1 => any::<bool>().prop_map(Op::Drain),
         1 => node.clone().prop_map(Op::Cut),
         1 => Just(Op::Join),
         2 => (node.clone(), any::<bool>()).prop_map(|(node, sees)| Op::Platform(node, sees)),
@@ -59,7 +61,8 @@
 #[derive(Default)]
 struct Published {
     revision: u64,
-    is_west_out: bool,
+    is_south_out: bool,
+    is_south_leaving: bool,
     asked_count: u64,
 }
 
@@ -67,9 +70,13 @@
     match *op {
         Op::Publish => publish_next(net, published),
         Op::PublishFaulty => publish(net, "{\"revision\": 99999}"),
-        Op::PublishOlder => publish(net, &fleet_note(1, false)),
+        Op::PublishOlder => publish(net, &fleet_note(1)),
         Op::TakeOut(is_out) => {
-            published.is_west_out = is_out;
+            published.is_south_out = is_out;
+            publish_next(net, published);
+        }
+        Op::Drain(is_leaving) => {
+            published.is_south_leaving = is_leaving;
             publish_next(net, published);
         }
         Op::Cut(from) => {
@@ -94,24 +101,34 @@
 
 fn publish_next(net: &mut Net, published: &mut Published) {
     published.revision += 1;
-    let body = fleet_note(published.revision, published.is_west_out);
+    let mut body = fleet_note(published.revision);
+    if published.is_south_out {
+        body = take_south_out(&body);
+    }
+    if published.is_south_leaving {
+        let leaving = r#""state":"leaving","zone":"south""#;
+        body = body.replace(r#""state":"in","zone":"south""#, leaving);
+    }
     publish(net, &body);
 }
 
-/// Returns a note whose listed difference is right only for direct predecessors of the same kind.
-fn fleet_note(revision: u64, is_west_out: bool) -> String {
-    let document = note(revision, 2);
-    let state = if is_west_out { "out" } else { "in" };
-    let west = format!("\"zones\":[{{\"name\":\"west\",\"state\":\"{state}\"}},");
-    // Odd steps of two keep every note self-contained: no note follows another one directly.
-    let document = document.replace(
-        &format!("\"revision\":{revision}"),
-        &format!("\"revision\":{}", revision * 2),
+/// Returns a note with the zone `west` and an even revision, so that no note follows another one
+/// directly and any difference may be listed.
+fn fleet_note(number: u64) -> String {
+    let document = note(number, 2).replace(
+        &format!("\"revision\":{number}"),
+        &format!("\"revision\":{}", number * 2),
     );
-    document.replace(
-        "\"zones\":[{\"name\":\"north\"",
-        &format!("{west}{{\"name\":\"north\""),
-    )
+    let zones = r#""zones":[{"name":"north""#;
+    let with_west = r#""zones":[{"name":"west","state":"in"},{"name":"north""#;
+    assert!(document.contains(zones));
+    document.replace(zones, with_west)
+}
+
+fn take_south_out(document: &str) -> String {
+    let south = r#"{"name":"south","state":"in"}"#;
+    assert!(document.contains(south));
+    document.replace(south, r#"{"name":"south","state":"out"}"#)
 }
 
 fn faults(is_lossy: bool) -> Faults {
@@ -211,11 +228,7 @@
     publish_next(&mut net, &mut published);
     (0..9).for_each(|index| start(&mut net, index));
     run_for(&mut net, Duration::from_secs(5));
-    let body = fleet_note(2, false).replace(
-        "{\"name\":\"south\",\"state\":\"in\"}",
-        "{\"name\":\"south\",\"state\":\"out\"}",
-    );
-    publish(&mut net, &body);
+    publish(&mut net, &take_south_out(&fleet_note(2)));
     let published_at = net.now;
     for number in 0..400 {
         ask(&mut net, number % 9, number as u64);
@@ -239,7 +252,7 @@
     publish_next(&mut net, &mut published);
     run_for(&mut net, Duration::from_secs(4));
     // The platform falls back to an old value; the peers hold the newer one.
-    publish(&mut net, &fleet_note(1, false));
+    publish(&mut net, &fleet_note(1));
     start(&mut net, 5);
     while !is_ready(&net.nodes[5].state) {
         run_for(&mut net, Duration::from_millis(10));
