--- a/crates/findings/src/lib.rs
+++ b/crates/findings/src/lib.rs
@@ -9,6 +9,9 @@
 mod locate;
 mod node;
 
+#[cfg(test)]
+mod tests;
+
 pub use finding::{Finding, Findings};
 pub use locate::locate;
 pub use node::{Fields, Node, with_document};
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -7,5 +7,8 @@
 mod areas;
 mod read;
 
+#[cfg(test)]
+mod tests;
+
 pub use areas::{Admit, Fleet, Instance, Listen, Once, Platform, Query, Route, Settings};
 pub use read::read;
--- /dev/null
+++ b/crates/settings/src/tests.rs
@@ -0,0 +1,92 @@
+//! Tests of the reading of settings.
+
+use findings::Findings;
+use proptest::{
+    prelude::{ProptestConfig, any, prop, proptest},
+    test_runner::RngSeed,
+};
+use rstest::rstest;
+
+use crate::read;
+
+const WHOLE: &str = r#"{
+    "instance": {"name": "kranj-1", "zone": "kranj"},
+    "listen": {"callers": "127.0.0.1:1", "operators": "127.0.0.1:2", "peers": "127.0.0.1:3"},
+    "platform": {"address": "127.0.0.1:4", "watch_timeout_ms": 5000},
+    "fleet": {"suspect_after_ms": 2000, "gone_after_ms": 9000}
+}"#;
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(12),
+        failure_persistence: None,
+        cases: 512,
+        ..ProptestConfig::default()
+    }
+}
+
+#[test]
+fn a_whole_file_is_read_with_defaults_for_the_rest() {
+    let mut findings = Findings::default();
+    let settings = read(WHOLE, &mut findings).expect("no findings");
+    assert_eq!(settings.fleet.gone_after.as_millis(), 9000);
+    assert_eq!(settings.query, crate::Query::default());
+}
+
+#[rstest]
+#[case::unknown_area("\"fleet\"", "\"fleat\"", "5:5: $.fleat: unknown or repeated field")]
+#[case::unknown_key("gone_after_ms", "gone_after", "5:41: $.fleet.gone_after: unknown")]
+#[case::no_port("127.0.0.1:4", "127.0.0.1", "is not an IP address with a port")]
+#[case::host_name("127.0.0.1:4", "platform:4", "is not an IP address with a port")]
+#[case::negative("5000", "-1", "$.platform.watch_timeout_ms: expected a whole number")]
+#[case::fraction("5000", "1.5", "$.platform.watch_timeout_ms: expected a whole number")]
+#[case::too_long("5000", "3600001", "from 1 to 3600000")]
+#[case::wrong_order("9000", "1000", "must be longer than `suspect_after_ms`")]
+#[case::same_port(
+    "127.0.0.1:2",
+    "127.0.0.1:1",
+    "$.listen.operators: is the same address"
+)]
+#[case::empty_name("kranj-1", "", "$.instance.name: must not be empty")]
+fn a_fault_is_reported_with_its_place(
+    #[case] right: &str,
+    #[case] wrong: &str,
+    #[case] expected: &str,
+) {
+    let document = WHOLE.replacen(right, wrong, 1);
+    let mut findings = Findings::default();
+    assert_eq!(read(&document, &mut findings), None);
+    let shown = findings.to_string();
+    assert!(shown.contains(expected), "{shown}");
+}
+
+#[test]
+fn several_faults_are_reported_together() {
+    let document = WHOLE.replace("5000", "0").replace("127.0.0.1:3", "x");
+    let mut findings = Findings::default();
+    assert_eq!(read(&document, &mut findings), None);
+    assert_eq!(findings.list.len(), 2, "{findings}");
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn no_text_makes_the_reader_panic(document in any::<String>()) {
+        assert_eq!(read(&document, &mut Findings::default()), None);
+    }
+
+    #[test]
+    fn no_damage_makes_the_reader_panic(
+        place in any::<prop::sample::Index>(),
+        put in any::<char>(),
+    ) {
+        let mut document: Vec<char> = WHOLE.chars().collect();
+        let place = place.index(document.len());
+        document[place] = put;
+        let document: String = document.into_iter().collect();
+        let mut findings = Findings::default();
+        let is_read = read(&document, &mut findings).is_some();
+        assert_eq!(is_read, findings.is_empty());
+    }
+}
