Add the pages for operators and callers, and measure the tier's own cost

A test compares the table of settings with the settings crate; it failed on its first run, because the default of platform.watch_timeout_ms had become 4000.

cargo xtask cost compares the tier with direct calls in one run and counts queries a second for each core.

--- a/crates/settings/src/tests.rs
+++ b/crates/settings/src/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the reading of settings.
 
+mod page;
+
 use findings::Findings;
 use proptest::{
     prelude::{ProptestConfig, any, prop, proptest},
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -4,6 +4,7 @@
 
 mod check;
 mod codegen;
+mod cost;
 mod demo;
 mod error;
 mod measured;
@@ -24,6 +25,8 @@
         /// Arguments of the measuring program.
         arguments: Vec<OsString>,
     },
+    /// Measure what the tier itself costs on loopback.
+    Cost,
     /// Show a fleet on loopback under load and failures.
     Demo {
         /// Leave it running instead.
@@ -55,6 +58,7 @@
         Task::Ci => check::ci(),
         Task::Codegen => codegen::write(),
         Task::Measure { arguments } => measured::measure(&arguments),
+        Task::Cost => cost::run(),
         Task::Demo { is_kept } => demo::run(is_kept),
         Task::Orders { arguments } => measured::orders(&arguments),
         Task::Slopes { arguments } => measured::slopes(&arguments),
@@ -87,6 +91,10 @@
             .descr("Measure the decisions of the reducer on a virtual clock")
             .command("measure")
     };
+    let cost = pure(Task::Cost)
+        .to_options()
+        .descr("Measure what the tier itself costs on loopback")
+        .command("cost");
     let demo = {
         let is_kept = long("keep")
             .help("Leave everything running for a person to try")
@@ -123,5 +131,5 @@
             .descr("Measure how configurations spread and what the exchange costs")
             .command("spread")
     };
-    construct!([ci, codegen, demo, measure, orders, slopes, spread])
+    construct!([ci, codegen, cost, demo, measure, orders, slopes, spread])
 }
