--- a/crates/balsamfake/src/main.rs
+++ b/crates/balsamfake/src/main.rs
@@ -23,6 +23,9 @@
 mod state;
 mod target;
 
+#[cfg(test)]
+mod tests;
+
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
--- /dev/null
+++ b/crates/balsamfake/src/tests/fixture.rs
@@ -0,0 +1,146 @@
+//! Stand-ins driven by hand.
+
+use std::time::{Duration, Instant};
+
+use findings::Findings;
+use model::ReplyStatus;
+use slotmap::{KeyData, SlotMap};
+
+use crate::{
+    effect::{Due, Effect, Reply},
+    event::{CallView, ConnectionKey, Control, Event, RequestKey, TargetKey},
+    reduce::reduce,
+    state::{self, State},
+};
+
+const NOTE: &str = r#"{
+    "revision": 1,
+    "added": ["front/parts", "service/parts-1", "zone/north"],
+    "changed": [], "withdrawn": [],
+    "fleet": {
+        "zones": [{"name": "north", "state": "in"}],
+        "fronts": [{"name": "parts", "zones": [],
+                    "shard_maps": [{"from_snapshot": 1, "services": ["parts-1"]}]}],
+        "services": [{"name": "parts-1", "targets": [
+            {"name": "t1", "zone": "north", "address": "127.0.0.1:1", "slots_count": 1,
+             "connections_max_count": 2, "cold_bearable_count": 1, "state": "in"}]}],
+        "released_fingerprints": []
+    }
+}"#;
+
+/// The stand-ins, and the numbering of requests and connections as the shell does it.
+pub(crate) struct Fixture {
+    pub(crate) state: State,
+    pub(crate) now: Instant,
+    pub(crate) target: TargetKey,
+    requests: SlotMap<RequestKey, ()>,
+    connections: SlotMap<ConnectionKey, ()>,
+}
+
+pub(crate) fn fixture() -> Fixture {
+    let mut findings = Findings::default();
+    let note = note::read(NOTE, &mut findings);
+    let note = note.unwrap_or_else(|| panic!("{findings}"));
+    let state = state::open(&note, NOTE.to_owned(), 5);
+    Fixture {
+        target: state.names["t1"],
+        state,
+        now: Instant::now(),
+        requests: SlotMap::with_key(),
+        connections: SlotMap::with_key(),
+    }
+}
+
+pub(crate) fn feed(fixture: &mut Fixture, event: Event<'_>) -> Vec<Effect> {
+    let mut out = Vec::new();
+    reduce(&mut fixture.state, fixture.now, event, &mut out);
+    out
+}
+
+pub(crate) fn request(fixture: &mut Fixture) -> RequestKey {
+    fixture.requests.insert(())
+}
+
+pub(crate) fn connect(fixture: &mut Fixture) -> Vec<Effect> {
+    let connection = fixture.connections.insert(());
+    let target = fixture.target;
+    feed(fixture, Event::ConnectionOpened { connection, target })
+}
+
+pub(crate) fn call<'a>(call_id: &'a str, body: &'a str) -> CallView<'a> {
+    CallView {
+        call_id,
+        request_id: "r-1",
+        snapshot: Some(1),
+        timeout: Some(Duration::from_secs(1)),
+        is_idempotent: true,
+        body: body.as_bytes(),
+    }
+}
+
+/// Sends a call and returns its key and what follows.
+pub(crate) fn send(fixture: &mut Fixture, call: CallView<'_>) -> (RequestKey, Vec<Effect>) {
+    let request = request(fixture);
+    let target = fixture.target;
+    let event = Event::Call {
+        request,
+        target,
+        call,
+    };
+    (request, feed(fixture, event))
+}
+
+pub(crate) fn control(fixture: &mut Fixture, control: Control<'_>) -> Reply {
+    let request = request(fixture);
+    let mut out = feed(fixture, Event::Control { request, control });
+    match out.pop() {
+        Some(Effect::Reply { reply, .. }) => reply,
+        other => panic!("the command is not answered last: {other:?}"),
+    }
+}
+
+pub(crate) fn steer(fixture: &mut Fixture, change: &str) {
+    let reply = control(
+        fixture,
+        Control::SteerTarget {
+            target: "t1",
+            body: change.as_bytes(),
+        },
+    );
+    assert!(matches!(reply, Reply::Done), "{change}: {reply:?}");
+}
+
+pub(crate) fn steer_platform(fixture: &mut Fixture, change: &str) {
+    let body = change.as_bytes();
+    let reply = control(fixture, Control::SteerPlatform { body });
+    assert!(matches!(reply, Reply::Done), "{change}: {reply:?}");
+}
+
+/// Returns the status of the reply to a call, if there is one.
+pub(crate) fn status(out: &[Effect], wanted: RequestKey) -> Option<ReplyStatus> {
+    out.iter().find_map(|effect| match effect {
+        Effect::Reply {
+            request,
+            reply: Reply::Call(reply),
+        } if *request == wanted => Some(reply.status),
+        _ => None,
+    })
+}
+
+/// Returns the execution time of a call that has been started.
+pub(crate) fn execution_time(out: &[Effect], wanted: RequestKey) -> Option<Duration> {
+    out.iter().find_map(|effect| match effect {
+        Effect::Delay { due, after } if *due == Due::Executed(wanted) => Some(*after),
+        _ => None,
+    })
+}
+
+pub(crate) fn is_dropped(out: &[Effect], wanted: RequestKey) -> bool {
+    let mut effects = out.iter();
+    effects.any(|effect| matches!(effect, Effect::Drop { request } if *request == wanted))
+}
+
+/// Returns a key that nothing has.
+pub(crate) fn no_request() -> RequestKey {
+    KeyData::from_ffi(u64::MAX).into()
+}
--- /dev/null
+++ b/crates/balsamfake/src/tests/life.rs
@@ -0,0 +1,117 @@
+//! Tests of connections, crashes and cold start.
+
+use std::time::Duration;
+
+use model::TargetPhase;
+
+use super::fixture::{
+    call, connect, control, execution_time, feed, fixture, is_dropped, send, steer,
+};
+use crate::{
+    effect::{Due, Effect},
+    event::{CallView, Control, Event},
+    ledger::ExecutionState,
+};
+
+#[test]
+fn connections_beyond_the_limit_are_closed() {
+    let mut fixture = fixture();
+    steer(&mut fixture, "{\"connect_cost_ms\": 6}");
+    for _ in 0..2 {
+        let out = connect(&mut fixture);
+        let Some(Effect::Serve { after, .. }) = out.first() else {
+            panic!("not served: {out:?}");
+        };
+        assert_eq!(*after, Duration::from_millis(6));
+    }
+    let out = connect(&mut fixture);
+    assert!(matches!(out.as_slice(), [Effect::Close { .. }]), "{out:?}");
+}
+
+#[test]
+fn a_poisonous_query_crashes_the_target_and_loses_its_calls() {
+    let mut fixture = fixture();
+    steer(&mut fixture, "{\"poison\": \"bad\", \"slots_count\": 2}");
+    connect(&mut fixture);
+    let order = CallView {
+        is_idempotent: false,
+        ..call("north-1:1:1", "{}")
+    };
+    let (first, _) = send(&mut fixture, order);
+    let (second, out) = send(&mut fixture, call("north-1:1:2", "{\"bad\":1}"));
+    assert!(is_dropped(&out, first) && is_dropped(&out, second));
+    let mut effects = out.iter();
+    assert!(effects.any(|effect| matches!(effect, Effect::Vanish { .. })));
+    assert!(fixture.state.connections.is_empty());
+    let executions = &fixture.state.ledger.executions;
+    assert_eq!(executions[0].state, ExecutionState::Crashed);
+}
+
+#[test]
+fn a_crashed_target_restarts_cold_as_a_new_process() {
+    let mut fixture = fixture();
+    let target = fixture.target;
+    control(&mut fixture, Control::Crash { target: "t1" });
+    let (request, out) = send(&mut fixture, call("north-1:1:1", "{}"));
+    assert!(is_dropped(&out, request), "nobody listens");
+    let out = feed(&mut fixture, Event::RestartDue { target });
+    assert!(matches!(out.as_slice(), [Effect::Listen { .. }]), "{out:?}");
+    let restarted = &fixture.state.targets[target];
+    assert_eq!(restarted.incarnation, 2);
+    assert_eq!(restarted.phase, TargetPhase::Cold);
+}
+
+#[test]
+fn a_cold_target_collapses_above_the_load_that_it_bears() {
+    let mut fixture = fixture();
+    steer(
+        &mut fixture,
+        "{\"phase\": \"cold\", \"slots_count\": 4, \"latency_ms\": 10,
+          \"latency_spread_percent\": 0, \"collapse_factor\": 20}",
+    );
+    let (first, out) = send(&mut fixture, call("north-1:1:1", "{}"));
+    assert_eq!(execution_time(&out, first), Some(Duration::from_millis(10)));
+    let (second, out) = send(&mut fixture, call("north-1:1:2", "{}"));
+    assert_eq!(
+        execution_time(&out, second),
+        Some(Duration::from_millis(200))
+    );
+    let counts = &fixture.state.targets[fixture.target].counts;
+    assert_eq!(counts.cold_excess_count, 1);
+}
+
+#[test]
+fn a_cold_target_becomes_warm_by_calls() {
+    let mut fixture = fixture();
+    steer(
+        &mut fixture,
+        "{\"phase\": \"cold\", \"warm_after_count\": 2}",
+    );
+    for number in ["1", "2"] {
+        assert_eq!(
+            fixture.state.targets[fixture.target].phase,
+            TargetPhase::Cold
+        );
+        let (request, _) = send(&mut fixture, call(number, "{}"));
+        feed(&mut fixture, Event::Executed { request });
+    }
+    assert_eq!(
+        fixture.state.targets[fixture.target].phase,
+        TargetPhase::Warm
+    );
+}
+
+#[test]
+fn a_cold_target_can_crash_under_full_load() {
+    let mut fixture = fixture();
+    steer(
+        &mut fixture,
+        "{\"phase\": \"cold\", \"collapse_crash_count\": 2}",
+    );
+    send(&mut fixture, call("north-1:1:1", "{}"));
+    let (request, out) = send(&mut fixture, call("north-1:1:2", "{}"));
+    assert!(is_dropped(&out, request));
+    let restart = Due::Restart(fixture.target);
+    let mut effects = out.iter();
+    assert!(effects.any(|one| matches!(one, Effect::Delay { due, .. } if *due == restart)));
+}
--- /dev/null
+++ b/crates/balsamfake/src/tests/platform.rs
@@ -0,0 +1,128 @@
+//! Tests of the platform: watches, staleness, outages, the rate limit and the lag.
+
+use std::time::Duration;
+
+use crate::{
+    effect::{Effect, Reply},
+    event::{Control, Event},
+};
+
+use super::fixture::{Fixture, control, feed, fixture, request, steer_platform};
+
+fn watch(fixture: &mut Fixture, reader: &str, after_version: u64) -> Vec<Effect> {
+    let request = request(fixture);
+    let event = Event::Watch {
+        request,
+        reader,
+        after_version,
+        wait: Duration::from_secs(1),
+    };
+    feed(fixture, event)
+}
+
+fn instances(fixture: &mut Fixture) -> Option<Reply> {
+    let request = request(fixture);
+    let event = Event::InstancesWanted {
+        request,
+        reader: "north-1",
+    };
+    replies(&feed(fixture, event)).pop()
+}
+
+fn replies(out: &[Effect]) -> Vec<Reply> {
+    let replies = out.iter().filter_map(|effect| match effect {
+        Effect::Reply { reply, .. } => Some(reply.clone()),
+        _ => None,
+    });
+    replies.collect()
+}
+
+fn versions(out: &[Effect]) -> Vec<u64> {
+    let replies = replies(out).into_iter();
+    let versions = replies.filter_map(|reply| match reply {
+        Reply::Value { version, .. } => Some(version),
+        _ => None,
+    });
+    versions.collect()
+}
+
+#[test]
+fn a_watch_waits_for_a_newer_value() {
+    let mut fixture = fixture();
+    assert_eq!(versions(&watch(&mut fixture, "north-1", 0)), [1]);
+    assert!(versions(&watch(&mut fixture, "north-1", 1)).is_empty());
+    let request = request(&mut fixture);
+    let control = Control::PublishNote { body: b"{}" };
+    let out = feed(&mut fixture, Event::Control { request, control });
+    assert_eq!(versions(&out), [2]);
+}
+
+#[test]
+fn a_watch_that_has_waited_long_enough_gets_the_same_value() {
+    let mut fixture = fixture();
+    watch(&mut fixture, "north-1", 1);
+    let request = fixture.state.platform.watches[0].request;
+    let out = feed(&mut fixture, Event::WatchExpired { request });
+    assert_eq!(versions(&out), [1]);
+    let out = feed(&mut fixture, Event::WatchExpired { request });
+    assert!(out.is_empty());
+}
+
+#[test]
+fn a_stale_platform_serves_an_old_version() {
+    let mut fixture = fixture();
+    control(&mut fixture, Control::PublishNote { body: b"{}" });
+    steer_platform(&mut fixture, "{\"stale_version\": 1}");
+    assert_eq!(versions(&watch(&mut fixture, "north-1", 0)), [1]);
+    steer_platform(&mut fixture, "{\"stale_version\": 0}");
+    assert_eq!(versions(&watch(&mut fixture, "north-1", 0)), [2]);
+}
+
+#[test]
+fn a_cut_reader_gets_no_answer_while_others_do() {
+    let mut fixture = fixture();
+    steer_platform(&mut fixture, "{\"cut_readers\": [\"north-1\"]}");
+    assert!(watch(&mut fixture, "north-1", 0).is_empty());
+    assert_eq!(versions(&watch(&mut fixture, "south-1", 0)), [1]);
+}
+
+#[test]
+fn a_platform_that_is_down_refuses_or_keeps_silent() {
+    let mut fixture = fixture();
+    steer_platform(&mut fixture, "{\"reachability\": \"refusing\"}");
+    let out = watch(&mut fixture, "north-1", 0);
+    assert!(matches!(replies(&out).as_slice(), [Reply::Unavailable]));
+    steer_platform(&mut fixture, "{\"reachability\": \"silent\"}");
+    assert!(watch(&mut fixture, "north-1", 0).is_empty());
+}
+
+#[test]
+fn reads_beyond_the_rate_are_refused_and_counted() {
+    let mut fixture = fixture();
+    steer_platform(&mut fixture, "{\"rate_max_per_s\": 3}");
+    let mut limited = 0;
+    for _ in 0..5 {
+        let out = watch(&mut fixture, "north-1", 0);
+        limited += usize::from(matches!(replies(&out).as_slice(), [Reply::RateLimited]));
+    }
+    assert_eq!(limited, 2);
+    assert_eq!(fixture.state.platform.reads_count, 5);
+    fixture.now += Duration::from_secs(1);
+    assert_eq!(versions(&watch(&mut fixture, "north-1", 0)), [1]);
+}
+
+#[test]
+fn a_list_of_instances_becomes_visible_after_its_lag() {
+    let mut fixture = fixture();
+    steer_platform(&mut fixture, "{\"instances_lag_ms\": 500}");
+    control(&mut fixture, Control::PublishInstances { body: b"[1]" });
+    let Some(Reply::Value { body, .. }) = instances(&mut fixture) else {
+        panic!("no list");
+    };
+    assert_eq!(body, "[]");
+    feed(&mut fixture, Event::InstancesDue);
+    let Some(Reply::Value { body, .. }) = instances(&mut fixture) else {
+        panic!("no list");
+    };
+    assert_eq!(body, "[1]");
+}
--- /dev/null
+++ b/crates/balsamfake/src/tests/steering.rs
@@ -0,0 +1,69 @@
+//! Tests of the reading of changes.
+
+use proptest::{
+    collection::vec,
+    prelude::{ProptestConfig, any, proptest},
+    test_runner::RngSeed,
+};
+use rstest::rstest;
+
+use super::fixture::{control, fixture};
+use crate::{effect::Reply, event::Control};
+
+#[rstest]
+#[case::unknown("{\"latency\": 5}", "$.latency: unknown or repeated field")]
+#[case::wrong_type("{\"latency_ms\": \"5\"}", "$.latency_ms: expected a whole number")]
+#[case::over_all("{\"straggler_percent\": 101}", "from 0 to 100")]
+#[case::word("{\"phase\": \"hot\"}", "`hot` is not one of warm, cold")]
+#[case::order("{\"oldest_snapshot\": 5, \"newest_snapshot\": 4}", "is older than")]
+#[case::not_json("latency_ms=5", "not a JSON document")]
+fn a_faulty_change_changes_nothing(#[case] change: &str, #[case] expected: &str) {
+    let mut fixture = fixture();
+    let before = fixture.state.targets[fixture.target].behaviour.clone();
+    let command = Control::SteerTarget {
+        target: "t1",
+        body: change.as_bytes(),
+    };
+    let Reply::Faulty(findings) = control(&mut fixture, command) else {
+        panic!("the change was taken");
+    };
+    assert!(findings.to_string().contains(expected), "{findings}");
+    assert_eq!(fixture.state.targets[fixture.target].behaviour, before);
+}
+
+#[test]
+fn a_name_stands_for_a_target_a_service_a_zone_or_all() {
+    let mut fixture = fixture();
+    for (name, is_known) in [
+        ("t1", true),
+        ("parts-1", true),
+        ("north", true),
+        ("all", true),
+        ("t2", false),
+    ] {
+        let command = Control::SteerTarget {
+            target: name,
+            body: b"{}",
+        };
+        let reply = control(&mut fixture, command);
+        assert_eq!(matches!(reply, Reply::Done), is_known, "{name}: {reply:?}");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(13),
+        failure_persistence: None,
+        cases: 256,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn no_bytes_make_the_stand_ins_panic(body in vec(any::<u8>(), 0..200)) {
+        let mut fixture = fixture();
+        control(&mut fixture, Control::SteerTarget { target: "t1", body: &body });
+        control(&mut fixture, Control::SteerPlatform { body: &body });
+        control(&mut fixture, Control::PublishNote { body: &body });
+        control(&mut fixture, Control::PublishInstances { body: &body });
+    }
+}
