--- a/crates/balsamd/src/callers.rs
+++ b/crates/balsamd/src/callers.rs
@@ -31,8 +31,9 @@
 const PRIORITY: &str = "balsam-priority";
 const SERVICE: &str = "balsam-service";
 const TICKET: &str = "balsam-ticket";
+const KIND: &str = "balsam-kind";
 const HEADER_PREFIX: &str = "balsam-";
-const KNOWN_HEADERS: [&str; 5] = [REQUEST_ID, TIMEOUT, PRIORITY, SERVICE, TICKET];
+const KNOWN_HEADERS: [&str; 6] = [REQUEST_ID, TIMEOUT, PRIORITY, SERVICE, TICKET, KIND];
 
 /// Longest timeout that a header can state.
 const MAX_TIMEOUT_MS: u64 = 3_600_000;
@@ -196,6 +197,7 @@
     let request_id = text(headers, REQUEST_ID, findings).unwrap_or_default();
     let service = text(headers, SERVICE, findings);
     let ticket = text(headers, TICKET, findings);
+    check_kind(text(headers, KIND, findings), ticket.is_some(), findings);
     let priority = match text(headers, PRIORITY, findings) {
         None => Priority::Normal,
         Some(word) => match word {
@@ -225,6 +227,19 @@
     })
 }
 
+/// Checks that a request that its caller declares to run once has a ticket, and a read has none.
+fn check_kind(kind: Option<&str>, has_ticket: bool, findings: &mut Findings) {
+    let message = match (kind, has_ticket) {
+        (None, _) | (Some("once"), true) | (Some("idempotent"), false) => return,
+        (Some("once"), false) => {
+            "a request that runs once needs a balsam-ticket, see POST /v1/tickets"
+        }
+        (Some("idempotent"), true) => "an idempotent request needs no ticket",
+        (Some(_), _) => "expected once or idempotent",
+    };
+    findings.add(KIND, message);
+}
+
 fn report_unknown(headers: &HeaderMap, findings: &mut Findings) {
     for name in headers.keys() {
         let name = name.as_str();
@@ -308,3 +323,6 @@
         },
     }
 }
+
+#[cfg(test)]
+mod tests;
