--- a/crates/tier/src/poison.rs
+++ b/crates/tier/src/poison.rs
@@ -2,9 +2,8 @@
 
 use std::time::Instant;
 
-use model::Effect;
 use model::{
-    CallFailure, CallKey, Level, LogLine, QuarantineRow, QueryKey, ReplyStatus, RequestView,
+    CallFailure, CallKey, Effect, Level, LogLine, QuarantineRow, QueryKey, ReplyStatus, RequestView,
 };
 use query::Call;
 
