Forward orders only to instances that are known

Cause: a ticket carries its owner's address, and an instance that did not issue the ticket cannot check the seal. A caller could make up a ticket and have the request's body sent to any address. Ruled out: a seal key shared by the fleet, because nothing of the system is stored or shared. Change: a request is forwarded only if membership knows an instance with that peers' port; otherwise the outcome is unknown, because the owner is gone. The test world introduces its instances to each other. Before: the new test saw a message to the made-up address. Conclusion: a restarted instance that has not heard of the owner yet says unknown, as it does for an owner that is gone.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -31,7 +31,7 @@
 pub use freshness::{freshness_age, lapsed_zones, paused};
 pub use instances::instances_published;
 pub use join::is_joined;
-pub use member::{is_before, merge_row, own_row};
+pub use member::{is_before, knows_address, merge_row, own_row};
 pub use readers::is_reader;
 pub use reading::{READS_PER_READER_MAX_PER_S, platform_due, platform_failed, started};
 pub use share::{may_hold_count, own_rank};
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -1,6 +1,9 @@
 //! Rows about members: their order, and what a newer row changes.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use model::{MemberRow, MemberState};
 
@@ -27,6 +30,12 @@
     }
 }
 
+/// Tells whether an instance is known, present or gone, whose peers' port has an address.
+pub fn knows_address(fleet: &FleetState, address: SocketAddr) -> bool {
+    let mut members = fleet.members.values();
+    members.any(|member| member.row.address == address)
+}
+
 /// Tells whether a row about an instance is older than another one about the same instance.
 pub fn is_before(row: &MemberRow, other: &MemberRow) -> bool {
     let order = |row: &MemberRow| (row.id.incarnation, row.counter, rank(row.state));
--- a/crates/tier/src/forward.rs
+++ b/crates/tier/src/forward.rs
@@ -25,12 +25,14 @@
     owner: SocketAddr,
     out: &mut Vec<Effect>,
 ) {
-    let Requester::Caller(_) = requester else {
-        // A forwarded request that is not ours is never forwarded again, so no loop can form.
+    let is_from_caller = matches!(requester, Requester::Caller(_));
+    if !is_from_caller || !fleet::knows_address(&state.fleet, owner) {
+        // A forwarded request that is not ours is never forwarded again, so no loop can form. The
+        // address is the caller's word until its owner checks the seal, so only members are asked.
         let outcome = Outcome::Unknown(UnknownReason::OwnerGone);
         settle::send(requester, ticket::bare(request.request_id, outcome), out);
         return;
-    };
+    }
     let wait = ticket::wait(state, requester, request, Some(owner), out);
     let settings = &state.settings.query;
     let timeout = request.timeout.min(settings.timeout_max);
--- a/crates/tier/src/tests/once.rs
+++ b/crates/tier/src/tests/once.rs
@@ -1,8 +1,10 @@
 //! Requests that run at most once, at one instance.
 
+use std::net::SocketAddr;
+
 use model::{
-    CallFailure, CallerKey, Effect, Event, Kind, Message, NotRunReason, Outcome, Priority,
-    ReplyStatus, ReplyView, RequestView, Timer, UnknownReason,
+    CallFailure, CallerKey, Effect, Event, InstanceId, Kind, MemberRow, MemberState, Message,
+    NotRunReason, Outcome, Priority, ReplyStatus, ReplyView, RequestView, Timer, UnknownReason,
 };
 use rstest::rstest;
 
@@ -151,8 +153,9 @@
 fn passes_a_foreign_ticket_on_and_says_unknown_if_the_owner_is_gone() {
     let mut fixture = fixture(1);
     let foreign = "127.0.0.1:9~7~0~0~0";
-    send(&mut fixture, caller(1), order(foreign));
     let address = "127.0.0.1:9".parse().expect("an address");
+    know(&mut fixture, address);
+    send(&mut fixture, caller(1), order(foreign));
     let is_forwarded = |effect: &Effect| matches!(effect, Effect::Send { address: to, message: Message::Forward(_) } if *to == address);
     assert!(fixture.out.iter().any(is_forwarded));
     feed(&mut fixture, Event::PeerUnreachable { address });
@@ -160,6 +163,31 @@
     assert_eq!(answers(&fixture.out)[0].1.outcome, gone);
 }
 
+#[test]
+fn sends_nothing_to_the_address_of_a_made_up_ticket() {
+    let mut fixture = fixture(1);
+    send(&mut fixture, caller(1), order("192.0.2.1:80~7~0~0~0"));
+    let is_send = |effect: &Effect| matches!(effect, Effect::Send { .. });
+    assert!(!fixture.out.iter().any(is_send));
+    let gone = Outcome::Unknown(UnknownReason::OwnerGone);
+    assert_eq!(answers(&fixture.out)[0].1.outcome, gone);
+}
+
+/// Lets the instance know another one with this peers' port.
+fn know(fixture: &mut Fixture, address: SocketAddr) {
+    let row = MemberRow {
+        id: InstanceId {
+            name: "south-1".to_owned(),
+            incarnation: 7,
+        },
+        address,
+        zone: "south".to_owned(),
+        counter: 0,
+        state: MemberState::Alive,
+    };
+    fleet::merge_row(&mut fixture.state.fleet, fixture.now, &row);
+}
+
 #[test]
 fn cancels_a_read_whose_caller_is_gone_but_not_an_order() {
     let mut fixture = fixture(1);
--- a/crates/tier/src/tests/schedules.rs
+++ b/crates/tier/src/tests/schedules.rs
@@ -7,9 +7,7 @@
     test_runner::{Config, RngSeed},
 };
 
-use super::world::{
-    Fate, Pending, World, ask, drain, happen, introduce, issue, lose_peer, restart, world,
-};
+use super::world::{Fate, Pending, World, ask, drain, happen, issue, lose_peer, restart, world};
 
 const INSTANCES_COUNT: usize = 3;
 const ORDERS_COUNT: usize = 4;
@@ -117,7 +115,6 @@
 /// Plays a request that crashes every target; returns the targets lost.
 fn play_poison(resends: &[(usize, bool)]) -> u32 {
     let mut world = world(INSTANCES_COUNT);
-    introduce(&mut world);
     let mut lost_count = 0;
     for &(index, is_order) in resends {
         let ticket = is_order.then(|| issue(&mut world, index));
--- a/crates/tier/src/tests/world.rs
+++ b/crates/tier/src/tests/world.rs
@@ -75,10 +75,10 @@
     callers_count: u64,
 }
 
-/// Returns instances that accepted the same note, with nothing in flight.
+/// Returns instances that know each other and accepted the same note, with nothing in flight.
 pub(crate) fn world(instances_count: usize) -> World {
     let now = Instant::now();
-    World {
+    let mut world = World {
         states: (0..instances_count)
             .map(|index| run_state(index, 1, now))
             .collect(),
@@ -90,11 +90,13 @@
         open_requests: BTreeMap::new(),
         answered: BTreeMap::new(),
         callers_count: 0,
-    }
+    };
+    introduce(&mut world);
+    world
 }
 
-/// Lets every instance know all others, so that news about poison requests spread.
-pub(crate) fn introduce(world: &mut World) {
+/// Lets every instance know all others, so that they forward requests and spread news.
+fn introduce(world: &mut World) {
     let rows: Vec<_> = world
         .states
         .iter()
