Test headers and notes with arbitrary bytes

The readers of headers and of notes were the decoders without property tests. The tests of the load generator that wait for tickets share their beginning.

--- a/crates/balsamd/src/callers/tests.rs
+++ b/crates/balsamd/src/callers/tests.rs
@@ -1,5 +1,7 @@
 //! Reading the headers of a request.
 
+mod faulty_headers;
+
 use actix_web::http::header::{HeaderMap, HeaderName, HeaderValue};
 use findings::Findings;
 use rstest::rstest;
--- a/crates/balsamload/src/tests/schedule.rs
+++ b/crates/balsamload/src/tests/schedule.rs
@@ -3,7 +3,11 @@
 use std::time::{Duration, Instant};
 
 use super::fixture::{feed, open, options, sent};
-use crate::event::{Effect, Event};
+use crate::{
+    event::{Effect, Event},
+    options::Options,
+    state::State,
+};
 
 #[test]
 fn arrivals_do_not_wait_for_replies() {
@@ -28,14 +32,7 @@
 
 #[test]
 fn a_request_that_runs_once_waits_for_its_ticket() {
-    let now = Instant::now();
-    let options = crate::options::Options {
-        once_percent: 100,
-        ..options()
-    };
-    let mut state = open(&options, now);
-    feed(&mut state, now, Event::Started);
-    let later = now + Duration::from_secs(2);
+    let (mut state, later) = open_with_orders();
     assert!(sent(&feed(&mut state, later, Event::ArrivalDue)).is_empty());
     let tickets = ["t-1".to_owned(), "t-2".to_owned()];
     let event = Event::Tickets {
@@ -47,14 +44,7 @@
 
 #[test]
 fn requests_without_a_ticket_fail() {
-    let now = Instant::now();
-    let options = crate::options::Options {
-        once_percent: 100,
-        ..options()
-    };
-    let mut state = open(&options, now);
-    feed(&mut state, now, Event::Started);
-    let later = now + Duration::from_secs(2);
+    let (mut state, later) = open_with_orders();
     feed(&mut state, later, Event::ArrivalDue);
     let event = Event::Tickets {
         instance: 0,
@@ -64,3 +54,15 @@
     assert_eq!(state.tally.failed_count, state.schedule.arrivals_count);
     assert!(out.contains(&Effect::Finish));
 }
+
+/// Returns a load of requests that all need a ticket, and a moment when it is over.
+fn open_with_orders() -> (State, Instant) {
+    let now = Instant::now();
+    let options = Options {
+        once_percent: 100,
+        ..options()
+    };
+    let mut state = open(&options, now);
+    feed(&mut state, now, Event::Started);
+    (state, now + Duration::from_secs(2))
+}
--- a/crates/note/src/tests.rs
+++ b/crates/note/src/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the release note.
 
+mod arbitrary;
 mod check;
 mod compose;
 mod fixture;
