--- a/crates/tier/src/tests/promises.rs
+++ b/crates/tier/src/tests/promises.rs
@@ -20,6 +20,11 @@
 /// Time after which every query has reached its deadline.
 const ALL_DEADLINES: Duration = Duration::from_secs(5);
 
+/// Median latency that is known at the beginning.
+const MEDIAN: Duration = Duration::from_millis(10);
+/// Late age that is known at the beginning, so that hedges take part.
+const LATE_AFTER: Duration = Duration::from_millis(20);
+
 /// One step of an interleaving.
 #[derive(Clone, Copy, Debug)]
 enum Step {
@@ -94,6 +99,10 @@
         for target in fixture.state.routes.targets.iter() {
             log.shares.insert(target.0, target.1.share_count);
         }
+        for service in fixture.state.routes.services.values_mut() {
+            service.latency.median = MEDIAN;
+            service.latency.late_after = Some(LATE_AFTER);
+        }
         for step in steps {
             take(&mut fixture, &mut log, step)?;
         }
