Measure the slopes of the landed code

Cause: admission, cold start and shares had changed since the last run, and with 10 ms between two queries the probes of idle targets counted as time of a query.

Change: a query is in flight for 1 ms.

--- a/xtask/src/slopes/reducer.rs
+++ b/xtask/src/slopes/reducer.rs
@@ -9,7 +9,7 @@
 /// Batches of which the fastest counts, because noise only ever adds time.
 const BATCHES_COUNT: u32 = 9;
 /// Time that a query is in flight.
-const IN_FLIGHT_TIME: Duration = Duration::from_millis(10);
+const IN_FLIGHT_TIME: Duration = Duration::from_millis(1);
 /// Services of a query, where something else grows.
 const SERVICES_COUNT: u32 = 20;
 
