Let restarted instances know the others in the schedule tests

Cause: since orders are forwarded to known members only, a restarted run of the schedule tests knew nobody, so it forwarded nothing any more. Change: every run starts with the rows of the others.

--- a/crates/tier/src/tests/world.rs
+++ b/crates/tier/src/tests/world.rs
@@ -11,14 +11,16 @@
 };
 
 use model::{
-    Answer, CallFailure, CallKey, CallerKey, Effect, Event, Kind, Message, Outcome, ReplyStatus,
-    ReplyView, RequestView, TargetCall, Timer,
+    Answer, CallFailure, CallKey, CallerKey, Effect, Event, InstanceId, Kind, MemberRow, Message,
+    Outcome, ReplyStatus, ReplyView, RequestView, TargetCall, Timer,
 };
 
 use super::fixture::{caller, note, report, request, settings};
 use crate::{State, open, reduce};
 
 const FIRST_PORT: u16 = 40_000;
+/// Instances that know each other, whether a world has them or not.
+const INSTANCES_MAX_COUNT: usize = 3;
 
 /// One thing that could happen next.
 #[derive(Clone, Debug)]
@@ -75,10 +77,10 @@
     callers_count: u64,
 }
 
-/// Returns instances that know each other and accepted the same note, with nothing in flight.
+/// Returns instances that accepted the same note, with nothing in flight.
 pub(crate) fn world(instances_count: usize) -> World {
     let now = Instant::now();
-    let mut world = World {
+    World {
         states: (0..instances_count)
             .map(|index| run_state(index, 1, now))
             .collect(),
@@ -90,22 +92,6 @@
         open_requests: BTreeMap::new(),
         answered: BTreeMap::new(),
         callers_count: 0,
-    };
-    introduce(&mut world);
-    world
-}
-
-/// Lets every instance know all others, so that they forward requests and spread news.
-fn introduce(world: &mut World) {
-    let rows: Vec<_> = world
-        .states
-        .iter()
-        .map(|state| fleet::own_row(&state.fleet))
-        .collect();
-    for state in &mut world.states {
-        for row in &rows {
-            fleet::merge_row(&mut state.fleet, world.now, row);
-        }
     }
 }
 
@@ -263,7 +249,9 @@
             Effect::Call(call) => world.pending.push(Pending::Call(origin, call)),
             Effect::Send { address, message } if is_carried(&message) => {
                 let index = usize::from(address.port() - FIRST_PORT);
-                world.pending.push(Pending::Message(index, message));
+                if index < world.states.len() {
+                    world.pending.push(Pending::Message(index, message));
+                }
             }
             Effect::SetTimer { timer, .. } if is_request_timer(timer) => {
                 world.pending.push(Pending::Timer(origin, timer));
@@ -322,6 +310,17 @@
     settings.instance.name = format!("north-{index}");
     let seed = run * 100 + index as u64;
     let mut state = open(settings, run, seed);
+    for other in (0..INSTANCES_MAX_COUNT).filter(|&other| other != index) {
+        let row = MemberRow {
+            id: InstanceId {
+                name: format!("north-{other}"),
+                incarnation: 0,
+            },
+            address: address(other),
+            ..fleet::own_row(&state.fleet)
+        };
+        fleet::merge_row(&mut state.fleet, now, &row);
+    }
     let mut out = Vec::new();
     let body = note(1, 1);
     let body = body.as_bytes();
