Print words instead of variants in the demonstration

Cause: the demonstration and balsamctl wait printed Rust values to people. Change: marks have words; outcomes and addresses are printed plainly. Conclusion: only texts change.

--- a/crates/balsamctl/src/wait.rs
+++ b/crates/balsamctl/src/wait.rs
@@ -39,7 +39,9 @@
     } else if late.is_empty() {
         println!("revision {revision} is in force at every instance");
     } else {
-        println!("revision {revision} is not in force at {late:?}");
+        let late: Vec<String> = late.iter().map(ToString::to_string).collect();
+        let late = late.join(", ");
+        println!("revision {revision} is not in force at {late}");
     }
     Ok(if late.is_empty() {
         Exit::Success
--- a/xtask/src/demo/observe.rs
+++ b/xtask/src/demo/observe.rs
@@ -1,6 +1,6 @@
 //! What the demonstration observes.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, fmt, time::Duration};
 
 use serde_json::Value;
 
@@ -19,6 +19,19 @@
     ZoneBack,
 }
 
+impl fmt::Display for Mark {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let words = match self {
+            Mark::BeforeSlow => "before the target is slow",
+            Mark::AfterSlow => "after the target was slow",
+            Mark::ZoneOut => "3 s after the zone was taken out",
+            Mark::ZoneStillOut => "while the zone is still out",
+            Mark::ZoneBack => "after the zone came back",
+        };
+        f.write_str(words)
+    }
+}
+
 /// What targets and instances have counted since their start.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Counts {
--- a/xtask/src/demo/step.rs
+++ b/xtask/src/demo/step.rs
@@ -51,7 +51,7 @@
     let took = began.elapsed();
     println!(
         "         {}, {} of {} services, snapshot {}, {:.1} ms",
-        reply.body["outcome"]["state"],
+        reply.body["outcome"]["state"].as_str().unwrap_or("?"),
         reply.body["coverage"]["answered_count"],
         reply.body["coverage"]["total_count"],
         reply.body["snapshot"],
@@ -123,7 +123,7 @@
         hedges_count,
     };
     println!(
-        "         {mark:?}: zone {ZONE} has received {} calls, {} hedges so far",
+        "         {mark}: zone {ZONE} has received {} calls, {} hedges so far",
         counts.zone_received_count, counts.hedges_count
     );
     Ok(counts)
