Put foreign derives on a line of their own

Cause: rustfmt merges neighbouring derive attributes by default, so the rule that standard and foreign derives stand apart did not hold.

--- a/crates/admit/src/lane.rs
+++ b/crates/admit/src/lane.rs
@@ -23,7 +23,8 @@
 const URGENT_FACTOR: u32 = 2;
 
 /// What runs and what waits on one front.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
 pub struct Lane {
     /// Queries that may run at the same time.
     pub limit_count: u32,
@@ -43,7 +44,8 @@
 }
 
 /// A query that waits.
-#[derive(Clone, Copy, Debug, Serialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Serialize)]
 pub struct Waiting {
     /// The query.
     pub key: QueryKey,
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -11,7 +11,8 @@
 use crate::lane::{self, Lane, Waiting};
 
 /// What runs and what waits, by front.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
 pub struct Admission {
     /// Queues by the names of the fronts.
     pub lanes: BTreeMap<String, Lane>,
--- a/crates/balsamctl/src/error.rs
+++ b/crates/balsamctl/src/error.rs
@@ -3,7 +3,8 @@
 use displaydoc::Display;
 
 /// Why a command could not do its work.
-#[derive(Debug, Display)]
+#[derive(Debug)]
+#[derive(Display)]
 pub enum CommandError {
     /// cannot read `{0}`: {1}
     Read(String, std::io::Error),
--- a/crates/balsamd/src/error.rs
+++ b/crates/balsamd/src/error.rs
@@ -6,7 +6,8 @@
 use findings::Findings;
 
 /// Why an instance cannot start.
-#[derive(Debug, Display)]
+#[derive(Debug)]
+#[derive(Display)]
 pub enum StartError {
     /// cannot read the settings file `{0}`: {1}
     SettingsFile(String, std::io::Error),
--- a/crates/balsamd/src/operators.rs
+++ b/crates/balsamd/src/operators.rs
@@ -66,7 +66,8 @@
 }
 
 /// Parameters of a question about readiness.
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default, deny_unknown_fields)]
 struct ReadyQuery {
     revision: Revision,
--- a/crates/balsamd/src/reports.rs
+++ b/crates/balsamd/src/reports.rs
@@ -5,7 +5,8 @@
 use crate::shell::Shell;
 
 /// Asks for the state of the process in JSON.
-#[derive(Debug, Message)]
+#[derive(Debug)]
+#[derive(Message)]
 #[rtype(result = "String")]
 pub struct DumpWanted;
 
@@ -19,12 +20,14 @@
 }
 
 /// Asks for the status of the process.
-#[derive(Debug, Message)]
+#[derive(Debug)]
+#[derive(Message)]
 #[rtype(result = "StatusReport")]
 pub struct StatusWanted;
 
 /// The status of the process on its way between threads.
-#[derive(Debug, actix::MessageResponse)]
+#[derive(Debug)]
+#[derive(actix::MessageResponse)]
 pub struct StatusReport(pub tier::Status);
 
 impl Handler<StatusWanted> for Shell {
--- a/crates/balsamd/src/shell.rs
+++ b/crates/balsamd/src/shell.rs
@@ -179,7 +179,8 @@
 }
 
 /// A caller's wish for tickets.
-#[derive(Debug, Message)]
+#[derive(Debug)]
+#[derive(Message)]
 #[rtype(result = "()")]
 pub struct TicketsWanted {
     /// Number of tickets.
@@ -199,7 +200,8 @@
 }
 
 /// The end of a caller's connection before its answer.
-#[derive(Debug, Message)]
+#[derive(Debug)]
+#[derive(Message)]
 #[rtype(result = "()")]
 pub struct CallerGone(pub Arc<OnceLock<CallerKey>>);
 
@@ -217,7 +219,8 @@
 }
 
 /// A caller's request.
-#[derive(Debug, Message)]
+#[derive(Debug)]
+#[derive(Message)]
 #[rtype(result = "()")]
 pub struct CallerRequest {
     /// Name of the front.
@@ -258,7 +261,8 @@
 }
 
 /// The end of a call to a target.
-#[derive(Debug, Message)]
+#[derive(Debug)]
+#[derive(Message)]
 #[rtype(result = "()")]
 pub struct CallEnded {
     /// The call.
@@ -289,7 +293,8 @@
 }
 
 /// The end of a load probe.
-#[derive(Debug, Message)]
+#[derive(Debug)]
+#[derive(Message)]
 #[rtype(result = "()")]
 pub struct LoadAnswered {
     /// The target.
@@ -312,7 +317,8 @@
 }
 
 /// A timer that is due.
-#[derive(Debug, Message)]
+#[derive(Debug)]
+#[derive(Message)]
 #[rtype(result = "()")]
 pub struct TimerDue(pub Timer);
 
@@ -325,7 +331,8 @@
 }
 
 /// A message of another instance.
-#[derive(Debug, Message)]
+#[derive(Debug)]
+#[derive(Message)]
 #[rtype(result = "()")]
 pub struct PeerMessage(pub model::Message);
 
@@ -344,7 +351,8 @@
 }
 
 /// The loss of the connection to another instance.
-#[derive(Debug, Message)]
+#[derive(Debug)]
+#[derive(Message)]
 #[rtype(result = "()")]
 pub struct PeerUnreachable(pub SocketAddr);
 
@@ -366,7 +374,8 @@
 }
 
 /// The end of a read of the platform.
-#[derive(Debug, Message)]
+#[derive(Debug)]
+#[derive(Message)]
 #[rtype(result = "()")]
 pub struct PlatformAnswer {
     /// The read.
@@ -393,7 +402,8 @@
 }
 
 /// A signal to shut down.
-#[derive(Debug, Message)]
+#[derive(Debug)]
+#[derive(Message)]
 #[rtype(result = "()")]
 pub struct LeaveWanted;
 
--- a/crates/balsamd/src/waits.rs
+++ b/crates/balsamd/src/waits.rs
@@ -25,7 +25,8 @@
 }
 
 /// Asks whether the instance is ready to serve, waiting for it if need be.
-#[derive(Debug, Message)]
+#[derive(Debug)]
+#[derive(Message)]
 #[rtype(result = "()")]
 pub struct ReadyWanted {
     /// Revision that the instance must have accepted.
--- a/crates/balsamfake/src/behaviour.rs
+++ b/crates/balsamfake/src/behaviour.rs
@@ -10,7 +10,8 @@
 const MAX_COUNT: u32 = 1_000_000;
 
 /// Whether the platform answers its readers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Default, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
+#[derive(Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Reachability {
     /// It answers.
@@ -23,7 +24,8 @@
 }
 
 /// How the platform behaves.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize)]
 pub struct PlatformBehaviour {
     /// Whether it answers.
     pub reachability: Reachability,
@@ -38,7 +40,8 @@
 }
 
 /// How a target behaves.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize)]
 pub struct TargetBehaviour {
     /// Median of the execution time.
     pub latency: Duration,
--- a/crates/balsamfake/src/ledger.rs
+++ b/crates/balsamfake/src/ledger.rs
@@ -6,7 +6,8 @@
 const EXECUTIONS_KEPT_COUNT: usize = 100_000;
 
 /// What became of an execution.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ExecutionState {
     /// It is going on.
@@ -20,7 +21,8 @@
 }
 
 /// One execution.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Execution {
     /// Name of the target.
     pub target: String,
@@ -37,7 +39,8 @@
 }
 
 /// Every execution of a call that must run at most once.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
 pub struct Ledger {
     /// The executions in the order in which they began.
     pub executions: Vec<Execution>,
--- a/crates/balsamfake/src/shell.rs
+++ b/crates/balsamfake/src/shell.rs
@@ -79,7 +79,8 @@
 }
 
 /// The start of the process.
-#[derive(Debug, Message)]
+#[derive(Debug)]
+#[derive(Message)]
 #[rtype(result = "()")]
 struct Started;
 
@@ -92,7 +93,8 @@
 }
 
 /// An HTTP request and where its reply goes.
-#[derive(Debug, Message)]
+#[derive(Debug)]
+#[derive(Message)]
 #[rtype(result = "()")]
 pub struct Request {
     /// What is asked for.
@@ -111,7 +113,8 @@
 }
 
 /// A connection that somebody opened.
-#[derive(Debug, Message)]
+#[derive(Debug)]
+#[derive(Message)]
 #[rtype(result = "()")]
 struct Accepted {
     target: TargetKey,
@@ -134,7 +137,8 @@
 }
 
 /// A connection that the other side closed.
-#[derive(Debug, Message)]
+#[derive(Debug)]
+#[derive(Message)]
 #[rtype(result = "()")]
 struct Closed(ConnectionKey);
 
--- a/crates/balsamfake/src/state.rs
+++ b/crates/balsamfake/src/state.rs
@@ -106,7 +106,8 @@
 }
 
 /// What has happened to a target since the start of the stand-ins.
-#[derive(Clone, Debug, Default, serde::Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(serde::Serialize)]
 pub struct TargetCounts {
     /// Calls received.
     pub received_count: u64,
--- a/crates/balsamload/src/client.rs
+++ b/crates/balsamload/src/client.rs
@@ -41,13 +41,15 @@
     body: EchoBody,
 }
 
-#[derive(Default, Deserialize)]
+#[derive(Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 struct EchoBody {
     query: QueryBody,
 }
 
-#[derive(Default, Deserialize)]
+#[derive(Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 struct QueryBody {
     number: Option<u64>,
--- a/crates/balsamload/src/error.rs
+++ b/crates/balsamload/src/error.rs
@@ -3,7 +3,8 @@
 use displaydoc::Display;
 
 /// Why a load cannot be run or reported.
-#[derive(Debug, Display)]
+#[derive(Debug)]
+#[derive(Display)]
 pub enum LoadError {
     /// cannot write `{0}`: {1}
     Write(String, std::io::Error),
--- a/crates/balsamload/src/report.rs
+++ b/crates/balsamload/src/report.rs
@@ -26,7 +26,8 @@
 ];
 
 /// The figures of a load.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Report {
     /// Requests asked for in one second.
     pub rate_per_s: f64,
@@ -66,7 +67,8 @@
 }
 
 /// Quantiles of a time.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Quantiles {
     /// Number of times.
     pub count: u64,
@@ -77,7 +79,8 @@
 }
 
 /// One second of the load.
-#[derive(Clone, Copy, Debug, Serialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Serialize)]
 pub struct SecondRow {
     /// Answers that arrived.
     pub answers_count: u64,
--- a/crates/findings/src/finding.rs
+++ b/crates/findings/src/finding.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// A fault of a document and where it is.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Finding {
     /// JSON path of the faulty value, such as `$.fleet.zones[2].name`.
     pub path: String,
@@ -29,7 +30,8 @@
 }
 
 /// All faults found so far.
-#[derive(Clone, Debug, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct Findings {
     /// The faults in the order they were found.
     pub list: Vec<Finding>,
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -13,7 +13,8 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// What this instance knows about the configuration and about the other instances.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct FleetState {
     /// This run of this instance.
     pub id: InstanceId,
@@ -73,7 +74,8 @@
 }
 
 /// Another instance.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Member {
     /// The newest word about it.
     pub row: MemberRow,
@@ -106,7 +108,8 @@
 }
 
 /// Whether this instance has caught up with the fleet since it started.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Join {
     /// Still learns the highest revision.
@@ -118,7 +121,8 @@
 }
 
 /// Where the newest confirmation of the configuration came from.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Voucher {
     /// There is none.
@@ -130,7 +134,8 @@
 }
 
 /// Reads of the platform.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
 pub struct Reading {
     /// When the read of the configuration in flight began.
     #[serde(skip)]
--- a/crates/model/src/answer.rs
+++ b/crates/model/src/answer.rs
@@ -8,7 +8,8 @@
 use crate::{Outcome, Snapshot};
 
 /// Why a service is missing from an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum MissingReason {
     /// No reply had arrived when the answer was due.
@@ -26,7 +27,8 @@
 }
 
 /// A service whose result is not part of an answer.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Missing {
     /// Name of the service.
     pub service: Arc<str>,
@@ -35,7 +37,8 @@
 }
 
 /// How much of the front an answer covers.
-#[derive(Clone, Debug, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct Coverage {
     /// Services of the pinned snapshot whose whole reply is in the answer.
     pub answered_count: u32,
@@ -46,7 +49,8 @@
 }
 
 /// The reply of one service.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ShardResult {
     /// Name of the service.
     pub service: Arc<str>,
@@ -55,7 +59,8 @@
 }
 
 /// The answer to one request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Answer {
     /// Identifier of the request.
     pub request_id: String,
--- a/crates/model/src/effect.rs
+++ b/crates/model/src/effect.rs
@@ -8,7 +8,8 @@
 use crate::{Answer, CallKey, CallerKey, LogLine, Message, Snapshot, TargetKey, Timer};
 
 /// One call to one target.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct TargetCall {
     /// Key that the reply or the failure repeats.
     pub call: CallKey,
@@ -29,7 +30,8 @@
 }
 
 /// A read of the platform's configuration service.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum PlatformRead {
     /// Wait until the published configuration is newer than a version, then return it.
@@ -42,7 +44,8 @@
 }
 
 /// Counters that the shell exports as metrics.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Counter {
     /// Requests that callers sent.
@@ -76,7 +79,8 @@
 }
 
 /// One thing for the shell to do.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum Effect {
     /// Send a call to a target.
     Call(TargetCall),
--- a/crates/model/src/event.rs
+++ b/crates/model/src/event.rs
@@ -7,7 +7,8 @@
 use crate::{CallKey, CallerKey, LoadReport, Message, RequestView, Snapshot, TargetKey, Timer};
 
 /// What a target said about one call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ReplyStatus {
     /// The call was executed and the body is its whole result.
@@ -43,7 +44,8 @@
 }
 
 /// A target's whole reply to one call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ReplyView<'a> {
     /// What the target says happened.
     pub status: ReplyStatus,
@@ -56,7 +58,8 @@
 }
 
 /// How a call ended without a whole reply.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum CallFailure {
     /// No connection could be opened, so no byte of the call was sent.
@@ -80,7 +83,8 @@
 }
 
 /// Why the platform gave no value.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum PlatformFailure {
     /// The platform could not be reached or answered with an error.
@@ -90,7 +94,8 @@
 }
 
 /// One thing that happened to the instance.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum Event<'a> {
     /// The process has started; always the first event.
     Started,
--- a/crates/model/src/load.rs
+++ b/crates/model/src/load.rs
@@ -5,7 +5,8 @@
 use crate::Snapshot;
 
 /// Phase of a target's life as the target reports it. The report may lag or mislead.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Default, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum TargetPhase {
     /// Serves at full rate.
@@ -18,7 +19,8 @@
 }
 
 /// A target's load report.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LoadReport {
     /// Identifier of the target's process; differs after a restart.
     pub incarnation: u64,
--- a/crates/model/src/log_line.rs
+++ b/crates/model/src/log_line.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Importance of a line.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Level {
     /// Something is wrong and an operator should look.
@@ -17,7 +18,8 @@
 }
 
 /// A value in a log line.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum Value {
     /// A number; its unit is the suffix of the field's name.
     Number(u64),
@@ -47,7 +49,8 @@
 }
 
 /// One event of the log: a name and its fields.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct LogLine {
     /// Importance.
     pub level: Level,
--- a/crates/model/src/message.rs
+++ b/crates/model/src/message.rs
@@ -8,7 +8,8 @@
 use crate::{Answer, Priority, Revision};
 
 /// Identity of one run of an instance.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct InstanceId {
     /// Name from the settings, unique in the fleet.
     pub name: String,
@@ -17,7 +18,8 @@
 }
 
 /// What an instance knows or believes about one instance, itself included.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum MemberState {
     /// Answers.
@@ -31,7 +33,8 @@
 }
 
 /// One row of a digest: the newest word about one instance.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct MemberRow {
     /// The instance.
     pub id: InstanceId,
@@ -46,7 +49,8 @@
 }
 
 /// One quarantined request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct QuarantineRow {
     /// Hash of the front, the service and the body.
     pub fingerprint: u64,
@@ -57,7 +61,8 @@
 }
 
 /// The periodic exchange between two instances.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Digest {
     /// The sender.
     pub from: MemberRow,
@@ -76,7 +81,8 @@
 }
 
 /// A request that only its ticket's owner may run.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ForwardedRequest {
     /// Sender's peers' port, where the answer goes.
     pub reply_to: SocketAddr,
@@ -99,7 +105,8 @@
 }
 
 /// A message from one instance to another.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Message {
     /// Periodic exchange of membership, revision and freshness.
     Digest(Digest),
--- a/crates/model/src/outcome.rs
+++ b/crates/model/src/outcome.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// What is known about the execution of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", tag = "state", content = "reason")]
 pub enum Outcome {
     /// The request ran, and the answer says what it returned.
@@ -16,7 +17,8 @@
 }
 
 /// Why a request was not run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Display, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum NotRunReason {
     /// the front is not part of the accepted configuration
@@ -46,7 +48,8 @@
 }
 
 /// Why it is not known whether a request ran.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Display, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum UnknownReason {
     /// the connection to the target was lost after the call may have been sent
--- a/crates/model/src/request.rs
+++ b/crates/model/src/request.rs
@@ -7,7 +7,8 @@
 use crate::CallerKey;
 
 /// Who waits for the answer to a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum Requester {
     /// A caller of this instance.
     Caller(CallerKey),
@@ -21,9 +22,8 @@
 }
 
 /// Importance of a request when not everything can be served.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Priority {
     /// Served before everything else.
@@ -36,7 +36,8 @@
 }
 
 /// Whether a request may be sent to a target more than once.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum Kind<'a> {
     /// A read: retries and hedges are allowed.
     Idempotent,
@@ -48,7 +49,8 @@
 }
 
 /// A caller's request, borrowed from the decoded message.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RequestView<'a> {
     /// Identifier chosen by the caller or the edge, repeated in the answer.
     pub request_id: &'a str,
--- a/crates/model/src/timer.rs
+++ b/crates/model/src/timer.rs
@@ -5,7 +5,8 @@
 use crate::{QueryKey, WaitKey};
 
 /// What is due.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum Timer {
     /// A query, waiting or running, has reached its deadline.
     Deadline(QueryKey),
--- a/crates/note/src/compose.rs
+++ b/crates/note/src/compose.rs
@@ -8,7 +8,8 @@
 use crate::{Fleet, Front, Note, Service, Zone, check, check_difference, diff, item_path};
 
 /// What an operator wants to be different. Lists that are empty change nothing.
-#[derive(Clone, Debug, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct Change {
     /// What is new.
     pub added: Fleet,
--- a/crates/note/src/difference.rs
+++ b/crates/note/src/difference.rs
@@ -8,7 +8,8 @@
 use crate::{Fleet, Front, Note, Service, Zone, item_path};
 
 /// What one fleet has, changes and lacks against another one, as sorted paths.
-#[derive(Clone, Debug, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct Difference {
     /// Paths of what is new.
     pub added: Vec<String>,
--- a/crates/note/src/fleet.rs
+++ b/crates/note/src/fleet.rs
@@ -6,7 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 /// A published configuration.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Note {
     /// Number of the configuration.
     pub revision: Revision,
@@ -21,7 +22,8 @@
 }
 
 /// Everything that serves or is served.
-#[derive(Clone, Debug, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct Fleet {
     /// Availability zones.
     pub zones: Vec<Zone>,
@@ -34,7 +36,8 @@
 }
 
 /// Whether an availability zone may receive new work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ZoneState {
     /// In use.
@@ -44,7 +47,8 @@
 }
 
 /// An availability zone.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Zone {
     /// Unique name.
     pub name: String,
@@ -53,7 +57,8 @@
 }
 
 /// The services that hold the shards of a front from one snapshot on.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ShardMap {
     /// First snapshot that is divided in this way.
     pub from_snapshot: Snapshot,
@@ -62,7 +67,8 @@
 }
 
 /// A front that callers can ask.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Front {
     /// Unique name.
     pub name: String,
@@ -73,7 +79,8 @@
 }
 
 /// A service: one shard, held by one or more targets.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Service {
     /// Unique name.
     pub name: String,
@@ -82,7 +89,8 @@
 }
 
 /// Whether a target may receive new work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum TargetState {
     /// In use.
@@ -92,7 +100,8 @@
 }
 
 /// A target: one replica of one service.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Target {
     /// Unique name.
     pub name: String,
--- a/crates/once/src/evidence.rs
+++ b/crates/once/src/evidence.rs
@@ -4,7 +4,8 @@
 use serde::Serialize;
 
 /// What is known about all calls of one request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Default, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
+#[derive(Serialize)]
 pub struct Evidence {
     /// Replies that vouch for execution.
     pub ran_count: u32,
--- a/crates/once/src/late.rs
+++ b/crates/once/src/late.rs
@@ -11,7 +11,8 @@
 const LATE_CALLS_MAX_COUNT: usize = 4096;
 
 /// A call whose request has been answered already.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct LateCall {
     /// Fingerprint of the call.
     pub fingerprint: u64,
--- a/crates/once/src/quarantine.rs
+++ b/crates/once/src/quarantine.rs
@@ -20,7 +20,8 @@
 const SAME_STRIKE_TOLERANCE: Duration = Duration::from_secs(10);
 
 /// A request during whose execution a target was lost.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Suspect {
     /// Strikes; 0 after a whole reply has cleared the request.
     pub strikes_count: u32,
--- a/crates/once/src/table.rs
+++ b/crates/once/src/table.rs
@@ -11,7 +11,8 @@
 use crate::{LateCall, Owner, SealKey, Suspect, ticket::draw_seal_key};
 
 /// Everything about requests that run at most once.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct OnceState {
     /// This run of this instance.
     pub owner: Owner,
@@ -44,7 +45,8 @@
 }
 
 /// A used ticket.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Row {
     /// Fingerprint of the one request that the ticket stands for.
     pub fingerprint: u64,
@@ -56,7 +58,8 @@
 }
 
 /// What has come of a ticket's request.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub enum RowState {
     /// The request waits or runs.
     Running {
@@ -71,7 +74,8 @@
 }
 
 /// A requester that waits for the outcome of a ticket.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Wait {
     /// Who waits.
     pub requester: Requester,
--- a/crates/once/src/ticket.rs
+++ b/crates/once/src/ticket.rs
@@ -10,7 +10,8 @@
 const SEPARATOR: char = '~';
 
 /// The one run of the one instance that may run a ticket's request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Owner {
     /// Peers' port of the instance.
     pub address: SocketAddr,
--- a/crates/query/src/budget.rs
+++ b/crates/query/src/budget.rs
@@ -6,7 +6,8 @@
 const SAVED_MAX_COUNT: f64 = 10.0;
 
 /// A budget that each primary call fills a little and each extra call empties by one.
-#[derive(Clone, Copy, Debug, Default, Serialize)]
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(Serialize)]
 pub struct Budget {
     /// Extra calls allowed per primary call, 0 to 1.
     pub per_primary_ratio: f64,
@@ -15,7 +16,8 @@
 }
 
 /// The budgets of an instance.
-#[derive(Clone, Copy, Debug, Default, Serialize)]
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(Serialize)]
 pub struct Budgets {
     /// Calls sent because another one is late.
     pub hedges: Budget,
--- a/crates/query/src/table.rs
+++ b/crates/query/src/table.rs
@@ -17,7 +17,8 @@
 use crate::{budget::Budgets, waiting::WaitingShards};
 
 /// All queries that wait or run, and all calls in flight.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
 pub struct Queries {
     /// Queries.
     pub queries: SlotMap<QueryKey, Query>,
@@ -41,7 +42,8 @@
 }
 
 /// A query.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Query {
     /// Who waits for the answer.
     pub requester: Requester,
@@ -84,7 +86,8 @@
 }
 
 /// The part of a query that goes to one service.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Shard {
     /// The service.
     pub service: ServiceKey,
@@ -106,7 +109,8 @@
 }
 
 /// What has come of one shard.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub enum ShardState {
     /// No result yet.
     Open,
@@ -117,7 +121,8 @@
 }
 
 /// A call in flight.
-#[derive(Clone, Copy, Debug, Serialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Serialize)]
 pub struct Call {
     /// The query.
     pub query: QueryKey,
@@ -142,7 +147,8 @@
 }
 
 /// Why a call was sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Cause {
     /// It is the first one of its shard.
--- a/crates/query/src/waiting.rs
+++ b/crates/query/src/waiting.rs
@@ -20,7 +20,8 @@
 const CONTENDED_AFTER: Duration = Duration::from_millis(30);
 
 /// One waiting shard.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct WaitingShard {
     /// The query.
     pub query: QueryKey,
@@ -33,7 +34,8 @@
 }
 
 /// The waiting shards of one service, one queue for each priority.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
 pub struct WaitingShards {
     /// Since when shards have been waiting without a break.
     #[serde(skip)]
--- a/crates/rig/src/error.rs
+++ b/crates/rig/src/error.rs
@@ -3,7 +3,8 @@
 use displaydoc::Display;
 
 /// Why a rig cannot do what it was asked.
-#[derive(Debug, Display)]
+#[derive(Debug)]
+#[derive(Display)]
 pub enum RigError {
     /// cannot {0}: {1}
     Io(&'static str, std::io::Error),
--- a/crates/route/src/latency.rs
+++ b/crates/route/src/latency.rs
@@ -19,7 +19,8 @@
 const FIRST_COUNT: u64 = 64;
 
 /// Latencies of one service, and the quantiles that decisions use.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Latency {
     #[serde(skip)]
     histogram: Histogram<u32>,
--- a/crates/route/src/reach.rs
+++ b/crates/route/src/reach.rs
@@ -22,7 +22,8 @@
 const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// What is known about reaching a target.
-#[derive(Clone, Copy, Debug, Default, Serialize)]
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(Serialize)]
 pub struct Reach {
     /// Whether calls are pointless until a probe is answered.
     pub is_unreachable: bool,
--- a/crates/route/src/share.rs
+++ b/crates/route/src/share.rs
@@ -12,7 +12,8 @@
 pub const GROWTH_DELAY: Duration = Duration::from_secs(3);
 
 /// Who divides the targets among themselves.
-#[derive(Clone, Copy, Debug, Serialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Serialize)]
 pub struct Division {
     /// Instances that may hold connections: live, leaving and suspected ones.
     pub instances_count: u32,
@@ -98,7 +99,8 @@
 
 /// Offsets that spread what does not divide: the replicas of a service take up the ranks one after
 /// the other, so that a small limit still leaves every instance some replica.
-#[derive(Clone, Copy, Debug, Serialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Serialize)]
 pub struct Offsets {
     /// Sum of the connections of the service's replicas up to this one.
     pub connections_count: u32,
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -19,7 +19,8 @@
 };
 
 /// Everything known about the fronts and what serves them.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
 pub struct Routes {
     /// Revision of the configuration that the table was made from, or 0.
     pub revision: Revision,
@@ -42,7 +43,8 @@
 }
 
 /// Settings of the choice of targets.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Limits {
     /// Name of this instance's zone.
     pub own_zone_name: String,
@@ -66,7 +68,8 @@
 }
 
 /// A front.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Front {
     /// Zones whose targets serve the front; all zones if empty.
     pub zones: Vec<ZoneKey>,
@@ -75,7 +78,8 @@
 }
 
 /// The division of a front into shards from one snapshot on.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct ShardMap {
     /// First snapshot divided in this way.
     pub from_snapshot: Snapshot,
@@ -84,7 +88,8 @@
 }
 
 /// A service.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Service {
     /// Unique name.
     pub name: Arc<str>,
@@ -95,7 +100,8 @@
 }
 
 /// An availability zone.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Zone {
     /// Unique name.
     pub name: String,
@@ -104,7 +110,8 @@
 }
 
 /// A target and what this instance knows about it.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Target {
     /// Unique name.
     pub name: String,
--- a/crates/route/src/warmth.rs
+++ b/crates/route/src/warmth.rs
@@ -20,7 +20,8 @@
 const REPORT_TRUST_DELAY: Duration = Duration::from_secs(5);
 
 /// What is known about a target's cold start.
-#[derive(Clone, Copy, Debug, Default, Serialize)]
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(Serialize)]
 pub struct Warmth {
     /// Whether the target counts as cold.
     pub is_cold: bool,
--- a/crates/settings/src/areas.rs
+++ b/crates/settings/src/areas.rs
@@ -5,7 +5,8 @@
 use serde::Serialize;
 
 /// All settings of one instance.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize)]
 pub struct Settings {
     /// Who the instance is.
     pub instance: Instance,
@@ -26,7 +27,8 @@
 }
 
 /// Who the instance is.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Instance {
     /// Name, unique in the fleet.
     pub name: String,
@@ -35,7 +37,8 @@
 }
 
 /// Ports that the instance opens.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Listen {
     /// Callers' HTTP port.
     pub callers: SocketAddr,
@@ -46,7 +49,8 @@
 }
 
 /// The platform's configuration service.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Platform {
     /// Address of its HTTP port.
     pub address: SocketAddr,
@@ -55,7 +59,8 @@
 }
 
 /// Limits of single queries.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize)]
 pub struct Query {
     /// Longest timeout that a caller may ask for.
     pub timeout_max: Duration,
@@ -72,7 +77,8 @@
 }
 
 /// Choice of targets.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize)]
 pub struct Route {
     /// Time after which a target without traffic is asked for its load.
     pub probe_idle: Duration,
@@ -81,7 +87,8 @@
 }
 
 /// Admission under load.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Admit {
     /// Queries that run at the same time.
     pub running_max_count: u32,
@@ -92,7 +99,8 @@
 }
 
 /// Requests that run at most once, and quarantine.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Once {
     /// Time after issue during which a ticket can be used and its outcome is held.
     pub ticket_retention: Duration,
@@ -107,7 +115,8 @@
 }
 
 /// Membership and the spreading of configurations.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Fleet {
     /// Time between two ticks of the instance.
     pub tick: Duration,
--- a/crates/tier/src/dump.rs
+++ b/crates/tier/src/dump.rs
@@ -5,7 +5,8 @@
 use crate::State;
 
 /// The whole state in a form that can be encoded.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub struct Dump<'a> {
     /// Settings in force.
     pub settings: &'a settings::Settings,
--- a/crates/tier/src/status.rs
+++ b/crates/tier/src/status.rs
@@ -8,7 +8,8 @@
 use crate::{State, is_ready, revision};
 
 /// What operators want to know about an instance at a glance.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Status {
     /// Name of the instance.
     pub name: String,
--- a/crates/wire/src/decode.rs
+++ b/crates/wire/src/decode.rs
@@ -13,7 +13,8 @@
 use crate::generated::{self, frame};
 
 /// Why the bytes are not a message.
-#[derive(Clone, Debug, PartialEq, Eq, Display)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Display)]
 pub enum DecodeError {
     /// not a protobuf frame: {0}
     Protobuf(String),
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -143,7 +143,17 @@
     #[prost(bytes = "bytes", tag = "2")]
     pub body: ::prost::bytes::Bytes,
 }
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    ::prost::Enumeration
+)]
 #[repr(i32)]
 pub enum MemberState {
     Unspecified = 0,
@@ -178,7 +188,17 @@
         }
     }
 }
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    ::prost::Enumeration
+)]
 #[repr(i32)]
 pub enum Priority {
     Unspecified = 0,
@@ -210,7 +230,17 @@
         }
     }
 }
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    ::prost::Enumeration
+)]
 #[repr(i32)]
 pub enum OutcomeState {
     Unspecified = 0,
--- a/xtask/src/error.rs
+++ b/xtask/src/error.rs
@@ -3,7 +3,8 @@
 use displaydoc::Display;
 
 /// Why a task failed.
-#[derive(Debug, Display)]
+#[derive(Debug)]
+#[derive(Display)]
 pub enum TaskError {
     /// `{0}` failed
     Command(String),
--- a/xtask/src/measure/error.rs
+++ b/xtask/src/measure/error.rs
@@ -4,7 +4,8 @@
 use findings::Findings;
 
 /// Why a measurement failed.
-#[derive(Debug, Display)]
+#[derive(Debug)]
+#[derive(Display)]
 pub enum MeasureError {
     /// cannot read `{0}`: {1}
     File(String, std::io::Error),
--- a/xtask/src/measure/tally.rs
+++ b/xtask/src/measure/tally.rs
@@ -83,7 +83,8 @@
 }
 
 /// The figures of one case and policy.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Figures {
     /// Name of the case.
     pub case: String,
@@ -116,7 +117,8 @@
 }
 
 /// Figures that only the JSON form shows.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct More {
     /// What the case shows.
     pub about: String,
