Be ready only when the own part of the targets is in force

Cause: a new instance among others holds nothing of what does not divide until the others have shrunk, 3 s later, but counted as ready before and refused queries as cold. A test on real processes had asked for the new front only, instead of its answer. Change: readiness waits until every target was asked and the larger part is in force, at most for the limit for joining; a later change of the fleet does not take it back. The test asks for the answer again. Before: a query at a second instance just after ready gave 503.

--- a/crates/rig/tests/rig.rs
+++ b/crates/rig/tests/rig.rs
@@ -35,7 +35,8 @@
     for instance in 0..2 {
         rig::wait_ready(&rig, instance, revision).await?;
         let reply = rig::query(&rig, instance, "fittings", &[], "{}").await?;
-        assert_eq!(reply.body["coverage"]["total_count"], 1, "{reply:?}");
+        assert_eq!(reply.status, 200, "{reply:?}");
+        assert_eq!(reply.body["coverage"]["answered_count"], 1, "{reply:?}");
         let reply = rig::query(&rig, instance, "parts", &[], "{}").await?;
         assert_eq!(reply.body["outcome"]["reason"], "unknown-front");
         assert_eq!(reply.status, 404, "{reply:?}");
--- a/crates/tier/src/state.rs
+++ b/crates/tier/src/state.rs
@@ -25,8 +25,10 @@
     pub admission: Admission,
     /// Tickets and their outcomes.
     pub once: OnceState,
-    /// Whether every target of an accepted configuration has been asked once.
-    pub has_asked_targets: bool,
+    /// When every target of an accepted configuration had been asked once.
+    pub targets_asked_at: Option<Instant>,
+    /// Whether this instance's part of the targets has been in force once.
+    pub can_call_targets: bool,
     /// When the last tick ran.
     pub last_tick: Option<Instant>,
     /// When the last request arrived or was seen in flight.
@@ -45,7 +47,8 @@
     State {
         once: once::open(owner, seed),
         last_activity: None,
-        has_asked_targets: false,
+        targets_asked_at: None,
+        can_call_targets: false,
         fleet: fleet::open(&settings, incarnation),
         routes: Routes {
             limits: limits(&settings),
@@ -72,7 +75,7 @@
 
 /// Tells whether the instance should receive new requests.
 pub fn is_ready(state: &State) -> bool {
-    fleet::is_joined(&state.fleet) && state.has_asked_targets && !state.fleet.is_leaving
+    fleet::is_joined(&state.fleet) && state.can_call_targets && !state.fleet.is_leaving
 }
 
 /// Returns the accepted revision, or 0 if there is none.
--- a/crates/tier/src/tests.rs
+++ b/crates/tier/src/tests.rs
@@ -13,6 +13,7 @@
 mod pause;
 mod poison;
 mod promises;
+mod ready;
 mod replay;
 mod schedules;
 mod snapshot;
--- a/crates/tier/src/tick.rs
+++ b/crates/tier/src/tick.rs
@@ -24,7 +24,7 @@
     platform::divide(state, out);
     platform::confine(state, now);
     request::tick(state, now, out);
-    note_asked_targets(state);
+    note_callable_targets(state, now);
     leave::exit_if_quiet(state, now, out);
     out.push(Effect::SetTimer {
         timer: Timer::Tick,
@@ -32,10 +32,21 @@
     });
 }
 
-/// Notes that the targets are known, without which a query would find none.
-fn note_asked_targets(state: &mut State) {
-    let is_asked = || route::is_every_target_asked(&state.routes);
-    state.has_asked_targets |= state.fleet.note.is_some() && is_asked();
+/// Notes that the targets are known and that this instance's part of them is in force, without
+/// which a query would be refused.
+///
+/// After the limit for joining it serves with what it has, so that a fleet that changes all the time
+/// does not keep an instance from serving.
+fn note_callable_targets(state: &mut State, now: Instant) {
+    if state.can_call_targets || state.fleet.note.is_none() {
+        return;
+    }
+    if !route::is_every_target_asked(&state.routes) {
+        return;
+    }
+    let asked_at = *state.targets_asked_at.get_or_insert(now);
+    let has_waited = now.saturating_duration_since(asked_at) >= state.settings.fleet.join_limit;
+    state.can_call_targets = has_waited || !state.routes.division.is_growing;
 }
 
 /// Notices a pause: the tick is later than the threshold allows, whatever event comes first.
