Let operators mark a front as one for orders only

Cause: a request without a ticket was taken as a read at any front, so a plain client that sent an order was given a gamble instead of an error; only a header that the client sets itself prevented it. Change: a front of the note may say requests = once. Such a front refuses a request without a ticket as not run, ticket-required, status 400. Before: the order was called as a read. After: no call is sent; the same front takes the order under a ticket. Five new test cases pass. Conclusion: notes without the field keep their meaning.

--- a/crates/balsamd/src/callers.rs
+++ b/crates/balsamd/src/callers.rs
@@ -311,7 +311,9 @@
         Outcome::Unknown(_) => StatusCode::GATEWAY_TIMEOUT,
         Outcome::NotRun(reason) => match reason {
             NotRunReason::UnknownFront | NotRunReason::UnknownService => StatusCode::NOT_FOUND,
-            NotRunReason::ServiceRequired | NotRunReason::BadTicket => StatusCode::BAD_REQUEST,
+            NotRunReason::ServiceRequired
+            | NotRunReason::TicketRequired
+            | NotRunReason::BadTicket => StatusCode::BAD_REQUEST,
             NotRunReason::TicketExpired => StatusCode::GONE,
             NotRunReason::Quarantined => StatusCode::UNPROCESSABLE_ENTITY,
             NotRunReason::DeadlinePassed => StatusCode::REQUEST_TIMEOUT,
--- a/crates/model/src/outcome.rs
+++ b/crates/model/src/outcome.rs
@@ -39,6 +39,8 @@
     Declined,
     /// the request is quarantined because targets crashed while executing it
     Quarantined,
+    /// the front takes only requests under a ticket
+    TicketRequired,
     /// the ticket is malformed, was not issued, or belongs to another request
     BadTicket,
     /// the ticket expired before use
--- a/crates/note/src/fleet.rs
+++ b/crates/note/src/fleet.rs
@@ -66,12 +66,27 @@
     pub services: Vec<String>,
 }
 
+/// Which requests a front takes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Default)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Requests {
+    /// Reads, and orders under a ticket.
+    #[default]
+    Any,
+    /// Only requests under a ticket, which run at most once.
+    Once,
+}
+
 /// A front that callers can ask.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct Front {
     /// Unique name.
     pub name: String,
+    /// Which requests it takes.
+    #[serde(default)]
+    pub requests: Requests,
     /// Availability zones whose targets serve the front; all zones if empty.
     pub zones: Vec<String>,
     /// Divisions into shards, by ascending first snapshot.
--- a/crates/note/src/read.rs
+++ b/crates/note/src/read.rs
@@ -3,7 +3,8 @@
 use findings::{Fields, Findings, Node, with_document};
 
 use crate::{
-    Change, Fleet, Front, Note, Service, ShardMap, Target, TargetState, Zone, ZoneState, check,
+    Change, Fleet, Front, Note, Requests, Service, ShardMap, Target, TargetState, Zone, ZoneState,
+    check,
 };
 
 const MAX_COUNT: u32 = 1_000_000;
@@ -123,11 +124,17 @@
 fn read_front(node: Node<'_>, findings: &mut Findings) -> Option<Front> {
     let mut fields = node.fields(findings)?;
     let name = required_name(&mut fields, findings);
+    let words = [("any", Requests::Any), ("once", Requests::Once)];
+    let requests = match fields.optional("requests") {
+        Some(node) => node.one_of(&words, findings),
+        None => Some(Requests::default()),
+    };
     let zones = read_list(&mut fields, "zones", findings, read_name);
     let shard_maps = read_list(&mut fields, "shard_maps", findings, read_shard_map);
     fields.finish(findings);
     Some(Front {
         name: name?,
+        requests: requests?,
         zones,
         shard_maps,
     })
--- a/crates/note/src/tests/check.rs
+++ b/crates/note/src/tests/check.rs
@@ -4,7 +4,7 @@
 use rstest::rstest;
 
 use super::fixture::{note, service, zone};
-use crate::{Note, TargetState, ZoneState, check, check_difference, read};
+use crate::{Note, Requests, TargetState, ZoneState, check, check_difference, read};
 
 fn paths(findings: &Findings) -> Vec<&str> {
     findings
@@ -144,3 +144,29 @@
     check_difference(&previous, &next, &mut findings);
     assert_eq!(paths(&findings), expected);
 }
+
+#[rstest]
+#[case::absent(None, Some(Requests::Any))]
+#[case::any(Some("any"), Some(Requests::Any))]
+#[case::once(Some("once"), Some(Requests::Once))]
+#[case::unknown(Some("twice"), None)]
+fn reads_which_requests_a_front_takes(
+    #[case] word: Option<&str>,
+    #[case] expected: Option<Requests>,
+) {
+    let mut document = serde_json::to_value(note(3)).expect("notes can be encoded");
+    let front = &mut document["fleet"]["fronts"][0];
+    match word {
+        Some(word) => front["requests"] = word.into(),
+        None => {
+            let fields = front.as_object_mut().expect("a front is an object");
+            fields.remove("requests");
+        }
+    }
+    let mut findings = Findings::default();
+    let read = read(&document.to_string(), &mut findings);
+    let requests = read.map(|note| note.fleet.fronts[0].requests);
+    assert_eq!(requests, expected);
+    let is_faulty = paths(&findings) == ["$.fleet.fronts[0].requests"];
+    assert_eq!(is_faulty, expected.is_none());
+}
--- a/crates/note/src/tests/fixture.rs
+++ b/crates/note/src/tests/fixture.rs
@@ -31,6 +31,7 @@
     let from_snapshot = 1;
     Front {
         name: name.to_owned(),
+        requests: Default::default(),
         zones: Vec::new(),
         shard_maps: vec![ShardMap {
             from_snapshot,
--- a/crates/rig/src/plan.rs
+++ b/crates/rig/src/plan.rs
@@ -128,6 +128,7 @@
     }
     fleet.fronts.push(Front {
         name: front.front.clone(),
+        requests: Default::default(),
         zones: Vec::new(),
         shard_maps: vec![ShardMap {
             from_snapshot: 1,
--- a/crates/route/src/apply.rs
+++ b/crates/route/src/apply.rs
@@ -251,6 +251,7 @@
             .collect(),
     });
     Front {
+        is_once_only: front.requests == note::Requests::Once,
         zones: front
             .zones
             .iter()
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -74,6 +74,8 @@
 #[derive(Clone, Debug)]
 #[derive(Serialize)]
 pub struct Front {
+    /// Whether it takes only requests that run at most once.
+    pub is_once_only: bool,
     /// Zones whose targets serve the front; all zones if empty.
     pub zones: Vec<ZoneKey>,
     /// Divisions into shards, by ascending first snapshot.
--- a/crates/tier/src/request.rs
+++ b/crates/tier/src/request.rs
@@ -175,6 +175,9 @@
     let Some(front) = state.routes.fronts.get(request.front) else {
         return Err(NotRunReason::UnknownFront);
     };
+    if front.is_once_only && request.kind == Kind::Idempotent {
+        return Err(NotRunReason::TicketRequired);
+    }
     if request.timeout <= state.settings.query.answer_reserve {
         return Err(NotRunReason::DeadlinePassed);
     }
--- a/crates/tier/src/tests/once.rs
+++ b/crates/tier/src/tests/once.rs
@@ -252,3 +252,17 @@
     assert_eq!(answer.outcome, Outcome::Ran);
     assert_eq!(&answer.results[0].body[..], b"7");
 }
+
+#[test]
+fn a_front_for_orders_refuses_a_request_without_a_ticket() {
+    let mut fixture = fixture(1);
+    let front = fixture.state.routes.fronts.get_mut("parts");
+    front.expect("the note has the front").is_once_only = true;
+    send(&mut fixture, caller(1), request("parts"));
+    assert!(calls(&fixture.out).is_empty());
+    let refused = Outcome::NotRun(NotRunReason::TicketRequired);
+    assert_eq!(answers(&fixture.out)[0].1.outcome, refused);
+    let ticket = ticket(&mut fixture);
+    send(&mut fixture, caller(2), order(&ticket));
+    assert_eq!(calls(&fixture.out).len(), 1);
+}
--- a/xtask/src/measure/fleet.rs
+++ b/xtask/src/measure/fleet.rs
@@ -49,6 +49,7 @@
     let names = names.take(first_count.unwrap_or(services.len()));
     let front = Front {
         name: FRONT.to_owned(),
+        requests: Default::default(),
         zones: Vec::new(),
         shard_maps: vec![ShardMap {
             from_snapshot: FIRST_SNAPSHOT,
--- a/xtask/src/slopes/document.rs
+++ b/xtask/src/slopes/document.rs
@@ -41,6 +41,7 @@
     let asked = services.iter().take(services_count as usize);
     let front = Front {
         name: FRONT.to_owned(),
+        requests: Default::default(),
         zones: Vec::new(),
         shard_maps: vec![ShardMap {
             from_snapshot: 1,
