--- a/crates/note/src/tests.rs
+++ b/crates/note/src/tests.rs
@@ -3,4 +3,5 @@
 mod arbitrary;
 mod check;
 mod compose;
+mod examples;
 mod fixture;
