Let the stand-ins begin with a list of instances

Cause: tried by hand, the example fleet knew nobody, because the platform of the stand-ins began with an empty list. Each of four instances took every connection that a target permits, and answers covered 4 to 20 of 20 services. Conclusion: instances that start together while the platform lists nobody still take themselves for alone until the list names them.

--- a/crates/balsamfake/src/commands.rs
+++ b/crates/balsamfake/src/commands.rs
@@ -1,6 +1,11 @@
 //! The command line.
 
-use std::{fs, net::SocketAddr, path::PathBuf, process::ExitCode};
+use std::{
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
 
 use bpaf::{Parser, construct, long};
 use findings::Findings;
@@ -13,6 +18,8 @@
 pub struct Command {
     /// The release note whose targets are played and which the platform publishes.
     pub note: PathBuf,
+    /// The list of instances that the platform gives at first; an empty one if there is no file.
+    pub instances: Option<PathBuf>,
     /// Address of the platform's HTTP port.
     pub platform: SocketAddr,
     /// Address of the port on which the stand-ins are steered.
@@ -26,6 +33,10 @@
     let note = long("note")
         .help("Release note to publish and to play")
         .argument("FILE");
+    let instances = long("instances")
+        .help("List of instances that the platform gives at first")
+        .argument("FILE")
+        .optional();
     let platform = long("platform")
         .help("Address of the platform's port")
         .argument("ADDRESS");
@@ -38,6 +49,7 @@
         .fallback(1);
     let command = construct!(Command {
         note,
+        instances,
         platform,
         control,
         seed
@@ -51,19 +63,22 @@
 
 /// Runs until the process is ended.
 pub fn run(command: Command) -> ExitCode {
-    let document = match fs::read_to_string(&command.note) {
-        Ok(document) => document,
-        Err(error) => {
-            eprintln!("error: cannot read `{}`: {error}", command.note.display());
-            return ExitCode::FAILURE;
-        }
+    let Some(document) = read_file(&command.note) else {
+        return ExitCode::FAILURE;
+    };
+    let instances = match &command.instances {
+        Some(path) => read_file(path),
+        None => Some("[]".to_owned()),
+    };
+    let Some(instances) = instances else {
+        return ExitCode::FAILURE;
     };
     let mut findings = Findings::default();
     let Some(note): Option<Note> = note::read(&document, &mut findings) else {
         eprint!("{findings}");
         return ExitCode::FAILURE;
     };
-    match shell::run(&command, &note, document) {
+    match shell::run(&command, &note, document, instances) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("error: {error}");
@@ -71,3 +86,12 @@
         }
     }
 }
+
+/// Reads a file, or tells why it cannot be read.
+fn read_file(path: &Path) -> Option<String> {
+    let content = fs::read_to_string(path);
+    if let Err(error) = &content {
+        eprintln!("error: cannot read `{}`: {error}", path.display());
+    }
+    content.ok()
+}
--- a/crates/balsamfake/src/shell.rs
+++ b/crates/balsamfake/src/shell.rs
@@ -49,12 +49,19 @@
 /// # Errors
 ///
 /// Returns an error if a port cannot be opened.
-pub fn run(command: &Command, note: &Note, document: String) -> std::io::Result<()> {
+pub fn run(
+    command: &Command,
+    note: &Note,
+    document: String,
+    instances: String,
+) -> std::io::Result<()> {
     logs::open();
     let system = System::new();
+    let mut state = state::open(note, document, command.seed);
+    state.platform.instances = instances.into();
     system.block_on(async {
         let shell = Shell {
-            state: state::open(note, document, command.seed),
+            state,
             requests: SlotMap::with_key(),
             listeners: SecondaryMap::new(),
             connections: SlotMap::with_key(),
