Count the targets as callable only after joining

Cause: readiness remembered that the part of the targets was in force. An instance that had its configuration before the list of instances took itself for alone, and remembered that. Change: nothing is remembered until the instance has joined. Before: the new test found it remembered. After: it is not; the tests of readiness start from a joined instance. A trial of waiting until every service may be called was given up: targets that report to be cold cannot be waited for, and others are callable.

--- a/crates/tier/src/tests/ready.rs
+++ b/crates/tier/src/tests/ready.rs
@@ -6,6 +6,13 @@
 
 use super::fixture::{Fixture, feed, fixture};
 
+/// Returns an instance that has caught up with the fleet.
+fn joined() -> Fixture {
+    let mut fixture = fixture(1);
+    fixture.state.fleet.join = fleet::Join::CaughtUp;
+    fixture
+}
+
 /// Lets time pass, tick by tick.
 fn pass(fixture: &mut Fixture, duration: Duration) {
     let end = fixture.now + duration;
@@ -31,14 +38,14 @@
 
 #[test]
 fn a_lone_instance_can_call_its_targets_at_once() {
-    let mut fixture = fixture(1);
+    let mut fixture = joined();
     feed(&mut fixture, Event::Timer(Timer::Tick));
     assert!(fixture.state.can_call_targets);
 }
 
 #[test]
 fn an_instance_among_others_waits_until_its_part_of_the_targets_is_in_force() {
-    let mut fixture = fixture(1);
+    let mut fixture = joined();
     know_another_instance(&mut fixture);
     pass(&mut fixture, Duration::from_secs(2));
     assert!(!fixture.state.can_call_targets);
@@ -49,9 +56,18 @@
 
 #[test]
 fn a_later_change_of_the_fleet_does_not_take_readiness_back() {
-    let mut fixture = fixture(1);
+    let mut fixture = joined();
     feed(&mut fixture, Event::Timer(Timer::Tick));
     know_another_instance(&mut fixture);
     feed(&mut fixture, Event::Timer(Timer::Tick));
     assert!(fixture.state.can_call_targets);
 }
+
+#[test]
+fn what_it_may_call_before_it_has_joined_does_not_count() {
+    let mut fixture = fixture(1);
+    fixture.state.fleet.join = fleet::Join::Waiting;
+    fixture.state.fleet.reading.is_answered = false;
+    feed(&mut fixture, Event::Timer(Timer::Tick));
+    assert!(!fixture.state.can_call_targets);
+}
--- a/crates/tier/src/tick.rs
+++ b/crates/tier/src/tick.rs
@@ -38,7 +38,8 @@
 /// After the limit for joining it serves with what it has, so that a fleet that changes all the time
 /// does not keep an instance from serving.
 fn note_callable_targets(state: &mut State, now: Instant) {
-    if state.can_call_targets || state.fleet.note.is_none() {
+    // Until it has joined, the instance may take itself for alone and every target for its own.
+    if state.can_call_targets || !fleet::is_joined(&state.fleet) {
         return;
     }
     if !route::is_every_target_asked(&state.routes) {
