Ask a reply's status in one place whether the call was run

Cause: quarantine and late replies each listed the two statuses that vouch for execution, beside the method that lists those that vouch against it. Change: ReplyStatus::is_run stands next to is_not_run and serves both.

--- a/crates/model/src/event.rs
+++ b/crates/model/src/event.rs
@@ -30,6 +30,11 @@
 }
 
 impl ReplyStatus {
+    /// Tells whether the target vouches that it executed the call to its end.
+    pub fn is_run(self) -> bool {
+        matches!(self, ReplyStatus::Done | ReplyStatus::Failed)
+    }
+
     /// Tells whether the target vouches that it has not executed the call and will not.
     pub fn is_not_run(self) -> bool {
         match self {
--- a/crates/tier/src/late.rs
+++ b/crates/tier/src/late.rs
@@ -39,8 +39,7 @@
     let Some(late) = once::take_late(&mut state.once, call) else {
         return;
     };
-    let is_survived = matches!(reply.status, ReplyStatus::Done | ReplyStatus::Failed);
-    if is_survived {
+    if reply.status.is_run() {
         poison::exonerate(state, late.fingerprint);
     }
     let mut evidence = Evidence::default();
--- a/crates/tier/src/poison.rs
+++ b/crates/tier/src/poison.rs
@@ -18,8 +18,7 @@
 
 /// Takes in a whole reply: a request that a target has survived is harmless.
 pub(crate) fn replied(state: &mut State, call: CallKey, status: ReplyStatus) {
-    let is_survived = matches!(status, ReplyStatus::Done | ReplyStatus::Failed);
-    if !is_survived || state.once.suspects.is_empty() {
+    if !status.is_run() || state.once.suspects.is_empty() {
         return;
     }
     let Some(call) = running_call(state, call) else {
