Count the ends of a load's requests in one struct

Cause: the tally and the report of the load generator each declared the same seven counts, and making the report copied them one by one. Change: Ends holds them; the report flattens it, so the JSON keeps its fields. Tests name the new path and keep their assertions.

--- a/crates/balsamload/src/commands.rs
+++ b/crates/balsamload/src/commands.rs
@@ -36,7 +36,7 @@
         eprintln!("error: {error}");
         return ExitCode::FAILURE;
     }
-    if report.failed_count + report.mixed_up_count + report.untrue_count > 0 {
+    if report.ends.failed_count + report.ends.mixed_up_count + report.ends.untrue_count > 0 {
         return ExitCode::from(EXIT_FAILED_REQUESTS);
     }
     ExitCode::SUCCESS
--- a/crates/balsamload/src/reduce.rs
+++ b/crates/balsamload/src/reduce.rs
@@ -52,7 +52,7 @@
         }
         Event::Failed { request } => {
             if state.sent.remove(request).is_some() {
-                state.tally.failed_count += 1;
+                state.tally.ends.failed_count += 1;
                 second(state, now).unanswered_count += 1;
             }
         }
@@ -145,7 +145,7 @@
     state.tickets[instance].is_asked = false;
     if tickets.is_empty() {
         let lost = std::mem::take(&mut state.tickets[instance].waiting);
-        state.tally.failed_count += lost.len() as u64;
+        state.tally.ends.failed_count += lost.len() as u64;
         second(state, now).unanswered_count += lost.len() as u64;
         return;
     }
@@ -159,23 +159,31 @@
     let latency_us = micros(now.saturating_duration_since(sent.due_at));
     let service_us = micros(now.saturating_duration_since(sent.sent_at));
     let tally = &mut state.tally;
-    tally.mixed_up_count += u64::from(answer.mixed_up_count);
-    tally.untrue_count += u64::from(!answer.is_coverage_true);
+    tally.ends.mixed_up_count += u64::from(answer.mixed_up_count);
+    tally.ends.untrue_count += u64::from(!answer.is_coverage_true);
     let is_answered = match answer.outcome {
         Outcome::Ran if answer.answered_count == answer.total_count => {
-            tally.complete_count += 1;
+            tally.ends.complete_count += 1;
             true
         }
         Outcome::Ran => {
-            tally.partial_count += 1;
+            tally.ends.partial_count += 1;
             true
         }
         Outcome::NotRun(reason) => {
-            *tally.refusals.entry(model::to_word(&reason)).or_default() += 1;
+            *tally
+                .ends
+                .refusals
+                .entry(model::to_word(&reason))
+                .or_default() += 1;
             false
         }
         Outcome::Unknown(reason) => {
-            *tally.unknowns.entry(model::to_word(&reason)).or_default() += 1;
+            *tally
+                .ends
+                .unknowns
+                .entry(model::to_word(&reason))
+                .or_default() += 1;
             false
         }
     };
--- a/crates/balsamload/src/report.rs
+++ b/crates/balsamload/src/report.rs
@@ -11,7 +11,7 @@
 use crate::{
     error::LoadError,
     options::Options,
-    state::{Second, State},
+    state::{Ends, Second, State},
 };
 
 /// Quantiles that are reported.
@@ -35,20 +35,9 @@
     pub duration_ms: u64,
     /// Requests sent.
     pub sent_count: u64,
-    /// Answers with every service.
-    pub complete_count: u64,
-    /// Answers with some services missing.
-    pub partial_count: u64,
-    /// Refusals by reason.
-    pub refusals: BTreeMap<String, u64>,
-    /// Unknown outcomes by reason.
-    pub unknowns: BTreeMap<String, u64>,
-    /// Requests without an answer that could be read.
-    pub failed_count: u64,
-    /// Results that did not repeat their query.
-    pub mixed_up_count: u64,
-    /// Answers whose coverage disagrees with their results.
-    pub untrue_count: u64,
+    /// What came of the requests.
+    #[serde(flatten)]
+    pub ends: Ends,
     /// Answered services over services asked, all answers together.
     pub coverage_ratio: f64,
     /// Hedges and retries over first calls.
@@ -116,13 +105,7 @@
         rate_per_s: options.rate_per_s,
         duration_ms: u64::try_from(state.began_at.elapsed().as_millis()).unwrap_or(u64::MAX),
         sent_count: state.schedule.arrivals_count,
-        complete_count: tally.complete_count,
-        partial_count: tally.partial_count,
-        refusals: tally.refusals.clone(),
-        unknowns: tally.unknowns.clone(),
-        failed_count: tally.failed_count,
-        mixed_up_count: tally.mixed_up_count,
-        untrue_count: tally.untrue_count,
+        ends: tally.ends.clone(),
         coverage_ratio: ratio(answered, total, 1.0),
         extra_load_ratio: ratio(extra, primary, 0.0),
         latency: quantiles(&tally.latency),
--- a/crates/balsamload/src/report/table.rs
+++ b/crates/balsamload/src/report/table.rs
@@ -26,18 +26,18 @@
 fn lines(report: &Report) -> Vec<(&'static str, String)> {
     let mut lines = vec![
         ("requests", report.sent_count.to_string()),
-        ("complete answers", report.complete_count.to_string()),
-        ("partial answers", report.partial_count.to_string()),
-        ("failed", report.failed_count.to_string()),
-        ("mixed-up results", report.mixed_up_count.to_string()),
-        ("untrue coverage", report.untrue_count.to_string()),
+        ("complete answers", report.ends.complete_count.to_string()),
+        ("partial answers", report.ends.partial_count.to_string()),
+        ("failed", report.ends.failed_count.to_string()),
+        ("mixed-up results", report.ends.mixed_up_count.to_string()),
+        ("untrue coverage", report.ends.untrue_count.to_string()),
         ("coverage", format!("{:.4}", report.coverage_ratio)),
         ("extra load", format!("{:.4}", report.extra_load_ratio)),
     ];
-    for (reason, count) in &report.refusals {
+    for (reason, count) in &report.ends.refusals {
         lines.push(("refused", format!("{count} ({reason})")));
     }
-    for (reason, count) in &report.unknowns {
+    for (reason, count) in &report.ends.unknowns {
         lines.push(("outcome unknown", format!("{count} ({reason})")));
     }
     lines
--- a/crates/balsamload/src/shell.rs
+++ b/crates/balsamload/src/shell.rs
@@ -170,9 +170,9 @@
     shell.progress.set_message(format!(
         "{} sent, {} complete, {} partial, {} failed, p99 {} us",
         state.schedule.arrivals_count,
-        tally.complete_count,
-        tally.partial_count,
-        tally.failed_count,
+        tally.ends.complete_count,
+        tally.ends.partial_count,
+        tally.ends.failed_count,
         tally.latency.value_at_quantile(0.99),
     ));
 }
--- a/crates/balsamload/src/state.rs
+++ b/crates/balsamload/src/state.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, time::Instant};
 
 use hdrhistogram::Histogram;
+use serde::Serialize;
 use slotmap::SlotMap;
 
 use crate::{
@@ -58,15 +59,10 @@
     pub is_asked: bool,
 }
 
-/// What has come back.
-#[derive(Clone, Debug)]
-pub struct Tally {
-    /// Time from the scheduled arrival to the answer.
-    pub latency: Histogram<u64>,
-    /// Time from the sending to the answer.
-    pub service: Histogram<u64>,
-    /// Time from the sending of a direct call to its reply.
-    pub direct: Histogram<u64>,
+/// What came of the requests of a load.
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
+pub struct Ends {
     /// Answers with every service.
     pub complete_count: u64,
     /// Answers with some services missing.
@@ -81,6 +77,19 @@
     pub mixed_up_count: u64,
     /// Answers whose coverage disagrees with their results.
     pub untrue_count: u64,
+}
+
+/// What has come back.
+#[derive(Clone, Debug)]
+pub struct Tally {
+    /// Time from the scheduled arrival to the answer.
+    pub latency: Histogram<u64>,
+    /// Time from the sending to the answer.
+    pub service: Histogram<u64>,
+    /// Time from the sending of a direct call to its reply.
+    pub direct: Histogram<u64>,
+    /// What came of the requests.
+    pub ends: Ends,
     /// Course of the load by second.
     pub seconds: Vec<Second>,
 }
@@ -121,13 +130,7 @@
             latency: histogram()?,
             service: histogram()?,
             direct: histogram()?,
-            complete_count: 0,
-            partial_count: 0,
-            refusals: BTreeMap::new(),
-            unknowns: BTreeMap::new(),
-            failed_count: 0,
-            mixed_up_count: 0,
-            untrue_count: 0,
+            ends: Ends::default(),
             seconds: Vec::new(),
         },
     })
--- a/crates/balsamload/src/tests/counting.rs
+++ b/crates/balsamload/src/tests/counting.rs
@@ -59,10 +59,10 @@
     }
     let tally = &state.tally;
     let counted = [
-        tally.complete_count,
-        tally.partial_count,
-        tally.refusals.values().sum(),
-        tally.unknowns.values().sum(),
+        tally.ends.complete_count,
+        tally.ends.partial_count,
+        tally.ends.refusals.values().sum(),
+        tally.ends.unknowns.values().sum(),
     ];
     assert_eq!(counted, expected);
 }
@@ -79,7 +79,7 @@
         ends += out.iter().filter(|one| **one == Effect::Finish).count();
     }
     assert_eq!(ends, 1);
-    assert_eq!(state.tally.failed_count, state.schedule.arrivals_count);
+    assert_eq!(state.tally.ends.failed_count, state.schedule.arrivals_count);
 }
 
 #[test]
--- a/crates/balsamload/src/tests/schedule.rs
+++ b/crates/balsamload/src/tests/schedule.rs
@@ -51,7 +51,7 @@
         tickets: &[],
     };
     let out = feed(&mut state, later, event);
-    assert_eq!(state.tally.failed_count, state.schedule.arrivals_count);
+    assert_eq!(state.tally.ends.failed_count, state.schedule.arrivals_count);
     assert!(out.contains(&Effect::Finish));
 }
 
