--- /dev/null
+++ b/crates/balsamd/src/attempts.rs
@@ -0,0 +1,169 @@
+//! Connections to the targets of the gateway: a task for each, which carries one request at a time.
+
+use std::time::Duration;
+
+use actix::Addr;
+use actix_http::ServiceConfig;
+use model::{AttemptCall, CallFailure, TargetKey};
+use platform::Reply;
+use slotmap::SecondaryMap;
+use tokio::{
+    sync::mpsc::{self, error::TrySendError},
+    task::AbortHandle,
+};
+
+use crate::{
+    client::{self, ClientError, Connection, Response},
+    shell::{AttemptEnded, Shell},
+};
+
+/// Time before the peer's own limit at which an idle connection is closed, so that a request does
+/// not cross the peer's close.
+const IDLE_MARGIN: Duration = Duration::from_millis(500);
+/// Time after which an idle connection is closed if the peer states no limit.
+const IDLE_MAX: Duration = Duration::from_secs(20);
+/// Time beyond its limit after which an attempt without a reply is given up.
+const REPLY_MARGIN: Duration = Duration::from_secs(2);
+
+/// A connection that can carry a request.
+#[derive(Clone, Debug)]
+pub struct Carrier {
+    calls: mpsc::Sender<AttemptCall>,
+    task: AbortHandle,
+}
+
+/// The idle connections of each target.
+pub type Idle = SecondaryMap<TargetKey, Vec<Carrier>>;
+
+/// Sends a request on an idle connection, or on a new one; returns what carries it.
+pub fn send(
+    idle: &mut Idle,
+    shell: &Addr<Shell>,
+    config: &ServiceConfig,
+    mut call: AttemptCall,
+) -> Carrier {
+    let mut carriers = idle.get_mut(call.target);
+    // The connection that was used last has most of its idle time left.
+    while let Some(carrier) = carriers.as_mut().and_then(|carriers| carriers.pop()) {
+        match carrier.calls.try_send(call) {
+            Ok(()) => return carrier,
+            // The connection has ended while it was idle.
+            Err(TrySendError::Closed(unsent) | TrySendError::Full(unsent)) => call = unsent,
+        }
+    }
+    spawn(shell.clone(), config.clone(), call)
+}
+
+/// Keeps a connection for the next request.
+pub fn keep(idle: &mut Idle, target: TargetKey, carrier: Carrier) {
+    if let Some(carriers) = idle.entry(target) {
+        carriers.or_default().push(carrier);
+    }
+}
+
+/// Drops a connection, whatever it carries.
+pub fn close(carrier: Carrier) {
+    carrier.task.abort();
+}
+
+/// Opens a connection for a request.
+fn spawn(shell: Addr<Shell>, config: ServiceConfig, call: AttemptCall) -> Carrier {
+    let (calls, receiver) = mpsc::channel(1);
+    let sender = calls.clone();
+    let running = actix_rt::spawn(async move {
+        let address = call.address;
+        let connection = match client::open(address, config).await {
+            Ok(connection) => connection,
+            Err(error) => {
+                report(&shell, &call, Err(failure(&error)), false);
+                return;
+            }
+        };
+        // The shell holds a sender of its own while the connection is in use or idle.
+        drop(sender);
+        carry(shell, connection, receiver, call).await;
+    });
+    Carrier {
+        calls,
+        task: running.abort_handle(),
+    }
+}
+
+/// Carries requests until the connection ends or stays idle for too long.
+async fn carry(
+    shell: Addr<Shell>,
+    mut connection: Connection,
+    mut calls: mpsc::Receiver<AttemptCall>,
+    mut call: AttemptCall,
+) {
+    loop {
+        let limit = call.timeout + REPLY_MARGIN;
+        let sent = actix_rt::time::timeout(limit, send_one(connection, &call)).await;
+        let (response, kept) = match sent {
+            Ok(Ok(sent)) => sent,
+            Ok(Err(error)) => return report(&shell, &call, Err(failure(&error)), false),
+            Err(_) => return report(&shell, &call, Err(CallFailure::ConnectionLost), false),
+        };
+        connection = kept;
+        let idle_limit = platform::idle_timeout(&response.head);
+        let idle_limit = idle_limit.map_or(IDLE_MAX, |limit| limit.saturating_sub(IDLE_MARGIN));
+        let is_reusable = response.is_reusable && !idle_limit.is_zero();
+        let reply = platform::decode_reply(&response.head, response.body);
+        let result = reply.map_err(|_| CallFailure::Truncated);
+        report(&shell, &call, result, is_reusable);
+        if !is_reusable {
+            return;
+        }
+        let next = tokio::select! {
+            next = calls.recv() => next,
+            () = client::idle_end(&mut connection) => None,
+            () = actix_rt::time::sleep(idle_limit) => None,
+        };
+        let Some(next) = next else {
+            return end_idle(&shell, calls).await;
+        };
+        call = next;
+    }
+}
+
+/// Reports a request that crossed the end of its idle connection as unsent.
+async fn end_idle(shell: &Addr<Shell>, mut calls: mpsc::Receiver<AttemptCall>) {
+    calls.close();
+    while let Some(call) = calls.recv().await {
+        report(shell, &call, Err(CallFailure::NotSent), false);
+    }
+}
+
+async fn send_one(
+    connection: Connection,
+    call: &AttemptCall,
+) -> Result<(Response, Connection), ClientError> {
+    let head = platform::encode_attempt(call).ok_or(ClientError::Unwritable)?;
+    let request = &call.request;
+    let is_answer = |head: &_| platform::is_reply_to(head, &request.request_id);
+    client::exchange(connection, head, &request.body, is_answer).await
+}
+
+fn report(
+    shell: &Addr<Shell>,
+    call: &AttemptCall,
+    result: Result<Reply, CallFailure>,
+    is_reusable: bool,
+) {
+    shell.do_send(AttemptEnded {
+        attempt: call.attempt,
+        target: call.target,
+        result,
+        is_reusable,
+    });
+}
+
+/// Classifies an error by whether any byte may have reached the target.
+fn failure(error: &ClientError) -> CallFailure {
+    match error {
+        ClientError::Connect(_) => CallFailure::ConnectRefused,
+        ClientError::Unwritable => CallFailure::NotSent,
+        ClientError::Lost(_) => CallFailure::ConnectionLost,
+        ClientError::Truncated(_) | ClientError::Malformed(_) => CallFailure::Truncated,
+    }
+}
--- a/crates/balsamd/src/callers.rs
+++ b/crates/balsamd/src/callers.rs
@@ -1,6 +1,7 @@
 //! The callers' HTTP port.
 
 use std::{
+    net::SocketAddr,
     sync::{
         Arc, OnceLock,
         atomic::{AtomicBool, Ordering},
@@ -9,8 +10,10 @@
 };
 
 use actix::Addr;
+use actix_service::{ServiceFactory, map_config};
 use actix_web::{
-    App, HttpRequest, HttpResponse, HttpServer,
+    App, HttpRequest, HttpResponse,
+    dev::AppConfig,
     http::{ConnectionType, StatusCode, header::HeaderMap},
     web,
 };
@@ -23,6 +26,7 @@
 
 use crate::{
     error::StartError,
+    http,
     shell::{CallerGone, CallerRequest, Shell, TicketsWanted},
 };
 
@@ -53,9 +57,9 @@
 /// # Errors
 ///
 /// Returns an error if the port cannot be opened.
-pub fn spawn(
+pub async fn spawn(
     shell: Addr<Shell>,
-    listen: &settings::Listen,
+    address: SocketAddr,
     limits: &settings::Query,
     is_leaving: Arc<AtomicBool>,
 ) -> Result<(), StartError> {
@@ -64,21 +68,18 @@
         body_max_bytes: limits.body_max_bytes as usize,
         is_leaving,
     };
-    let server = HttpServer::new(move || {
-        App::new()
-            .app_data(web::Data::new(context.clone()))
-            .app_data(web::PayloadConfig::new(context.body_max_bytes))
-            .route("/v1/fronts/{front}/query", web::post().to(query))
-            .route("/v1/tickets", web::post().to(tickets))
-    });
-    let server = server
-        .workers(1)
-        .disable_signals()
-        // A caller that closes its connection no longer waits for the answer.
-        .h1_allow_half_closed(false)
-        .bind(listen.callers)
-        .map_err(|error| StartError::Listen("callers", listen.callers, error))?;
-    actix_rt::spawn(server.run());
+    let listener = http::bind("callers", address).await?;
+    let app = App::new()
+        .app_data(web::PayloadConfig::new(context.body_max_bytes))
+        .app_data(web::Data::new(context))
+        .route("/v1/fronts/{front}/query", web::post().to(query))
+        .route("/v1/tickets", web::post().to(tickets));
+    let factory = http::builder()
+        .h1(map_config(app, |()| AppConfig::default()))
+        .tcp();
+    if let Ok(service) = factory.new_service(()).await {
+        http::spawn(listener, service);
+    }
     Ok(())
 }
 
@@ -97,21 +98,17 @@
         return HttpResponse::BadRequest().json(findings);
     };
     let (reply, answer) = oneshot::channel();
-    let mut guard = CallerGuard {
-        shell: context.shell.clone(),
-        key: Arc::default(),
-        is_answered: false,
-    };
+    let mut guard = CallerGuard::new(context.shell.clone());
     let request = CallerRequest {
         front: front.into_inner(),
         headers,
         body,
         reply,
-        key: guard.key.clone(),
+        key: guard.key(),
     };
     context.shell.do_send(request);
     let answer = answer.await;
-    guard.is_answered = true;
+    guard.answered();
     let response = match answer {
         Ok(answer) => respond(&answer),
         Err(_) => HttpResponse::InternalServerError().body("the instance has stopped\n"),
@@ -131,12 +128,33 @@
 }
 
 /// Reports a caller as gone if its request is dropped before the answer.
-struct CallerGuard {
+pub struct CallerGuard {
     shell: Addr<Shell>,
     key: Arc<OnceLock<CallerKey>>,
     is_answered: bool,
 }
 
+impl CallerGuard {
+    /// Returns a guard of a request that is handed to the shell.
+    pub fn new(shell: Addr<Shell>) -> CallerGuard {
+        CallerGuard {
+            shell,
+            key: Arc::default(),
+            is_answered: false,
+        }
+    }
+
+    /// Returns the cell that receives the key of the caller.
+    pub fn key(&self) -> Arc<OnceLock<CallerKey>> {
+        self.key.clone()
+    }
+
+    /// Notes that the shell has answered.
+    pub fn answered(&mut self) {
+        self.is_answered = true;
+    }
+}
+
 impl Drop for CallerGuard {
     fn drop(&mut self) {
         if !self.is_answered {
--- a/crates/balsamd/src/effects.rs
+++ b/crates/balsamd/src/effects.rs
@@ -4,9 +4,9 @@
 use model::Effect;
 
 use crate::{
-    metrics, peers, platform,
+    attempts, metrics, notes, peers,
     shell::{CallEnded, CallerReply, Shell},
-    targets,
+    store, targets,
 };
 
 /// Runs one effect.
@@ -83,7 +83,33 @@
         }
         Effect::ReadPlatform(read) => {
             let settings = &shell.state.settings.platform;
-            platform::spawn_read(address, &shell.platform, settings, read);
+            notes::spawn_read(address, &shell.platform, settings, read);
+        }
+        Effect::Attempt(call) => {
+            let attempt = call.attempt;
+            let carrier = attempts::send(&mut shell.idle, address, &shell.client, call);
+            shell.attempts.insert(attempt, carrier);
+        }
+        Effect::DropAttempt { attempt, .. } => {
+            if let Some(carrier) = shell.attempts.remove(attempt) {
+                attempts::close(carrier);
+            }
+        }
+        Effect::Disconnect { target } => {
+            // Idle connections close when nobody can send on them any more.
+            shell.idle.remove(target);
+        }
+        Effect::Respond { caller, response } => {
+            let Some(CallerReply::Http(reply)) = shell.callers.remove(caller) else {
+                return;
+            };
+            // The caller may have closed its connection; then nobody needs the response.
+            let _ = reply.send(*response);
+        }
+        Effect::ReadStore(read) => {
+            if let Some(gateway) = &shell.state.settings.gateway {
+                store::spawn_read(address, &shell.client, gateway.store, read);
+            }
         }
         Effect::SetTimer { timer, after } => {
             let Some(timers) = &shell.timers else { return };
--- a/crates/balsamd/src/main.rs
+++ b/crates/balsamd/src/main.rs
@@ -8,17 +8,22 @@
 //! - every wait is a wait for the operating system; nothing polls in a loop;
 //! - encodings (HTTP, JSON, protobuf) are converted in the modules that own the connections.
 
+mod attempts;
 mod callers;
+mod client;
 mod clock;
 mod commands;
 mod effects;
 mod error;
+mod http;
+mod ingress;
 mod metrics;
+mod notes;
 mod operators;
 mod peers;
-mod platform;
 mod reports;
 mod shell;
+mod store;
 mod targets;
 mod timers;
 mod waits;
--- a/crates/balsamd/src/operators.rs
+++ b/crates/balsamd/src/operators.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use actix::Addr;
-use actix_web::{App, HttpResponse, HttpServer, web};
+use actix_service::{ServiceFactory, map_config};
+use actix_web::{App, HttpResponse, dev::AppConfig, web};
 use model::Revision;
 use prometheus::Registry;
 use serde::Deserialize;
@@ -11,6 +12,7 @@
 
 use crate::{
     error::StartError,
+    http,
     metrics::{self, Gauges},
     reports::{DumpWanted, StatusWanted},
     shell::Shell,
@@ -32,7 +34,7 @@
 /// # Errors
 ///
 /// Returns an error if the port cannot be opened.
-pub fn spawn(
+pub async fn spawn(
     shell: Addr<Shell>,
     registry: Registry,
     gauges: Gauges,
@@ -43,21 +45,20 @@
         registry,
         gauges,
     };
-    let server = HttpServer::new(move || {
-        App::new()
-            .app_data(web::Data::new(context.clone()))
-            .route("/live", web::get().to(live))
-            .route("/ready", web::get().to(ready))
-            .route("/metrics", web::get().to(export_metrics))
-            .route("/status", web::get().to(status))
-            .route("/state", web::get().to(state))
-    });
-    let server = server
-        .workers(1)
-        .disable_signals()
-        .bind(listen.operators)
-        .map_err(|error| StartError::Listen("operators", listen.operators, error))?;
-    actix_rt::spawn(server.run());
+    let listener = http::bind("operators", listen.operators).await?;
+    let app = App::new()
+        .app_data(web::Data::new(context))
+        .route("/live", web::get().to(live))
+        .route("/ready", web::get().to(ready))
+        .route("/metrics", web::get().to(export_metrics))
+        .route("/status", web::get().to(status))
+        .route("/state", web::get().to(state));
+    let factory = http::builder()
+        .h1(map_config(app, |()| AppConfig::default()))
+        .tcp();
+    if let Ok(service) = factory.new_service(()).await {
+        http::spawn(listener, service);
+    }
     Ok(())
 }
 
--- a/crates/balsamd/src/shell.rs
+++ b/crates/balsamd/src/shell.rs
@@ -11,12 +11,15 @@
 };
 
 use actix::{Actor, AsyncContext, Context, Handler, Message, System};
+use actix_http::ServiceConfig;
 use awc::{Client, http::header::USER_AGENT};
 use bytes::Bytes;
 use model::{
-    CallFailure, CallKey, CallerKey, Effect, Event, Kind, Level, LoadReport, LogLine,
-    PlatformFailure, PlatformRead, ReplyView, RequestView, TargetKey, Timer,
+    AttemptKey, AttemptReply, CallFailure, CallKey, CallerKey, Effect, Event, HttpRequest,
+    HttpResponse, Kind, Level, LoadReport, LogLine, PlatformFailure, PlatformRead, ReplyView,
+    RequestView, StoreFailure, StoreRead, TargetKey, Timer,
 };
+use platform::{Reply, StoreValue};
 use rand::{TryRng, rngs::SysRng};
 use settings::Settings;
 use slotmap::{SecondaryMap, SlotMap};
@@ -29,10 +32,13 @@
 };
 
 use crate::{
+    attempts::{self, Carrier, Idle},
     callers::{self, Headers},
+    client,
     clock::{self, Clock},
     effects,
     error::StartError,
+    ingress,
     metrics::{self, Metrics},
     operators,
     peers::{self, Outboxes},
@@ -56,6 +62,10 @@
     pub(crate) platform: Client,
     pub(crate) origin: String,
     pub(crate) waits: Waits,
+    /// What all connections of the gateway share.
+    pub(crate) client: ServiceConfig,
+    pub(crate) idle: Idle,
+    pub(crate) attempts: SecondaryMap<AttemptKey, Carrier>,
     effects: Vec<Effect>,
 }
 
@@ -74,6 +84,7 @@
 async fn start(settings: Settings) -> Result<(), StartError> {
     let listen = settings.listen.clone();
     let limits = settings.query.clone();
+    let gateway = settings.gateway.clone();
     let metrics = metrics::open()?;
     let registry = metrics::registry(&metrics);
     let gauges = metrics::open_gauges(&metrics);
@@ -101,21 +112,34 @@
         platform,
         origin,
         waits: Waits::with_key(),
+        client: client::config(),
+        idle: Idle::new(),
+        attempts: SecondaryMap::new(),
         effects: Vec::new(),
     };
     let address = shell.start();
-    callers::spawn(address.clone(), &listen, &limits, is_leaving)?;
-    operators::spawn(address.clone(), registry, gauges, &listen)?;
+    if let Some(callers) = listen.callers {
+        callers::spawn(address.clone(), callers, &limits, is_leaving.clone()).await?;
+    }
+    if let Some(gateway) = &gateway {
+        ingress::spawn(address.clone(), gateway, is_leaving).await?;
+    }
+    operators::spawn(address.clone(), registry, gauges, &listen).await?;
     peers::spawn_listener(address.clone(), peers);
     spawn_signals(address)?;
-    logs::write(&listening(&listen));
+    logs::write(&listening(&listen, gateway.as_ref()));
     Ok(())
 }
 
-fn listening(listen: &settings::Listen) -> LogLine {
-    LogLine::new(Level::Info, "listening")
-        .with("callers", listen.callers.to_string().as_str())
-        .with("operators", listen.operators.to_string().as_str())
+fn listening(listen: &settings::Listen, gateway: Option<&settings::Gateway>) -> LogLine {
+    let mut line = LogLine::new(Level::Info, "listening");
+    if let Some(callers) = listen.callers {
+        line = line.with("callers", callers.to_string().as_str());
+    }
+    if let Some(gateway) = gateway {
+        line = line.with("gateway", gateway.listen.to_string().as_str());
+    }
+    line.with("operators", listen.operators.to_string().as_str())
         .with("peers", listen.peers.to_string().as_str())
 }
 
@@ -174,6 +198,8 @@
 pub enum CallerReply {
     /// The caller sent a request.
     Answer(oneshot::Sender<model::Answer>),
+    /// The caller of the gateway sent a request.
+    Http(oneshot::Sender<HttpResponse>),
     /// The caller asked for tickets.
     Tickets(oneshot::Sender<Vec<String>>),
 }
@@ -260,6 +286,104 @@
     }
 }
 
+/// A request of a caller of the gateway.
+#[derive(Debug)]
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct HttpArrived {
+    /// The request.
+    pub request: Arc<HttpRequest>,
+    /// Where the response goes.
+    pub reply: oneshot::Sender<HttpResponse>,
+    /// Receives the key of the caller, for the report that it has gone.
+    pub key: Arc<OnceLock<CallerKey>>,
+}
+
+impl Handler<HttpArrived> for Shell {
+    type Result = ();
+
+    fn handle(&mut self, message: HttpArrived, context: &mut Self::Context) {
+        let caller = self.callers.insert(CallerReply::Http(message.reply));
+        // The cell belongs to this message alone, so it is empty.
+        let _ = message.key.set(caller);
+        let request = message.request;
+        handle(self, context, Event::HttpRequest { caller, request });
+    }
+}
+
+/// The end of an attempt.
+#[derive(Debug)]
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct AttemptEnded {
+    /// The attempt.
+    pub attempt: AttemptKey,
+    /// Its target.
+    pub target: TargetKey,
+    /// The reply or the failure.
+    pub result: Result<Reply, CallFailure>,
+    /// Whether its connection can carry another request.
+    pub is_reusable: bool,
+}
+
+impl Handler<AttemptEnded> for Shell {
+    type Result = ();
+
+    fn handle(&mut self, message: AttemptEnded, context: &mut Self::Context) {
+        let attempt = message.attempt;
+        let carrier = self.attempts.remove(attempt);
+        if let Some(carrier) = carrier
+            && message.is_reusable
+        {
+            attempts::keep(&mut self.idle, message.target, carrier);
+        }
+        let event = match &message.result {
+            Ok(reply) => Event::AttemptReplied {
+                attempt,
+                reply: AttemptReply {
+                    status: reply.status,
+                    code: reply.code,
+                    proof: reply.proof.as_deref(),
+                    headers: Cow::Borrowed(&reply.headers),
+                    body: reply.body.clone(),
+                    load: reply.load,
+                },
+            },
+            &Err(failure) => Event::AttemptFailed { attempt, failure },
+        };
+        handle(self, context, event);
+    }
+}
+
+/// The end of a read of the store.
+#[derive(Debug)]
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct StoreReadEnded {
+    /// The read.
+    pub read: StoreRead,
+    /// The value or the failure.
+    pub result: Result<StoreValue, StoreFailure>,
+}
+
+impl Handler<StoreReadEnded> for Shell {
+    type Result = ();
+
+    fn handle(&mut self, message: StoreReadEnded, context: &mut Self::Context) {
+        let read = message.read;
+        let event = match message.result {
+            Ok(value) => Event::StoreAnswered {
+                read,
+                records: Cow::Owned(value.records),
+                revision: value.revision,
+                next_page: value.next_page,
+            },
+            Err(failure) => Event::StoreFailed { read, failure },
+        };
+        handle(self, context, event);
+    }
+}
+
 /// The end of a call to a target.
 #[derive(Debug)]
 #[derive(Message)]
--- /dev/null
+++ b/crates/balsamd/src/store.rs
@@ -0,0 +1,58 @@
+//! Reads of the metadata store, each on a connection of its own, so that one that has gone silent
+//! costs a single read.
+
+use std::{net::SocketAddr, time::Duration};
+
+use actix::Addr;
+use actix_http::{RequestHead, ServiceConfig, header};
+use bytes::Bytes;
+use model::{StoreFailure, StoreRead};
+use platform::StoreValue;
+
+use crate::{
+    client,
+    shell::{Shell, StoreReadEnded},
+};
+
+/// Time that an answer may take beyond the time that the read waits for a change.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Starts one read, which reports its end to the shell.
+pub fn spawn_read(
+    shell: &Addr<Shell>,
+    config: &ServiceConfig,
+    address: SocketAddr,
+    read: StoreRead,
+) {
+    let shell = shell.clone();
+    let config = config.clone();
+    actix_rt::spawn(async move {
+        let limit = match &read {
+            StoreRead::Watch { wait, .. } => *wait + ANSWER_TIMEOUT,
+            StoreRead::List { .. } => ANSWER_TIMEOUT,
+        };
+        let answer = actix_rt::time::timeout(limit, fetch(config, address, &read)).await;
+        let result = answer.unwrap_or(Err(StoreFailure::Unreachable));
+        shell.do_send(StoreReadEnded { read, result });
+    });
+}
+
+async fn fetch(
+    config: ServiceConfig,
+    address: SocketAddr,
+    read: &StoreRead,
+) -> Result<StoreValue, StoreFailure> {
+    let lost = |_| StoreFailure::Unreachable;
+    let mut head = RequestHead::default();
+    head.uri = platform::encode_read(read)
+        .parse()
+        .map_err(|_| StoreFailure::Unreachable)?;
+    let host = header::HeaderValue::from_str(&address.to_string());
+    let host = host.map_err(|_| StoreFailure::Unreachable)?;
+    head.headers.insert(header::HOST, host);
+    let connection = client::open(address, config).await.map_err(lost)?;
+    let no_body = Bytes::new();
+    let exchange = client::exchange(connection, head, &no_body, |_| true);
+    let (response, _) = exchange.await.map_err(lost)?;
+    platform::decode_answer(read, response.head.status.as_u16(), &response.body)
+}
--- /dev/null
+++ b/crates/catalog/src/apply.rs
@@ -0,0 +1,366 @@
+//! Taking in what the store publishes.
+
+use std::{
+    collections::HashSet,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use model::{
+    Configuration, Destination, FrontKey, Record, Registration, ServiceEntry, ServiceKey, TargetKey,
+};
+
+use crate::{Catalog, Front, Route, Service, Target};
+
+/// Time for which a draining target, or one whose registration is missing, may still receive what
+/// nobody else can take.
+///
+/// The platform lets a target serve for three seconds after it has announced its end, and brings
+/// registrations that lapsed during an outage of the store back within about two.
+const LEAVING_USABLE: Duration = Duration::from_millis(2_200);
+/// Connections that a target is taken to accept until the configuration tells.
+const CONNECTIONS_DEFAULT_COUNT: u32 = 8;
+
+/// What a record has changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A newer configuration is in force.
+    Configuration {
+        /// Version in force before, or 0.
+        from: u64,
+    },
+    /// A published configuration was not newer than the one in force.
+    OldConfiguration {
+        /// Its version.
+        version: u64,
+    },
+    /// A zone was taken out or back.
+    ZoneOut {
+        /// The zone.
+        zone: String,
+        /// Whether it is out.
+        is_out: bool,
+    },
+    /// A target is known now, or a new process or address has taken its identifier.
+    TargetStarted {
+        /// The target.
+        target: TargetKey,
+        /// The target under the same identifier that it replaces.
+        replaced: Option<TargetKey>,
+    },
+    /// A target announced its end, or its registration is missing.
+    TargetLeaving {
+        /// The target.
+        target: TargetKey,
+        /// Whether its registration is missing.
+        is_removed: bool,
+    },
+    /// A target that was leaving or cold is back, or became cold.
+    TargetChanged {
+        /// The target.
+        target: TargetKey,
+    },
+    /// An item could not be read.
+    Unreadable {
+        /// Its key.
+        key: String,
+        /// Why.
+        reason: String,
+    },
+}
+
+/// Takes in one record; returns what it has changed, if anything.
+pub fn apply(catalog: &mut Catalog, now: Instant, record: &Record) -> Option<Change> {
+    match record {
+        Record::Configuration(configuration) => {
+            Some(apply_configuration(catalog, now, configuration))
+        }
+        Record::ZoneOut { zone, is_out } => {
+            let is_changed = match is_out {
+                true => catalog.zones_out.insert(zone.clone()),
+                false => catalog.zones_out.remove(zone),
+            };
+            is_changed.then(|| Change::ZoneOut {
+                zone: zone.clone(),
+                is_out: *is_out,
+            })
+        }
+        Record::Target {
+            target_id,
+            registration: Some(registration),
+        } => apply_registration(catalog, now, target_id, registration),
+        Record::Target {
+            target_id,
+            registration: None,
+        }
+        | Record::TargetRemoved { target_id } => remove_later(catalog, now, target_id),
+        Record::Unreadable { key, reason } => Some(Change::Unreadable {
+            key: key.clone(),
+            reason: reason.clone(),
+        }),
+    }
+}
+
+/// Marks the targets whose identifiers a complete list did not name.
+pub(crate) fn remove_unlisted(
+    catalog: &mut Catalog,
+    now: Instant,
+    listed: &HashSet<String>,
+    changes: &mut Vec<Change>,
+) {
+    let ids = catalog.target_ids.keys().cloned();
+    let missing: Vec<Arc<str>> = ids.filter(|id| !listed.contains(&**id)).collect();
+    for id in missing {
+        changes.extend(remove_later(catalog, now, &id));
+    }
+}
+
+/// Forgets the targets that have left; returns their keys.
+pub fn expire(catalog: &mut Catalog, now: Instant) -> Vec<TargetKey> {
+    let is_over = |since: Option<Instant>| since.is_some_and(|at| now >= at + LEAVING_USABLE);
+    let targets = catalog.targets.iter();
+    let over = targets.filter(|(_, target)| is_over(target.removed_since));
+    let over: Vec<TargetKey> = over.map(|(key, _)| key).collect();
+    for &key in &over {
+        forget(catalog, key);
+    }
+    over
+}
+
+/// Tells whether a leaving target may still receive what nobody else can take.
+pub(crate) fn is_leaving_usable(target: &Target, now: Instant) -> bool {
+    let since = target
+        .draining_since
+        .into_iter()
+        .chain(target.removed_since);
+    since.min().is_some_and(|at| now < at + LEAVING_USABLE)
+}
+
+fn apply_configuration(
+    catalog: &mut Catalog,
+    now: Instant,
+    configuration: &Configuration,
+) -> Change {
+    if configuration.version <= catalog.version {
+        return Change::OldConfiguration {
+            version: configuration.version,
+        };
+    }
+    let from = std::mem::replace(&mut catalog.version, configuration.version);
+    catalog.version_since = Some(now);
+    for service in catalog.services.values_mut() {
+        service.is_configured = false;
+    }
+    for entry in &configuration.services {
+        configure_service(catalog, entry);
+    }
+    let mut kept: HashSet<FrontKey> = HashSet::new();
+    for entry in &configuration.fronts {
+        let front = Front {
+            name: entry.name.clone(),
+            host: entry.host.clone(),
+            prefix: entry.prefix.clone(),
+            is_idempotent: entry.is_idempotent,
+            timeout: entry.timeout,
+            goal: entry.goal,
+            rank: entry.rank,
+            attempts_max_count: entry.attempts_max_count.max(1),
+            route: route(catalog, &entry.destination),
+        };
+        let key = match catalog.front_names.get(&entry.name) {
+            Some(&key) => {
+                catalog.fronts[key] = front;
+                key
+            }
+            None => catalog.fronts.insert(front),
+        };
+        catalog.front_names.insert(entry.name.clone(), key);
+        kept.insert(key);
+    }
+    catalog.fronts.retain(|key, _| kept.contains(&key));
+    catalog.front_names.retain(|_, key| kept.contains(key));
+    index_hosts(catalog);
+    forget_unused_services(catalog);
+    Change::Configuration { from }
+}
+
+fn route(catalog: &mut Catalog, destination: &Destination) -> Route {
+    match destination {
+        Destination::Split(parts) => {
+            let parts = parts.iter();
+            let parts = parts.map(|(name, weight)| (service(catalog, name), weight.max(0.0)));
+            Route::Split(parts.collect())
+        }
+        Destination::Gather {
+            services,
+            records_count,
+            least_ratio,
+        } => {
+            let services: Arc<[ServiceKey]> =
+                services.iter().map(|name| service(catalog, name)).collect();
+            Route::Gather {
+                records_count: *records_count,
+                least_count: least_count(services.len(), *least_ratio),
+                services,
+            }
+        }
+    }
+}
+
+/// Returns the number of parts that make up at least a share of all.
+fn least_count(services_count: usize, least_ratio: f64) -> u32 {
+    // Shares are decimal fractions, whose product with a whole number may miss it by rounding.
+    const ROUNDING: f64 = 1e-9;
+    let least = (services_count as f64 * least_ratio.clamp(0.0, 1.0) - ROUNDING).ceil();
+    // A float-to-integer conversion saturates, and an answer names one part at least.
+    (least as u32).max(1)
+}
+
+fn index_hosts(catalog: &mut Catalog) {
+    catalog.hosts.clear();
+    for (key, front) in &catalog.fronts {
+        let fronts = catalog.hosts.entry(front.host.clone()).or_default();
+        fronts.push(key);
+    }
+    let fronts = &catalog.fronts;
+    for keys in catalog.hosts.values_mut() {
+        keys.sort_by_key(|&key| std::cmp::Reverse(fronts[key].prefix.len()));
+    }
+}
+
+fn configure_service(catalog: &mut Catalog, entry: &ServiceEntry) {
+    let key = service(catalog, &entry.name);
+    let service = &mut catalog.services[key];
+    service.connections_max_count = entry.connections_max_count;
+    service.cold_max_per_s = entry.cold_max_per_s;
+    service.is_configured = true;
+}
+
+/// Returns the key of a service, which is created if nobody has named it before.
+fn service(catalog: &mut Catalog, name: &str) -> ServiceKey {
+    if let Some(&key) = catalog.service_names.get(name) {
+        return key;
+    }
+    let name: Arc<str> = name.into();
+    let key = catalog.services.insert(Service {
+        name: name.clone(),
+        connections_max_count: CONNECTIONS_DEFAULT_COUNT,
+        cold_max_per_s: 0.0,
+        is_configured: false,
+        targets: Vec::new(),
+    });
+    catalog.service_names.insert(name, key);
+    key
+}
+
+fn forget_unused_services(catalog: &mut Catalog) {
+    let mut used: HashSet<ServiceKey> = HashSet::new();
+    for front in catalog.fronts.values() {
+        match &front.route {
+            Route::Split(parts) => used.extend(parts.iter().map(|(service, _)| *service)),
+            Route::Gather { services, .. } => used.extend(services.iter().copied()),
+        }
+    }
+    catalog.services.retain(|key, service| {
+        service.is_configured || !service.targets.is_empty() || used.contains(&key)
+    });
+    let services = &catalog.services;
+    catalog
+        .service_names
+        .retain(|_, key| services.contains_key(*key));
+}
+
+fn apply_registration(
+    catalog: &mut Catalog,
+    now: Instant,
+    target_id: &str,
+    registration: &Registration,
+) -> Option<Change> {
+    let cold_until = (!registration.cold_for.is_zero()).then(|| now + registration.cold_for);
+    let known = catalog.target_ids.get(target_id).copied();
+    if let Some(key) = known
+        && is_same_process(catalog, key, registration)
+    {
+        return update_target(catalog, now, key, registration, cold_until);
+    }
+    if let Some(key) = known {
+        forget(catalog, key);
+    }
+    let id: Arc<str> = target_id.into();
+    let service = service(catalog, &registration.service);
+    let target = catalog.targets.insert(Target {
+        id: id.clone(),
+        service,
+        address: registration.address,
+        zone: registration.zone.clone(),
+        slots_count: registration.slots_count.max(1),
+        born_ms: registration.born_ms,
+        cold_until,
+        draining_since: registration.is_draining.then_some(now),
+        removed_since: None,
+    });
+    catalog.target_ids.insert(id, target);
+    catalog.services[service].targets.push(target);
+    Some(Change::TargetStarted {
+        target,
+        replaced: known,
+    })
+}
+
+fn is_same_process(catalog: &Catalog, key: TargetKey, registration: &Registration) -> bool {
+    let target = &catalog.targets[key];
+    target.address == registration.address
+        && target.born_ms == registration.born_ms
+        && *catalog.services[target.service].name == *registration.service
+}
+
+fn update_target(
+    catalog: &mut Catalog,
+    now: Instant,
+    key: TargetKey,
+    registration: &Registration,
+    cold_until: Option<Instant>,
+) -> Option<Change> {
+    let target = &mut catalog.targets[key];
+    let was_removed = target.removed_since.take().is_some();
+    let was_draining = target.draining_since.is_some();
+    let was_cold = target.cold_until.is_some_and(|until| now < until);
+    target.zone.clone_from(&registration.zone);
+    target.slots_count = registration.slots_count.max(1);
+    target.cold_until = cold_until;
+    if !registration.is_draining {
+        target.draining_since = None;
+    } else if !was_draining {
+        target.draining_since = Some(now);
+        return Some(Change::TargetLeaving {
+            target: key,
+            is_removed: false,
+        });
+    }
+    let is_changed =
+        was_removed || was_draining != registration.is_draining || was_cold != cold_until.is_some();
+    is_changed.then_some(Change::TargetChanged { target: key })
+}
+
+fn remove_later(catalog: &mut Catalog, now: Instant, target_id: &str) -> Option<Change> {
+    let &key = catalog.target_ids.get(target_id)?;
+    let target = &mut catalog.targets[key];
+    if target.removed_since.is_some() {
+        return None;
+    }
+    target.removed_since = Some(now);
+    Some(Change::TargetLeaving {
+        target: key,
+        is_removed: true,
+    })
+}
+
+fn forget(catalog: &mut Catalog, key: TargetKey) {
+    let Some(target) = catalog.targets.remove(key) else {
+        return;
+    };
+    catalog.target_ids.remove(&target.id);
+    if let Some(service) = catalog.services.get_mut(target.service) {
+        service.targets.retain(|&other| other != key);
+    }
+}
--- /dev/null
+++ b/crates/catalog/src/sync.rs
@@ -0,0 +1,255 @@
+//! Keeping the catalog in line with the store: a list of each area, then watches from its revision.
+
+use std::{
+    collections::HashSet,
+    time::{Duration, Instant},
+};
+
+use model::{Effect, Record, StoreArea, StoreFailure, StoreRead, Timer};
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+
+use crate::{
+    Catalog,
+    apply::{Change, apply, remove_unlisted},
+};
+
+/// Longest time that one watch waits.
+///
+/// A watch on a connection that has gone silent is noticed after this time and the shell's margin,
+/// which has to leave time to read a change within the platform's bound for machines that were cut
+/// off (four seconds) and the one for configurations (three seconds).
+const WATCH_WAIT: Duration = Duration::from_secs(5);
+/// Delay of the first read after a failure.
+const RETRY_DELAY: Duration = Duration::from_millis(150);
+/// Longest delay after any number of failures; bounds both the calls to a store that is down and
+/// the time until its return is noticed.
+const RETRY_DELAY_MAX: Duration = Duration::from_millis(1_000);
+/// Doublings of the delay until the longest one is reached.
+const RETRY_DOUBLINGS_MAX: u32 = 4;
+
+/// The progress of every area.
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
+pub struct Sync {
+    /// Configuration and zones that are taken out.
+    pub operators: AreaSync,
+    /// Registrations of targets.
+    pub targets: AreaSync,
+}
+
+/// The progress of one area.
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
+pub struct AreaSync {
+    /// What is being read.
+    pub stage: Stage,
+    /// Whether a whole list has been read since the start.
+    pub is_known: bool,
+    /// Failures in a row.
+    pub failures_count: u32,
+    /// When the store last answered.
+    #[serde(skip)]
+    pub answered_at: Option<Instant>,
+    /// Identifiers and zones that the list has named so far.
+    #[serde(skip)]
+    listed: HashSet<String>,
+}
+
+/// What is being read of an area.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
+pub enum Stage {
+    /// A list.
+    Listing {
+        /// Key after which the wanted page begins.
+        after: Option<String>,
+        /// Revision of the first page, from which changes are watched.
+        revision: Option<u64>,
+    },
+    /// Changes after a revision.
+    Watching {
+        /// The revision.
+        revision: u64,
+    },
+}
+
+impl Default for Stage {
+    fn default() -> Stage {
+        Stage::Listing {
+            after: None,
+            revision: None,
+        }
+    }
+}
+
+/// Returns the progress of a process that has just started.
+pub fn open() -> Sync {
+    Sync {
+        operators: AreaSync::default(),
+        targets: AreaSync::default(),
+    }
+}
+
+/// Starts the first list of every area.
+pub fn started(sync: &mut Sync, out: &mut Vec<Effect>) {
+    for area in [StoreArea::Operators, StoreArea::Targets] {
+        due(sync, area, out);
+    }
+}
+
+/// Starts the read that an area needs next.
+pub fn due(sync: &mut Sync, area: StoreArea, out: &mut Vec<Effect>) {
+    let read = match &area_mut(sync, area).stage {
+        Stage::Listing { after, .. } => StoreRead::List {
+            area,
+            after: after.clone(),
+        },
+        Stage::Watching { revision } => StoreRead::Watch {
+            area,
+            after_revision: *revision,
+            wait: WATCH_WAIT,
+        },
+    };
+    out.push(Effect::ReadStore(read));
+}
+
+/// The answer to a read of the store.
+#[derive(Clone, Copy, Debug)]
+pub struct Answered<'a> {
+    /// The read.
+    pub read: &'a StoreRead,
+    /// Items of the page, or changes in their order.
+    pub records: &'a [Record],
+    /// Revision of the store at the time of the answer.
+    pub revision: u64,
+    /// Key after which the next page begins, if there is one.
+    pub next_page: Option<&'a str>,
+}
+
+/// Takes in the answer to a read; returns the changes of the catalog.
+pub fn answered(
+    sync: &mut Sync,
+    catalog: &mut Catalog,
+    now: Instant,
+    answer: &Answered<'_>,
+    out: &mut Vec<Effect>,
+) -> Vec<Change> {
+    let area = answer.read.area();
+    let records = answer.records.iter();
+    let mut changes: Vec<Change> = records
+        .filter_map(|record| apply(catalog, now, record))
+        .collect();
+    let progress = area_mut(sync, area);
+    progress.failures_count = 0;
+    progress.answered_at = Some(now);
+    progress.stage = match (answer.read, &progress.stage) {
+        (StoreRead::Watch { .. }, _) => Stage::Watching {
+            revision: answer.revision,
+        },
+        (StoreRead::List { .. }, stage) => {
+            progress
+                .listed
+                .extend(answer.records.iter().filter_map(listed_name));
+            // Pages are read one after the other; changes between them come after the first one's
+            // revision.
+            let first_revision = match stage {
+                Stage::Listing { revision, .. } => revision.unwrap_or(answer.revision),
+                Stage::Watching { revision } => *revision,
+            };
+            match answer.next_page {
+                Some(after) => Stage::Listing {
+                    after: Some(after.to_owned()),
+                    revision: Some(first_revision),
+                },
+                None => {
+                    let listed = std::mem::take(&mut progress.listed);
+                    progress.is_known = true;
+                    remove_missing(catalog, now, area, &listed, &mut changes);
+                    Stage::Watching {
+                        revision: first_revision,
+                    }
+                }
+            }
+        }
+    };
+    due(sync, area, out);
+    changes
+}
+
+/// Takes in the failure of a read and schedules the next one.
+pub fn failed(
+    sync: &mut Sync,
+    rng: &mut ChaCha8Rng,
+    read: &StoreRead,
+    failure: StoreFailure,
+    out: &mut Vec<Effect>,
+) {
+    let area = read.area();
+    let progress = area_mut(sync, area);
+    if failure == StoreFailure::HistoryGone || matches!(read, StoreRead::List { .. }) {
+        progress.stage = Stage::default();
+        progress.listed.clear();
+    }
+    let doublings = progress.failures_count.min(RETRY_DOUBLINGS_MAX);
+    progress.failures_count += 1;
+    let delay = (RETRY_DELAY * 2_u32.pow(doublings)).min(RETRY_DELAY_MAX);
+    out.push(Effect::SetTimer {
+        timer: Timer::Store(area),
+        after: delay.mul_f64(rng.random_range(0.5..1.0)),
+    });
+}
+
+/// Returns the progress of an area.
+pub fn area(sync: &Sync, area: StoreArea) -> &AreaSync {
+    match area {
+        StoreArea::Operators => &sync.operators,
+        StoreArea::Targets => &sync.targets,
+    }
+}
+
+fn area_mut(sync: &mut Sync, area: StoreArea) -> &mut AreaSync {
+    match area {
+        StoreArea::Operators => &mut sync.operators,
+        StoreArea::Targets => &mut sync.targets,
+    }
+}
+
+fn listed_name(record: &Record) -> Option<String> {
+    match record {
+        Record::Target {
+            target_id,
+            registration: Some(_),
+        } => Some(target_id.clone()),
+        Record::ZoneOut { zone, is_out: true } => Some(zone.clone()),
+        _ => None,
+    }
+}
+
+/// Takes back what a whole list does not name.
+fn remove_missing(
+    catalog: &mut Catalog,
+    now: Instant,
+    area: StoreArea,
+    listed: &HashSet<String>,
+    changes: &mut Vec<Change>,
+) {
+    match area {
+        StoreArea::Targets => remove_unlisted(catalog, now, listed, changes),
+        StoreArea::Operators => {
+            let zones = catalog.zones_out.iter();
+            let back: Vec<String> = zones
+                .filter(|zone| !listed.contains(*zone))
+                .cloned()
+                .collect();
+            for zone in back {
+                let record = Record::ZoneOut {
+                    zone,
+                    is_out: false,
+                };
+                changes.extend(apply(catalog, now, &record));
+            }
+        }
+    }
+}
--- a/crates/findings/src/node.rs
+++ b/crates/findings/src/node.rs
@@ -162,6 +162,24 @@
         u32::try_from(number).ok()
     }
 
+    /// Reads a number with or without a fraction within bounds.
+    pub fn fraction(&self, bounds: RangeInclusive<f64>, findings: &mut Findings) -> Option<f64> {
+        let number: Option<f64> = match self.value {
+            Value::NumberLit(number) => number.value.parse().ok(),
+            _ => None,
+        };
+        let Some(number) = number.filter(|number| bounds.contains(number)) else {
+            let message = format!(
+                "expected a number from {} to {}",
+                bounds.start(),
+                bounds.end()
+            );
+            self.report(findings, message);
+            return None;
+        };
+        Some(number)
+    }
+
     /// Reads a number of milliseconds within bounds.
     pub fn millis(
         &self,
--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -4,6 +4,7 @@
 
 use model::{Digest, MemberRow, MemberState, QuarantineRow};
 use rand::{RngExt, seq::IteratorRandom};
+use settings::Settings;
 
 use crate::{FleetState, Join, Member, Probe, freshness, join, member};
 
@@ -11,6 +12,8 @@
 const ROWS_MAX_COUNT: usize = 2;
 /// Ticks between two attempts to reach an instance that counts as gone.
 const GONE_RETRY_TICKS_COUNT: u64 = 5;
+/// Ticks between two questions to a seed that is not known as a member.
+const SEED_TICKS_COUNT: u64 = 10;
 
 /// An instance that receives a digest this tick.
 #[derive(Clone, Debug)]
@@ -61,6 +64,27 @@
     receivers
 }
 
+/// Chooses a seed that is asked for the other instances: every tick until somebody is known, and
+/// now and then later, which joins parts of the fleet that know nothing of each other.
+pub(crate) fn seed(fleet: &mut FleetState, settings: &Settings) -> Option<Receiver> {
+    let seeds = &settings.gateway.as_ref()?.seeds;
+    let is_alone = !fleet.members.values().any(Member::is_present);
+    if !is_alone && !fleet.ticks_count.is_multiple_of(SEED_TICKS_COUNT) {
+        return None;
+    }
+    let mut rng = fleet.rng.clone();
+    let others = seeds.iter().filter(|&&seed| seed != fleet.address);
+    let unknown = others.filter(|&&seed| !member::knows_address(fleet, seed));
+    let address = unknown.copied().choose(&mut rng);
+    fleet.rng = rng;
+    Some(Receiver {
+        name: String::new(),
+        address: address?,
+        wants_reply: true,
+        first_sent_at: None,
+    })
+}
+
 /// Returns a digest that asks for a reply, or tells without asking.
 pub(crate) fn outgoing(
     fleet: &mut FleetState,
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -25,6 +25,7 @@
     member::forget_gone(fleet, now);
     let mut receivers = digest::receivers(fleet, &settings.fleet);
     receivers.extend(suspicion::repeats(fleet, &settings.fleet, now));
+    receivers.extend(digest::seed(fleet, settings));
     for receiver in receivers {
         let digest = digest::outgoing(fleet, now, &receiver, quarantine);
         send(receiver.address, Message::Digest(digest), out);
--- a/crates/fleet/src/reading.rs
+++ b/crates/fleet/src/reading.rs
@@ -36,6 +36,9 @@
     now: Instant,
     out: &mut Vec<Effect>,
 ) {
+    if settings.gateway.is_some() {
+        return;
+    }
     fleet.reading.is_reader = is_reader(fleet, settings.fleet.readers_per_zone_count);
     forget_lost(fleet, settings, now);
     let knows_nobody = fleet.members.is_empty();
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -185,7 +185,11 @@
         rejected: Findings::default(),
         is_leaving: false,
         members: BTreeMap::new(),
-        join: Join::Waiting,
+        // A gateway learns its configuration from the store alone.
+        join: match settings.gateway {
+            Some(_) => Join::CaughtUp,
+            None => Join::Waiting,
+        },
         join_since: None,
         heard_revision: 0,
         heard_revision_at: None,
--- /dev/null
+++ b/crates/gateway/src/budget.rs
@@ -0,0 +1,132 @@
+//! This instance's share of limits that hold for all instances together.
+
+use std::time::{Duration, Instant};
+
+use serde::Serialize;
+
+/// Length of one bucket of the counts.
+const BUCKET: Duration = Duration::from_secs(1);
+/// Buckets that are kept: the longest window and one that is only partly in it.
+const BUCKETS_COUNT: usize = 16;
+/// Part of the allowed ratio that is used; the rest covers the grain of the buckets.
+const RATIO_USED: f64 = 0.9;
+/// Part of the allowed constant that is used; the rest covers instances that have just arrived and
+/// are not counted everywhere.
+const CONSTANT_USED: f64 = 0.7;
+/// Part of the budget that only repeats of failed calls may use, not calls against lateness.
+const LATE_USED: f64 = 0.8;
+/// Part of a target's connections that all instances together use.
+const CONNECTIONS_USED: f64 = 0.9;
+/// Instances that are assumed while nobody knows their number.
+const INSTANCES_ASSUMED_COUNT: u32 = 16;
+
+/// Requests for a service and extra calls to it, in buckets of time.
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
+pub struct Spending {
+    buckets: [Bucket; BUCKETS_COUNT],
+    #[serde(skip)]
+    since: Option<Instant>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(Serialize)]
+struct Bucket {
+    number: u64,
+    requests_count: u32,
+    extra_count: u32,
+}
+
+/// Why a further call is wanted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Extra {
+    /// The last one failed.
+    Failed,
+    /// The last one is late.
+    Late,
+}
+
+/// Notes a request that needs the service.
+pub(crate) fn requested(spending: &mut Spending, now: Instant) {
+    bucket(spending, now).requests_count += 1;
+}
+
+/// Notes a call beyond the first one of a request.
+pub(crate) fn spent(spending: &mut Spending, now: Instant) {
+    bucket(spending, now).extra_count += 1;
+}
+
+/// Tells whether one more extra call stays within this instance's share.
+///
+/// Every instance may use the ratio of the requests that it has seen itself, and an equal part of
+/// the constant, so the sum over all instances holds without any exchange between them.
+pub fn may_send_extra(
+    settings: &settings::Gateway,
+    spending: &Spending,
+    instances_count: Option<u32>,
+    now: Instant,
+    is_against_lateness: bool,
+) -> bool {
+    let Some(since) = spending.since else {
+        return false;
+    };
+    let number = bucket_number(since, now);
+    let window_count = settings.retry_window.as_secs().clamp(1, 14);
+    let within = |span: u64| {
+        let buckets = spending.buckets.iter();
+        buckets.filter(move |bucket| bucket.number + span > number && bucket.number <= number)
+    };
+    let requests: u32 = within(window_count)
+        .map(|bucket| bucket.requests_count)
+        .sum();
+    let extra: u32 = within(window_count + 1)
+        .map(|bucket| bucket.extra_count)
+        .sum();
+    let constant = instances_count.map_or(0.0, |count| {
+        f64::from(settings.retry_constant_count) * CONSTANT_USED / f64::from(count.max(1))
+    });
+    let mut allowed = settings.retry_ratio * RATIO_USED * f64::from(requests) + constant;
+    if is_against_lateness {
+        allowed *= LATE_USED;
+    }
+    f64::from(extra) + 1.0 <= allowed
+}
+
+/// Returns how many requests a second this instance may send to a target in cold start.
+pub(crate) fn cold_max_per_s(
+    settings: &settings::Gateway,
+    cold_max_per_s: f64,
+    instances_count: Option<u32>,
+) -> f64 {
+    let count = f64::from(instances_count.unwrap_or(INSTANCES_ASSUMED_COUNT).max(1));
+    (cold_max_per_s * settings.cold_factor + f64::from(settings.cold_constant_count))
+        * CONSTANT_USED
+        / count
+}
+
+/// Returns how many connections this instance may hold to a target.
+pub(crate) fn connections_max_count(limit_count: u32, instances_count: Option<u32>) -> usize {
+    let count = instances_count.unwrap_or(INSTANCES_ASSUMED_COUNT).max(1);
+    let share = f64::from(limit_count) * CONNECTIONS_USED / f64::from(count);
+    // A float-to-integer conversion saturates.
+    (share as usize).max(1)
+}
+
+fn bucket(spending: &mut Spending, now: Instant) -> &mut Bucket {
+    let since = *spending.since.get_or_insert(now);
+    let number = bucket_number(since, now);
+    let index = usize::try_from(number).unwrap_or(usize::MAX) % BUCKETS_COUNT;
+    let bucket = &mut spending.buckets[index];
+    if bucket.number != number {
+        *bucket = Bucket {
+            number,
+            ..Bucket::default()
+        };
+    }
+    bucket
+}
+
+/// Returns the number of the bucket of a time, counted from 1.
+fn bucket_number(since: Instant, now: Instant) -> u64 {
+    1 + now.saturating_duration_since(since).as_secs() / BUCKET.as_secs()
+}
--- /dev/null
+++ b/crates/gateway/src/end.rs
@@ -0,0 +1,318 @@
+//! The ends of attempts, and callers that leave.
+
+use std::{sync::Arc, time::Instant};
+
+use model::{
+    AttemptKey, AttemptReply, CallFailure, CallerKey, Counter, Effect, ExchangeKey, Level, LogLine,
+    PassedReply, ReplyStatus,
+};
+
+use crate::{
+    Attempt, Gateway, PartState,
+    budget::Extra,
+    due::arm,
+    estimate, health,
+    respond::{finish_if_decided, pass},
+    send::{Sent, give_up, try_send},
+};
+
+/// Takes in a target's whole reply.
+pub fn attempt_replied(
+    gateway: &mut Gateway,
+    now: Instant,
+    key: AttemptKey,
+    reply: &AttemptReply<'_>,
+    is_quarantined: bool,
+    out: &mut Vec<Effect>,
+) {
+    let Some(attempt) = take(gateway, key, out) else {
+        return;
+    };
+    note_reply(gateway, now, &attempt, reply, out);
+    if attempt.unwanted_since.is_none() {
+        reply_taken(gateway, now, &attempt, reply, is_quarantined, out);
+    }
+    send_waiting(gateway, now, out);
+}
+
+/// Takes in an attempt that ended without a whole reply.
+pub fn attempt_failed(
+    gateway: &mut Gateway,
+    now: Instant,
+    key: AttemptKey,
+    failure: CallFailure,
+    is_quarantined: bool,
+    out: &mut Vec<Effect>,
+) {
+    let Some(attempt) = take(gateway, key, out) else {
+        return;
+    };
+    note_failure(gateway, now, &attempt, failure, out);
+    if attempt.unwanted_since.is_none() {
+        failure_taken(gateway, now, &attempt, failure, is_quarantined, out);
+    }
+    send_waiting(gateway, now, out);
+}
+
+/// Ends the exchange of a caller that has left. What may run once only goes on.
+pub fn caller_gone(gateway: &mut Gateway, now: Instant, caller: CallerKey, out: &mut Vec<Effect>) {
+    let mut exchanges = gateway.exchanges.iter();
+    let Some((key, _)) = exchanges.find(|(_, exchange)| exchange.caller == caller) else {
+        return;
+    };
+    let Some(exchange) = gateway.exchanges.remove(key) else {
+        return;
+    };
+    for part in &exchange.parts {
+        dismiss(gateway, now, &part.running);
+    }
+    let line = LogLine::new(Level::Info, "caller-gone")
+        .with("request_id", exchange.request.request_id.as_str())
+        .with("after_ms", millis(now, exchange.arrived_at))
+        .with("answered_count", u64::from(exchange.answered_count))
+        .with("parts_count", exchange.parts.len() as u64);
+    out.push(Effect::Log(line));
+}
+
+/// Marks attempts as unwanted; their connections are kept for a while so that they can end.
+pub(crate) fn dismiss(gateway: &mut Gateway, now: Instant, running: &[AttemptKey]) {
+    for &key in running {
+        if let Some(attempt) = gateway.attempts.get_mut(key) {
+            attempt.unwanted_since = Some(now);
+        }
+    }
+}
+
+/// Returns the whole milliseconds since a time.
+pub(crate) fn millis(now: Instant, since: Instant) -> u64 {
+    u64::try_from(now.saturating_duration_since(since).as_millis()).unwrap_or(u64::MAX)
+}
+
+fn take(gateway: &mut Gateway, key: AttemptKey, out: &mut Vec<Effect>) -> Option<Attempt> {
+    let Some(attempt) = gateway.attempts.remove(key) else {
+        out.push(Effect::Count {
+            counter: Counter::StaleReplies,
+            amount_count: 1,
+        });
+        return None;
+    };
+    if let Some(health) = gateway.health.get_mut(attempt.target) {
+        health.running.retain(|&running| running != key);
+    }
+    if let Some(exchange) = gateway.exchanges.get_mut(attempt.exchange) {
+        let part = &mut exchange.parts[attempt.part_index];
+        part.running.retain(|&running| running != key);
+    }
+    Some(attempt)
+}
+
+/// Takes in what a reply says about its target.
+fn note_reply(
+    gateway: &mut Gateway,
+    now: Instant,
+    attempt: &Attempt,
+    reply: &AttemptReply<'_>,
+    out: &mut Vec<Effect>,
+) {
+    let Some(health) = gateway.health.get_mut(attempt.target) else {
+        return;
+    };
+    if let Some(load) = reply.load {
+        health.load = Some((load, now));
+    }
+    match reply.status {
+        ReplyStatus::Done => {
+            health::succeeded(health);
+            let took = now.saturating_duration_since(attempt.sent_at);
+            if let Some(latency) = health.latency.entry(attempt.front) {
+                estimate::observe(latency.or_default(), took);
+            }
+            if let Some(usage) = gateway.usage.get_mut(attempt.front) {
+                estimate::observe(&mut usage.latency, took);
+            }
+        }
+        ReplyStatus::Misdirected => {
+            health::failed(health);
+            health::unreachable(health, now);
+            let line = target_line(gateway, attempt, "target-replaced");
+            out.push(Effect::Log(line));
+        }
+        _ => health::failed(health),
+    }
+}
+
+fn note_failure(
+    gateway: &mut Gateway,
+    now: Instant,
+    attempt: &Attempt,
+    failure: CallFailure,
+    out: &mut Vec<Effect>,
+) {
+    let Some(health) = gateway.health.get_mut(attempt.target) else {
+        return;
+    };
+    health::failed(health);
+    if failure != CallFailure::ConnectRefused {
+        return;
+    }
+    let was_avoided = health.avoid_until.is_some_and(|until| now < until);
+    health::unreachable(health, now);
+    if !was_avoided {
+        out.push(Effect::Log(target_line(
+            gateway,
+            attempt,
+            "target-unreachable",
+        )));
+    }
+}
+
+fn target_line(gateway: &Gateway, attempt: &Attempt, name: &str) -> LogLine {
+    let target = gateway.catalog.targets.get(attempt.target);
+    let id = target.map_or("", |target| &*target.id);
+    let service = target.and_then(|target| gateway.catalog.services.get(target.service));
+    let service = service.map_or("", |service| &*service.name);
+    LogLine::new(Level::Info, name)
+        .with("target", id)
+        .with("service", service)
+}
+
+fn reply_taken(
+    gateway: &mut Gateway,
+    now: Instant,
+    attempt: &Attempt,
+    reply: &AttemptReply<'_>,
+    is_quarantined: bool,
+    out: &mut Vec<Effect>,
+) {
+    let (key, part_index) = (attempt.exchange, attempt.part_index);
+    let Some(exchange) = gateway.exchanges.get_mut(key) else {
+        return;
+    };
+    exchange.evidence.replied(reply.status);
+    if reply.status == ReplyStatus::Done && exchange.records_count.is_none() {
+        pass(gateway, now, key, passed(reply), out);
+        return;
+    }
+    match reply.status {
+        ReplyStatus::Done => answer_part(gateway, now, attempt, reply),
+        status => {
+            if status == ReplyStatus::Failed {
+                exchange.failure = Some(passed(reply));
+            }
+            let may_repeat = exchange.is_idempotent || status.is_not_run();
+            repeat(
+                gateway,
+                now,
+                key,
+                part_index,
+                may_repeat && !is_quarantined,
+                out,
+            );
+        }
+    }
+    if !finish_if_decided(gateway, now, key, out) {
+        arm(gateway, now, key, out);
+    }
+}
+
+fn answer_part(gateway: &mut Gateway, now: Instant, attempt: &Attempt, reply: &AttemptReply<'_>) {
+    let Some(exchange) = gateway.exchanges.get_mut(attempt.exchange) else {
+        return;
+    };
+    let part = &mut exchange.parts[attempt.part_index];
+    if !matches!(part.state, PartState::Open) {
+        return;
+    }
+    part.state = PartState::Answered {
+        proof: reply.proof.unwrap_or_default().into(),
+        body: reply.body.clone(),
+    };
+    let losers = std::mem::take(&mut part.running);
+    exchange.open_count -= 1;
+    exchange.answered_count += 1;
+    dismiss(gateway, now, &losers);
+}
+
+fn failure_taken(
+    gateway: &mut Gateway,
+    now: Instant,
+    attempt: &Attempt,
+    failure: CallFailure,
+    is_quarantined: bool,
+    out: &mut Vec<Effect>,
+) {
+    let (key, part_index) = (attempt.exchange, attempt.part_index);
+    let Some(exchange) = gateway.exchanges.get_mut(key) else {
+        return;
+    };
+    exchange.evidence.failed(failure);
+    let may_have_run = failure.may_have_reached_target();
+    if !may_have_run {
+        exchange.parts[part_index].sent_count -= 1;
+    }
+    let may_repeat = exchange.is_idempotent || !may_have_run;
+    repeat(
+        gateway,
+        now,
+        key,
+        part_index,
+        may_repeat && !is_quarantined,
+        out,
+    );
+    if !finish_if_decided(gateway, now, key, out) {
+        arm(gateway, now, key, out);
+    }
+}
+
+/// Sends a part to another target after a failure, or gives it up.
+fn repeat(
+    gateway: &mut Gateway,
+    now: Instant,
+    key: ExchangeKey,
+    part_index: usize,
+    may_repeat: bool,
+    out: &mut Vec<Effect>,
+) {
+    if !may_repeat {
+        give_up(gateway, key, part_index);
+        return;
+    }
+    match try_send(gateway, now, key, part_index, Some(Extra::Failed), out) {
+        Sent::Yes => {}
+        Sent::Busy => gateway.waiting.push_back((key, part_index)),
+        Sent::NotAllowed | Sent::Nobody => give_up(gateway, key, part_index),
+    }
+}
+
+/// Sends the parts that wait for a connection, as far as there are any.
+pub(crate) fn send_waiting(gateway: &mut Gateway, now: Instant, out: &mut Vec<Effect>) {
+    for _ in 0..gateway.waiting.len() {
+        let Some((key, part_index)) = gateway.waiting.pop_front() else {
+            return;
+        };
+        let Some(exchange) = gateway.exchanges.get(key) else {
+            continue;
+        };
+        let part = &exchange.parts[part_index];
+        if !matches!(part.state, PartState::Open) || !part.running.is_empty() {
+            continue;
+        }
+        match try_send(gateway, now, key, part_index, Some(Extra::Failed), out) {
+            Sent::Busy => gateway.waiting.push_back((key, part_index)),
+            Sent::Yes => arm(gateway, now, key, out),
+            Sent::NotAllowed | Sent::Nobody => {
+                give_up(gateway, key, part_index);
+                finish_if_decided(gateway, now, key, out);
+            }
+        }
+    }
+}
+
+fn passed(reply: &AttemptReply<'_>) -> PassedReply {
+    PassedReply {
+        code: reply.code,
+        proof: reply.proof.map(Arc::from),
+        headers: reply.headers.to_vec(),
+        body: reply.body.clone(),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,42 @@
+//! Callers' HTTP requests by host and path: placing, second calls, merging, and honest ends.
+//!
+//! An exchange is one attempt of a caller. It has one part for each service that it needs: one on
+//! an ordinary front, all of them on a front that gathers. A part is sent to one target at first,
+//! and to another one if the first fails or is late.
+//!
+//! Invariants:
+//! - every exchange is answered once, unless its caller leaves;
+//! - a request that is not idempotent is sent again only if the last target has not executed it;
+//! - a part is sent to at most as many targets as its front allows;
+//! - calls beyond the first of a part, calls to cold targets and connections stay within this
+//!   instance's share of what all instances may use together;
+//! - a merged answer holds only whole replies of the services that one configuration names, each
+//!   at most once, and counts the others as missing.
+
+mod budget;
+mod due;
+mod end;
+mod estimate;
+mod health;
+mod merge;
+mod offer;
+mod place;
+mod respond;
+mod send;
+mod table;
+mod tick;
+
+#[cfg(test)]
+mod tests;
+
+pub use budget::{Spending, may_send_extra};
+pub use due::due;
+pub use end::{attempt_failed, attempt_replied, caller_gone};
+pub use estimate::Estimate;
+pub use health::Health;
+pub use merge::greatest_records;
+pub use offer::offered;
+pub use place::{Choice, choose};
+pub use respond::refuse;
+pub use table::{Attempt, Exchange, Gateway, Part, PartState, Usage, fingerprint, is_known, open};
+pub use tick::{set_instances, targets_gone, tick};
--- /dev/null
+++ b/crates/gateway/src/merge.rs
@@ -0,0 +1,17 @@
+//! The greatest records of several parts.
+
+use bytes::Bytes;
+
+/// Length of a record; what follows the last whole one is no record.
+const RECORD_BYTES: usize = 16;
+
+/// Returns the greatest records of the bodies, greatest first, compared byte by byte.
+pub fn greatest_records<'a>(bodies: impl Iterator<Item = &'a [u8]>, records_count: u32) -> Bytes {
+    let records_count = usize::try_from(records_count).unwrap_or(usize::MAX);
+    let mut records: Vec<&[u8]> = bodies
+        .flat_map(|body| body.chunks_exact(RECORD_BYTES))
+        .collect();
+    records.sort_unstable_by(|a, b| b.cmp(a));
+    records.truncate(records_count);
+    Bytes::from(records.concat())
+}
--- /dev/null
+++ b/crates/gateway/src/offer.rs
@@ -0,0 +1,167 @@
+//! A caller's request: its front, its parts, and when its answer is due.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use catalog::{Front, Route};
+use model::{
+    CallerKey, Counter, Effect, ExchangeKey, FrontKey, HttpRequest, NotRunReason, ServiceKey,
+};
+use once::Evidence;
+use rand::RngExt;
+
+use crate::{
+    Exchange, Gateway, Part, PartState, Usage, budget,
+    due::arm,
+    respond::{finish_if_decided, refuse},
+    send::send_part,
+};
+
+/// Length of the periods in which the longest timeouts of callers are compared.
+const TIMEOUT_PERIOD: Duration = Duration::from_secs(10);
+
+/// Takes in a caller's request and sends its parts.
+pub fn offered(
+    gateway: &mut Gateway,
+    now: Instant,
+    caller: CallerKey,
+    request: Arc<HttpRequest>,
+    out: &mut Vec<Effect>,
+) {
+    out.push(Effect::Count {
+        counter: Counter::Requests,
+        amount_count: 1,
+    });
+    if !crate::is_known(gateway) {
+        let reason = NotRunReason::NoConfiguration;
+        return refuse(gateway, caller, &request, reason, out);
+    }
+    let Some(front) = catalog::find_front(&gateway.catalog, &request.host, &request.path) else {
+        let reason = NotRunReason::UnknownFront;
+        return refuse(gateway, caller, &request, reason, out);
+    };
+    let Some(key) = store(gateway, now, caller, front, &request) else {
+        let reason = NotRunReason::DeadlinePassed;
+        return refuse(gateway, caller, &request, reason, out);
+    };
+    for part_index in 0..gateway.exchanges[key].parts.len() {
+        send_part(gateway, now, key, part_index, out);
+    }
+    if !finish_if_decided(gateway, now, key, out) {
+        arm(gateway, now, key, out);
+    }
+}
+
+fn store(
+    gateway: &mut Gateway,
+    now: Instant,
+    caller: CallerKey,
+    key: FrontKey,
+    request: &Arc<HttpRequest>,
+) -> Option<ExchangeKey> {
+    let reserve = gateway.settings.answer_reserve;
+    let usage = gateway.usage.entry(key)?.or_default();
+    let front = &gateway.catalog.fronts[key];
+    let timeout = request.timeout.unwrap_or(front.timeout);
+    let waited = waited_before(usage, now, timeout);
+    let (services, records_count, least_count) = match &front.route {
+        Route::Split(parts) => {
+            let first_ratio = gateway.rng.random_range(0.0..1.0);
+            let service = take_turn(&mut usage.split_credits, parts, first_ratio)?;
+            (vec![service], None, 1)
+        }
+        Route::Gather {
+            services,
+            records_count,
+            least_count,
+        } => (services.to_vec(), Some(*records_count), *least_count),
+    };
+    let time_left = timeout.min(front.timeout).checked_sub(reserve)?;
+    let parts: Vec<Part> = services.iter().copied().map(part).collect();
+    let exchange = Exchange {
+        caller,
+        request: request.clone(),
+        front: key,
+        version: gateway.catalog.version,
+        is_idempotent: front.is_idempotent,
+        attempts_max_count: front.attempts_max_count,
+        records_count,
+        least_count,
+        arrived_at: now,
+        goal_at: goal_at(front, now, waited, reserve),
+        deadline: now + time_left,
+        due_at: None,
+        open_count: u32::try_from(parts.len()).unwrap_or(u32::MAX),
+        parts,
+        answered_count: 0,
+        extra_count: 0,
+        evidence: Evidence::default(),
+        failure: None,
+    };
+    for service in services {
+        if let Some(spending) = gateway.spending.entry(service) {
+            budget::requested(spending.or_default(), now);
+        }
+    }
+    Some(gateway.exchanges.insert(exchange))
+}
+
+fn part(service: ServiceKey) -> Part {
+    Part {
+        service,
+        state: PartState::Open,
+        tried: Vec::new(),
+        sent_count: 0,
+        running: Vec::new(),
+        late_at: None,
+    }
+}
+
+/// Returns when an answer has to leave to be of full use; nothing if that is over.
+fn goal_at(front: &Front, now: Instant, waited: Duration, reserve: Duration) -> Option<Instant> {
+    let left = front.goal?.checked_sub(waited)?.checked_sub(reserve)?;
+    Some(now + left)
+}
+
+/// Returns how long the caller has waited before this attempt.
+///
+/// Callers of a front start with the same timeout and state what is left of it when they try again,
+/// so what is missing from the longest timeout of late is the time that has passed.
+fn waited_before(usage: &mut Usage, now: Instant, timeout: Duration) -> Duration {
+    let since = *usage.since.get_or_insert(now);
+    if now.saturating_duration_since(since) >= TIMEOUT_PERIOD {
+        usage.timeouts_max = [Duration::ZERO, usage.timeouts_max[0]];
+        usage.since = Some(now);
+    }
+    usage.timeouts_max[0] = usage.timeouts_max[0].max(timeout);
+    usage.timeouts_max[0].max(usage.timeouts_max[1]) - timeout
+}
+
+/// Returns the service of a split whose turn it is: the one that is furthest behind its share.
+///
+/// `first_ratio` spreads the first turns of different instances.
+fn take_turn(
+    credits: &mut Vec<f64>,
+    parts: &[(ServiceKey, f64)],
+    first_ratio: f64,
+) -> Option<ServiceKey> {
+    let total: f64 = parts.iter().map(|(_, weight)| weight).sum();
+    if credits.len() != parts.len() {
+        *credits = vec![0.0; parts.len()];
+        let mut passed = 0.0;
+        for (credit, (_, weight)) in credits.iter_mut().zip(parts) {
+            let share = if total > 0.0 { weight / total } else { 0.0 };
+            let is_first = first_ratio >= passed && first_ratio < passed + share;
+            *credit = if is_first { 1.0 } else { 0.0 };
+            passed += share;
+        }
+    }
+    for (credit, (_, weight)) in credits.iter_mut().zip(parts) {
+        *credit += if total > 0.0 { weight / total } else { 0.0 };
+    }
+    let best = (0..parts.len()).max_by(|&a, &b| credits[a].total_cmp(&credits[b]))?;
+    credits[best] -= 1.0;
+    Some(parts[best].0)
+}
--- /dev/null
+++ b/crates/gateway/src/respond.rs
@@ -0,0 +1,214 @@
+//! When an exchange is decided, and its response.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use model::{
+    CallerKey, Counter, Effect, ExchangeKey, HttpRequest, HttpResponse, Level, LogLine,
+    NotRunReason, Outcome, PassedReply, to_word,
+};
+use rand::RngExt;
+
+use crate::{
+    Exchange, Gateway, PartState,
+    end::{dismiss, millis},
+    merge::greatest_records,
+};
+
+/// Shortest time after which a refused caller may come back.
+const RETRY_AFTER_MIN: Duration = Duration::from_millis(50);
+/// Longest time after which a refused caller may come back; the span keeps callers apart.
+const RETRY_AFTER_MAX: Duration = Duration::from_millis(200);
+/// Missing services that a log line names.
+const MISSING_NAMED_COUNT: usize = 4;
+
+/// Refuses a request that was not sent to any target.
+pub fn refuse(
+    gateway: &mut Gateway,
+    caller: CallerKey,
+    request: &Arc<HttpRequest>,
+    reason: NotRunReason,
+    out: &mut Vec<Effect>,
+) {
+    out.push(Effect::Count {
+        counter: Counter::Refusals,
+        amount_count: 1,
+    });
+    let line = LogLine::new(Level::Info, "request-refused")
+        .with("request_id", request.request_id.as_str())
+        .with("host", request.host.as_str())
+        .with("path", request.path.as_str())
+        .with("version", gateway.catalog.version)
+        .with("reason", to_word(&reason).as_str());
+    out.push(Effect::Log(line));
+    let response = ended(gateway, Outcome::NotRun(reason));
+    respond(caller, response, out);
+}
+
+/// Ends an exchange with a target's reply.
+pub(crate) fn pass(
+    gateway: &mut Gateway,
+    now: Instant,
+    key: ExchangeKey,
+    reply: PassedReply,
+    out: &mut Vec<Effect>,
+) {
+    let Some(exchange) = take(gateway, now, key) else {
+        return;
+    };
+    log(gateway, now, &exchange, "passed", out);
+    respond(exchange.caller, HttpResponse::Passed(reply), out);
+}
+
+/// Ends an exchange if nothing is gained by waiting; tells whether it has ended.
+pub(crate) fn finish_if_decided(
+    gateway: &mut Gateway,
+    now: Instant,
+    key: ExchangeKey,
+    out: &mut Vec<Effect>,
+) -> bool {
+    let Some(exchange) = gateway.exchanges.get(key) else {
+        return true;
+    };
+    if !is_decided(exchange, now) {
+        return false;
+    }
+    finish(gateway, now, key, out);
+    true
+}
+
+/// Tells whether an exchange should be answered now.
+///
+/// Before the goal a complete answer is worth the wait. From the goal on, an answer with enough
+/// parts is worth more at once than a fuller one later.
+fn is_decided(exchange: &Exchange, now: Instant) -> bool {
+    let has_least = exchange.answered_count >= exchange.least_count;
+    let is_goal_over = exchange.goal_at.is_none_or(|goal_at| now >= goal_at);
+    let is_hopeless = exchange.answered_count + exchange.open_count < exchange.least_count;
+    exchange.open_count == 0 || is_hopeless || (has_least && is_goal_over)
+}
+
+/// Ends an exchange with what has arrived.
+pub(crate) fn finish(gateway: &mut Gateway, now: Instant, key: ExchangeKey, out: &mut Vec<Effect>) {
+    let Some(mut exchange) = take(gateway, now, key) else {
+        return;
+    };
+    let (word, response) = match exchange.records_count {
+        Some(records_count) if exchange.answered_count >= exchange.least_count => {
+            ("merged", merged(&exchange, records_count))
+        }
+        _ => match exchange.failure.take() {
+            Some(reply) if exchange.records_count.is_none() => {
+                ("failure-passed", HttpResponse::Passed(reply))
+            }
+            _ => {
+                let outcome = outcome(&exchange, now);
+                ("ended", ended(gateway, outcome))
+            }
+        },
+    };
+    log(gateway, now, &exchange, word, out);
+    respond(exchange.caller, response, out);
+}
+
+/// Removes an exchange; attempts that still run are no longer wanted.
+fn take(gateway: &mut Gateway, now: Instant, key: ExchangeKey) -> Option<Exchange> {
+    let mut exchange = gateway.exchanges.remove(key)?;
+    for part in &exchange.parts {
+        dismiss(gateway, now, &part.running);
+        let running_count = u32::try_from(part.running.len()).unwrap_or(u32::MAX);
+        exchange.evidence.running_count += running_count;
+    }
+    Some(exchange)
+}
+
+fn outcome(exchange: &Exchange, now: Instant) -> Outcome {
+    let is_untouched = exchange.parts.iter().all(|part| part.sent_count == 0);
+    if is_untouched && exchange.answered_count == 0 {
+        let reason = if now >= exchange.deadline {
+            NotRunReason::Overloaded
+        } else {
+            NotRunReason::NoTarget
+        };
+        return Outcome::NotRun(reason);
+    }
+    match once::outcome(&exchange.evidence) {
+        Outcome::Ran => Outcome::Unknown(model::UnknownReason::ConnectionLost),
+        other => other,
+    }
+}
+
+fn merged(exchange: &Exchange, records_count: u32) -> HttpResponse {
+    let mut proofs = Vec::with_capacity(exchange.parts.len());
+    let mut bodies = Vec::with_capacity(exchange.parts.len());
+    for part in &exchange.parts {
+        if let PartState::Answered { proof, body } = &part.state {
+            proofs.push(proof.clone());
+            bodies.push(&body[..]);
+        }
+    }
+    let missing_count = exchange.parts.len() - proofs.len();
+    HttpResponse::Merged {
+        missing_count: u32::try_from(missing_count).unwrap_or(u32::MAX),
+        body: greatest_records(bodies.into_iter(), records_count),
+        proofs,
+    }
+}
+
+fn ended(gateway: &mut Gateway, outcome: Outcome) -> HttpResponse {
+    let is_refusal =
+        matches!(outcome, Outcome::NotRun(reason) if reason != NotRunReason::UnknownFront);
+    let span_ms = RETRY_AFTER_MIN.as_millis() as u64..RETRY_AFTER_MAX.as_millis() as u64;
+    let retry_after = is_refusal.then(|| Duration::from_millis(gateway.rng.random_range(span_ms)));
+    HttpResponse::Ended {
+        outcome,
+        retry_after,
+    }
+}
+
+fn respond(caller: CallerKey, response: HttpResponse, out: &mut Vec<Effect>) {
+    out.push(Effect::Respond {
+        caller,
+        response: Box::new(response),
+    });
+}
+
+fn log(gateway: &Gateway, now: Instant, exchange: &Exchange, end: &str, out: &mut Vec<Effect>) {
+    let front = gateway.catalog.fronts.get(exchange.front);
+    let missing = exchange.parts.iter();
+    let missing = missing.filter(|part| !matches!(part.state, PartState::Answered { .. }));
+    let names = missing.clone().take(MISSING_NAMED_COUNT);
+    let names = names.filter_map(|part| {
+        let service = gateway.catalog.services.get(part.service)?;
+        let targets = part.tried.iter();
+        let targets = targets.filter_map(|&target| gateway.catalog.targets.get(target));
+        let targets: Vec<&str> = targets.map(|target| &*target.id).collect();
+        Some(format!("{}:{}", service.name, targets.join("/")))
+    });
+    let names: Vec<String> = names.collect();
+    let missing_count = if end == "passed" { 0 } else { missing.count() };
+    let counter = match (end, missing_count) {
+        ("passed" | "merged", 0) => Counter::CompleteAnswers,
+        ("merged", _) => Counter::PartialAnswers,
+        _ => Counter::FailedAnswers,
+    };
+    out.push(Effect::Count {
+        counter,
+        amount_count: 1,
+    });
+    let mut line = LogLine::new(Level::Info, "request-ended")
+        .with("request_id", exchange.request.request_id.as_str())
+        .with("front", front.map_or("", |front| &*front.name))
+        .with("version", exchange.version)
+        .with("end", end)
+        .with("took_ms", millis(now, exchange.arrived_at))
+        .with("parts_count", exchange.parts.len() as u64)
+        .with("missing_count", missing_count as u64)
+        .with("extra_count", u64::from(exchange.extra_count));
+    if missing_count > 0 {
+        line = line.with("missing", names.join(",").as_str());
+    }
+    out.push(Effect::Log(line));
+}
--- /dev/null
+++ b/crates/gateway/src/send.rs
@@ -0,0 +1,196 @@
+//! Sending a part to a target.
+
+use std::time::Instant;
+
+use model::{AttemptCall, Counter, Effect, ExchangeKey};
+
+use crate::{
+    Attempt, Choice, Gateway, budget,
+    budget::Extra,
+    choose, estimate, fingerprint, health,
+    table::{Part, PartState},
+};
+use catalog::Standing;
+
+/// Time after which a reply is late on a front that nobody has replied on yet.
+const LATE_UNKNOWN: std::time::Duration = std::time::Duration::from_millis(150);
+
+/// Sends an open part to its first target, or lets it wait for a connection.
+pub(crate) fn send_part(
+    gateway: &mut Gateway,
+    now: Instant,
+    key: ExchangeKey,
+    part_index: usize,
+    out: &mut Vec<Effect>,
+) {
+    match try_send(gateway, now, key, part_index, None, out) {
+        Sent::Yes | Sent::NotAllowed => {}
+        Sent::Busy => gateway.waiting.push_back((key, part_index)),
+        Sent::Nobody => give_up(gateway, key, part_index),
+    }
+}
+
+/// What came of the wish to send a part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Sent {
+    /// It was sent.
+    Yes,
+    /// Every target has as many requests as this instance may send.
+    Busy,
+    /// The front or the budget permits no further call.
+    NotAllowed,
+    /// No further target may receive it.
+    Nobody,
+}
+
+/// Sends a part to the best target that was not tried, if limits permit it.
+///
+/// `extra` says why another call is wanted; a part that has not reached any target yet is sent
+/// whatever the budget holds.
+pub(crate) fn try_send(
+    gateway: &mut Gateway,
+    now: Instant,
+    key: ExchangeKey,
+    part_index: usize,
+    extra: Option<Extra>,
+    out: &mut Vec<Effect>,
+) -> Sent {
+    let Some(exchange) = gateway.exchanges.get(key) else {
+        return Sent::NotAllowed;
+    };
+    let part = &exchange.parts[part_index];
+    if !matches!(part.state, PartState::Open) {
+        return Sent::NotAllowed;
+    }
+    let is_extra = part.sent_count > 0;
+    if part.sent_count >= exchange.attempts_max_count {
+        return Sent::NotAllowed;
+    }
+    if is_extra && !is_in_budget(gateway, now, part, extra) {
+        return Sent::NotAllowed;
+    }
+    let (front, service) = (exchange.front, part.service);
+    let tried = part.tried.clone();
+    let target = match choose(gateway, now, front, service, &tried) {
+        Choice::Target(target) => target,
+        Choice::Busy => return Sent::Busy,
+        Choice::Nobody => return Sent::Nobody,
+    };
+    send_to(gateway, now, key, part_index, target, is_extra, out);
+    Sent::Yes
+}
+
+fn is_in_budget(gateway: &Gateway, now: Instant, part: &Part, extra: Option<Extra>) -> bool {
+    let Some(spending) = gateway.spending.get(part.service) else {
+        return false;
+    };
+    budget::may_send_extra(
+        &gateway.settings,
+        spending,
+        gateway.instances_count,
+        now,
+        extra == Some(Extra::Late),
+    )
+}
+
+fn send_to(
+    gateway: &mut Gateway,
+    now: Instant,
+    key: ExchangeKey,
+    part_index: usize,
+    target: model::TargetKey,
+    is_extra: bool,
+    out: &mut Vec<Effect>,
+) {
+    let exchange = &gateway.exchanges[key];
+    let front = exchange.front;
+    let front_name = gateway
+        .catalog
+        .fronts
+        .get(front)
+        .map_or("", |front| &front.name);
+    let late_after = late_after(gateway, front, target);
+    let attempt = gateway.attempts.insert(Attempt {
+        exchange: key,
+        part_index,
+        front,
+        target,
+        is_extra,
+        sent_at: now,
+        late_at: now + late_after,
+        unwanted_since: None,
+        is_idempotent: exchange.is_idempotent,
+        fingerprint: fingerprint(front_name, &exchange.request),
+    });
+    let row = &gateway.catalog.targets[target];
+    out.push(Effect::Attempt(AttemptCall {
+        attempt,
+        target,
+        target_id: row.id.clone(),
+        address: row.address,
+        timeout: exchange.deadline.saturating_duration_since(now),
+        request: exchange.request.clone(),
+    }));
+    let is_cold = catalog::standing(&gateway.catalog, target, now) == Standing::Cold;
+    if let Some(health) = gateway.health.entry(target) {
+        let health = health.or_default();
+        health.running.push(attempt);
+        if is_cold {
+            health::sent_cold(health, now);
+        }
+    }
+    let exchange = &mut gateway.exchanges[key];
+    let part = &mut exchange.parts[part_index];
+    part.tried.push(target);
+    part.sent_count += 1;
+    part.running.push(attempt);
+    part.late_at = Some(now + late_after);
+    let service = part.service;
+    let counter = if is_extra {
+        exchange.extra_count += 1;
+        if let Some(spending) = gateway.spending.get_mut(service) {
+            budget::spent(spending, now);
+        }
+        Counter::HedgeCalls
+    } else {
+        Counter::PrimaryCalls
+    };
+    out.push(Effect::Count {
+        counter,
+        amount_count: 1,
+    });
+}
+
+/// Returns the time after which a target's reply is late.
+fn late_after(
+    gateway: &Gateway,
+    front: model::FrontKey,
+    target: model::TargetKey,
+) -> std::time::Duration {
+    let own = gateway
+        .health
+        .get(target)
+        .and_then(|health| health.latency.get(front));
+    let usual = gateway.usage.get(front).map(|usage| &usage.latency);
+    match (own, usual) {
+        (Some(own), Some(usual)) if own.replies_count < 3 => {
+            estimate::late_after(own).max(estimate::late_after(usual))
+        }
+        (Some(own), _) => estimate::late_after(own),
+        (None, Some(usual)) if usual.replies_count > 0 => estimate::late_after(usual),
+        _ => LATE_UNKNOWN,
+    }
+}
+
+/// Marks an open part that no attempt runs for as missing.
+pub(crate) fn give_up(gateway: &mut Gateway, key: ExchangeKey, part_index: usize) {
+    let Some(exchange) = gateway.exchanges.get_mut(key) else {
+        return;
+    };
+    let part = &mut exchange.parts[part_index];
+    if !matches!(part.state, PartState::Open) || !part.running.is_empty() {
+        return;
+    }
+    part.state = PartState::Missing;
+    exchange.open_count -= 1;
+}
--- a/crates/model/src/effect.rs
+++ b/crates/model/src/effect.rs
@@ -5,7 +5,10 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::{Answer, CallKey, CallerKey, LogLine, Message, Snapshot, TargetKey, Timer};
+use crate::{
+    Answer, AttemptCall, AttemptKey, CallKey, CallerKey, HttpResponse, LogLine, Message, Snapshot,
+    StoreRead, TargetKey, Timer,
+};
 
 /// One call to one target.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -56,6 +59,8 @@
     PartialAnswers,
     /// Requests refused without running.
     Refusals,
+    /// Requests that were sent to a target and ended without its reply, or with its failure.
+    FailedAnswers,
     /// First calls to a service on behalf of a query.
     PrimaryCalls,
     /// Calls sent because another one is late.
@@ -137,6 +142,29 @@
     },
     /// Read from the platform.
     ReadPlatform(PlatformRead),
+    /// Send a caller's request to a target.
+    Attempt(AttemptCall),
+    /// Drop the connection of an attempt; no event follows for it.
+    DropAttempt {
+        /// The attempt.
+        attempt: AttemptKey,
+        /// The target.
+        target: TargetKey,
+    },
+    /// Close the idle connections to a target that is no longer used.
+    Disconnect {
+        /// The target.
+        target: TargetKey,
+    },
+    /// Respond to a caller of the gateway.
+    Respond {
+        /// The caller.
+        caller: CallerKey,
+        /// The response.
+        response: Box<HttpResponse>,
+    },
+    /// Read from the store.
+    ReadStore(StoreRead),
     /// Deliver a timer event after a delay.
     SetTimer {
         /// The event's content.
--- a/crates/model/src/event.rs
+++ b/crates/model/src/event.rs
@@ -1,10 +1,14 @@
 //! Everything that can happen to an instance.
 
-use std::borrow::Cow;
+use std::{borrow::Cow, sync::Arc};
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::{CallKey, CallerKey, LoadReport, Message, RequestView, Snapshot, TargetKey, Timer};
+use crate::{
+    AttemptKey, CallKey, CallerKey, Header, HttpRequest, LoadReport, Message, Record, RequestView,
+    SlotLoad, Snapshot, StoreFailure, StoreRead, TargetKey, Timer,
+};
 
 /// What a target said about one call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -21,6 +25,8 @@
     WrongSnapshot,
     /// The call was not executed because the target is shutting down.
     Draining,
+    /// The call was not executed because another target has the address.
+    Misdirected,
     /// The call was not executed because its deadline had passed.
     DeadlinePassed,
     /// The call was cancelled before execution began.
@@ -41,6 +47,7 @@
             ReplyStatus::Shed
             | ReplyStatus::WrongSnapshot
             | ReplyStatus::Draining
+            | ReplyStatus::Misdirected
             | ReplyStatus::DeadlinePassed
             | ReplyStatus::CancelledUnrun => true,
             ReplyStatus::Done | ReplyStatus::Failed | ReplyStatus::CancelledRunning => false,
@@ -62,6 +69,25 @@
     pub load: Option<LoadReport>,
 }
 
+/// A target's whole reply to one attempt.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct AttemptReply<'a> {
+    /// What the target says happened.
+    pub status: ReplyStatus,
+    /// HTTP status.
+    pub code: u16,
+    /// The target's proof that it made the reply.
+    pub proof: Option<&'a str>,
+    /// Headers that do not concern a single connection.
+    #[serde(borrow)]
+    pub headers: Cow<'a, [Header]>,
+    /// The whole body.
+    pub body: Bytes,
+    /// Load, if the target states it.
+    pub load: Option<SlotLoad>,
+}
+
 /// How a call ended without a whole reply.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 #[derive(Serialize, Deserialize)]
@@ -184,6 +210,46 @@
         /// Why.
         failure: PlatformFailure,
     },
+    /// A caller of the gateway sent a request.
+    HttpRequest {
+        /// Where the response goes.
+        caller: CallerKey,
+        /// The request, which every attempt shares.
+        request: Arc<HttpRequest>,
+    },
+    /// A target's whole reply to an attempt arrived.
+    AttemptReplied {
+        /// The attempt that it answers.
+        attempt: AttemptKey,
+        /// The decoded reply.
+        #[serde(borrow)]
+        reply: AttemptReply<'a>,
+    },
+    /// An attempt ended without a whole reply.
+    AttemptFailed {
+        /// The attempt.
+        attempt: AttemptKey,
+        /// How it ended.
+        failure: CallFailure,
+    },
+    /// The store answered a read.
+    StoreAnswered {
+        /// The read.
+        read: StoreRead,
+        /// Items of the page, or changes in their order.
+        records: Cow<'a, [Record]>,
+        /// Revision of the store at the time of the answer.
+        revision: u64,
+        /// Key after which the next page begins, if there is one.
+        next_page: Option<String>,
+    },
+    /// A read of the store failed.
+    StoreFailed {
+        /// The read that failed.
+        read: StoreRead,
+        /// Why.
+        failure: StoreFailure,
+    },
     /// The operator or the machine asked the process to shut down.
     Leave,
 }
--- a/crates/model/src/key.rs
+++ b/crates/model/src/key.rs
@@ -21,6 +21,15 @@
     /// A service of the accepted configuration. Each service holds one shard of a front.
     pub struct ServiceKey;
 
+    /// A front of the gateway, chosen by host and path.
+    pub struct FrontKey;
+
+    /// A caller's request that the gateway serves.
+    pub struct ExchangeKey;
+
+    /// One request to one target on behalf of an exchange.
+    pub struct AttemptKey;
+
     /// An availability zone of the accepted configuration.
     pub struct ZoneKey;
 }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -14,19 +14,25 @@
 mod answer;
 mod effect;
 mod event;
+mod http;
 mod key;
 mod load;
 mod log_line;
 mod message;
 mod outcome;
 mod request;
+mod store;
 mod timer;
 mod word;
 
 pub use answer::{Answer, Coverage, Missing, MissingReason, ShardResult};
 pub use effect::{Counter, Effect, PlatformRead, TargetCall};
-pub use event::{CallFailure, Event, PlatformFailure, ReplyStatus, ReplyView};
-pub use key::{CallKey, CallerKey, QueryKey, ServiceKey, TargetKey, WaitKey, ZoneKey};
+pub use event::{AttemptReply, CallFailure, Event, PlatformFailure, ReplyStatus, ReplyView};
+pub use http::{AttemptCall, Header, HttpRequest, HttpResponse, PassedReply, SlotLoad};
+pub use key::{
+    AttemptKey, CallKey, CallerKey, ExchangeKey, FrontKey, QueryKey, ServiceKey, TargetKey,
+    WaitKey, ZoneKey,
+};
 pub use load::{LoadReport, TargetPhase};
 pub use log_line::{Level, LogLine, Value};
 pub use message::{
@@ -34,6 +40,10 @@
 };
 pub use outcome::{NotRunReason, Outcome, UnknownReason};
 pub use request::{Kind, Priority, RequestView, Requester};
+pub use store::{
+    Configuration, Destination, FrontEntry, Record, Registration, ServiceEntry, StoreArea,
+    StoreFailure, StoreRead,
+};
 pub use timer::Timer;
 pub use word::{from_word, to_word};
 
--- a/crates/model/src/timer.rs
+++ b/crates/model/src/timer.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{QueryKey, WaitKey};
+use crate::{ExchangeKey, QueryKey, StoreArea, WaitKey};
 
 /// What is due.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -18,4 +18,8 @@
     Tick,
     /// The next read of the platform.
     Platform,
+    /// An exchange of the gateway has late attempts, reaches its goal or its deadline.
+    Exchange(ExchangeKey),
+    /// The next read of an area of the store.
+    Store(StoreArea),
 }
--- a/crates/settings/src/areas.rs
+++ b/crates/settings/src/areas.rs
@@ -24,6 +24,36 @@
     pub once: Once,
     /// Membership and the spreading of configurations.
     pub fleet: Fleet,
+    /// The gateway; nothing on an instance that takes its configuration from release notes.
+    pub gateway: Option<Gateway>,
+}
+
+/// The gateway: callers' HTTP requests by host and path, configured by the metadata store.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize)]
+pub struct Gateway {
+    /// Callers' HTTP port.
+    pub listen: SocketAddr,
+    /// The metadata store's HTTP port.
+    pub store: SocketAddr,
+    /// Peers' ports of some instances, through which the others are found.
+    pub seeds: Vec<SocketAddr>,
+    /// Largest body that a caller may send.
+    pub body_max_bytes: u32,
+    /// Time reserved out of a goal or deadline for the way from and to the caller.
+    pub answer_reserve: Duration,
+    /// Calls beyond the first one of a request that are allowed for each request.
+    pub retry_ratio: f64,
+    /// Calls beyond the first ones that all instances together may add in a window.
+    pub retry_constant_count: u32,
+    /// Length of the window.
+    pub retry_window: Duration,
+    /// Factor by which a cold target's stated rate may be exceeded.
+    pub cold_factor: f64,
+    /// Requests a second that a cold target may get beyond that, from all instances together.
+    pub cold_constant_count: u32,
+    /// Time from the request to shut down after which the machine ends the process.
+    pub shutdown_limit: Duration,
 }
 
 /// Who the instance is.
@@ -40,8 +70,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize)]
 pub struct Listen {
-    /// Callers' HTTP port.
-    pub callers: SocketAddr,
+    /// Callers' HTTP port; nothing on an instance whose callers use the gateway alone.
+    pub callers: Option<SocketAddr>,
     /// Operators' HTTP port.
     pub operators: SocketAddr,
     /// Port for other instances.
@@ -197,3 +227,22 @@
         }
     }
 }
+
+impl Default for Gateway {
+    fn default() -> Gateway {
+        let unset = SocketAddr::from(([127, 0, 0, 1], 0));
+        Gateway {
+            listen: unset,
+            store: unset,
+            seeds: Vec::new(),
+            body_max_bytes: 1024 * 1024,
+            answer_reserve: Duration::from_millis(8),
+            retry_ratio: 0.1,
+            retry_constant_count: 10,
+            retry_window: Duration::from_secs(10),
+            cold_factor: 1.0,
+            cold_constant_count: 1,
+            shutdown_limit: Duration::from_secs(6),
+        }
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -10,5 +10,5 @@
 #[cfg(test)]
 mod tests;
 
-pub use areas::{Admit, Fleet, Instance, Listen, Once, Platform, Query, Route, Settings};
+pub use areas::{Admit, Fleet, Gateway, Instance, Listen, Once, Platform, Query, Route, Settings};
 pub use read::read;
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -4,10 +4,14 @@
 
 use findings::{Fields, Findings, Node, with_document};
 
-use crate::{Admit, Fleet, Instance, Listen, Once, Platform, Query, Route, Settings};
+use crate::{Admit, Fleet, Gateway, Instance, Listen, Once, Platform, Query, Route, Settings};
 
 const MAX_DURATION_MS: u64 = 3_600_000;
 const MAX_COUNT: u32 = 1_000_000;
+const MAX_FACTOR: f64 = 100.0;
+
+/// Longest time that one watch of release notes waits, unless the file says otherwise.
+const WATCH_TIMEOUT_DEFAULT: Duration = Duration::from_secs(4);
 
 /// Reads the settings of an instance from a JSON document.
 ///
@@ -23,12 +27,21 @@
     let instance = fields
         .required("instance", findings)
         .and_then(|n| read_instance(n, findings));
-    let listen = fields
-        .required("listen", findings)
-        .and_then(|n| read_listen(n, findings));
-    let platform = fields
-        .required("platform", findings)
-        .and_then(|n| read_platform(n, findings));
+    let listen = fields.required("listen", findings);
+    let gateway_node = fields.optional("gateway");
+    let has_gateway = gateway_node.is_some();
+    let listen = listen.and_then(|n| read_listen(n, has_gateway, findings));
+    let gateway = gateway_node.and_then(|n| read_gateway(n, findings));
+    let platform = match &gateway {
+        Some(gateway) => Some(Platform {
+            address: gateway.store,
+            watch_timeout: WATCH_TIMEOUT_DEFAULT,
+        }),
+        None if has_gateway => None,
+        None => fields
+            .required("platform", findings)
+            .and_then(|n| read_platform(n, findings)),
+    };
     let query = read_area(&mut fields, "query", findings, read_query);
     let route = read_area(&mut fields, "route", findings, read_route);
     let admit = read_area(&mut fields, "admit", findings, read_admit);
@@ -44,6 +57,7 @@
         admit,
         once,
         fleet,
+        gateway,
     })
 }
 
@@ -81,11 +95,13 @@
     })
 }
 
-fn read_listen(node: Node<'_>, findings: &mut Findings) -> Option<Listen> {
+fn read_listen(node: Node<'_>, has_gateway: bool, findings: &mut Findings) -> Option<Listen> {
     let mut fields = node.fields(findings)?;
-    let callers = fields
-        .required("callers", findings)
-        .and_then(|n| n.address(findings));
+    let callers = match has_gateway {
+        true => fields.optional("callers"),
+        false => fields.required("callers", findings),
+    };
+    let callers = callers.and_then(|n| n.address(findings));
     let operators = fields
         .required("operators", findings)
         .and_then(|n| n.address(findings));
@@ -94,7 +110,7 @@
         .and_then(|n| n.address(findings));
     fields.finish(findings);
     Some(Listen {
-        callers: callers?,
+        callers,
         operators: operators?,
         peers: peers?,
     })
@@ -105,7 +121,7 @@
     let address = fields
         .required("address", findings)
         .and_then(|n| n.address(findings));
-    let mut watch_timeout = Duration::from_secs(4);
+    let mut watch_timeout = WATCH_TIMEOUT_DEFAULT;
     set_millis(
         &mut watch_timeout,
         &mut fields,
@@ -119,6 +135,65 @@
     })
 }
 
+fn read_gateway(node: Node<'_>, findings: &mut Findings) -> Option<Gateway> {
+    let mut fields = node.fields(findings)?;
+    let listen = fields.required("listen", findings);
+    let listen = listen.and_then(|n| n.address(findings));
+    let store = fields.required("store", findings);
+    let store = store.and_then(|n| n.address(findings));
+    let seeds = fields.optional("seeds");
+    let seeds = seeds.map(|node| node.items(findings)).unwrap_or_default();
+    let seeds = seeds.iter().filter_map(|node| node.address(findings));
+    let seeds = seeds.collect();
+    let mut area = Gateway {
+        listen: listen?,
+        store: store?,
+        seeds,
+        ..Gateway::default()
+    };
+    let area = &mut area;
+    set_count(
+        &mut area.body_max_bytes,
+        &mut fields,
+        "body_max_bytes",
+        findings,
+    );
+    set_millis(
+        &mut area.answer_reserve,
+        &mut fields,
+        "answer_reserve_ms",
+        findings,
+    );
+    set_fraction(&mut area.retry_ratio, &mut fields, "retry_ratio", findings);
+    set_count(
+        &mut area.retry_constant_count,
+        &mut fields,
+        "retry_constant_count",
+        findings,
+    );
+    set_seconds(
+        &mut area.retry_window,
+        &mut fields,
+        "retry_window_s",
+        findings,
+    );
+    set_fraction(&mut area.cold_factor, &mut fields, "cold_factor", findings);
+    set_count(
+        &mut area.cold_constant_count,
+        &mut fields,
+        "cold_constant_count",
+        findings,
+    );
+    set_seconds(
+        &mut area.shutdown_limit,
+        &mut fields,
+        "shutdown_limit_s",
+        findings,
+    );
+    fields.finish(findings);
+    Some(area.clone())
+}
+
 fn read_query(area: &mut Query, fields: &mut Fields<'_>, findings: &mut Findings) {
     set_millis(&mut area.timeout_max, fields, "timeout_max_ms", findings);
     set_count(&mut area.body_max_bytes, fields, "body_max_bytes", findings);
@@ -264,6 +339,26 @@
     *value = count;
 }
 
+fn set_seconds(value: &mut Duration, fields: &mut Fields<'_>, name: &str, findings: &mut Findings) {
+    let Some(node) = fields.optional(name) else {
+        return;
+    };
+    let Some(seconds) = node.fraction(0.001..=MAX_DURATION_MS as f64 / 1000.0, findings) else {
+        return;
+    };
+    *value = Duration::from_secs_f64(seconds);
+}
+
+fn set_fraction(value: &mut f64, fields: &mut Fields<'_>, name: &str, findings: &mut Findings) {
+    let Some(node) = fields.optional(name) else {
+        return;
+    };
+    let Some(fraction) = node.fraction(0.0..=MAX_FACTOR, findings) else {
+        return;
+    };
+    *value = fraction;
+}
+
 /// Reads a ratio that the file states in whole percent.
 fn set_ratio(value: &mut f64, fields: &mut Fields<'_>, name: &str, findings: &mut Findings) {
     let Some(node) = fields.optional(name) else {
@@ -277,10 +372,10 @@
 
 fn check(settings: &Settings, findings: &mut Findings) {
     let listen = &settings.listen;
-    if listen.callers == listen.operators {
+    if listen.callers == Some(listen.operators) {
         findings.add("$.listen.operators", "is the same address as `callers`");
     }
-    if listen.callers == listen.peers {
+    if listen.callers == Some(listen.peers) {
         findings.add("$.listen.peers", "is the same address as `callers`");
     }
     if listen.operators == listen.peers {
--- a/crates/tier/src/dump.rs
+++ b/crates/tier/src/dump.rs
@@ -18,6 +18,8 @@
     pub queries: &'a query::Queries,
     /// The queue.
     pub admission: &'a admit::Admission,
+    /// Callers' HTTP requests by host and path.
+    pub gateway: Option<&'a gateway::Gateway>,
     /// Tickets and their outcomes.
     pub once: &'a once::OnceState,
 }
@@ -30,6 +32,7 @@
         routes: &state.routes,
         queries: &state.queries,
         admission: &state.admission,
+        gateway: state.gateway.as_ref(),
         once: &state.once,
     }
 }
--- a/crates/tier/src/leave.rs
+++ b/crates/tier/src/leave.rs
@@ -28,7 +28,9 @@
     if !state.fleet.is_leaving {
         return;
     }
-    if !state.queries.queries.is_empty() || !state.once.waits.is_empty() {
+    let gateway = state.gateway.as_ref();
+    let has_exchanges = gateway.is_some_and(|gateway| !gateway.exchanges.is_empty());
+    if has_exchanges || !state.queries.queries.is_empty() || !state.once.waits.is_empty() {
         note_activity(state, now);
         return;
     }
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -11,6 +11,7 @@
 mod capacity;
 mod dump;
 mod forward;
+mod gateway;
 mod late;
 mod leave;
 mod peer;
--- a/crates/tier/src/poison.rs
+++ b/crates/tier/src/poison.rs
@@ -156,7 +156,8 @@
     })
 }
 
-fn is_quarantined(state: &State, now: Instant, fingerprint: u64) -> bool {
+/// Tells whether targets crashed too often while executing a request.
+pub(crate) fn is_quarantined(state: &State, now: Instant, fingerprint: u64) -> bool {
     let is_released = || {
         let note = state.fleet.note.as_ref();
         note.is_some_and(|note| note.fleet.released_fingerprints.contains(&fingerprint))
--- a/crates/tier/src/reduce.rs
+++ b/crates/tier/src/reduce.rs
@@ -2,9 +2,10 @@
 
 use std::time::Instant;
 
+use catalog::Answered;
 use model::{Effect, Event, Requester, Timer};
 
-use crate::{State, late, leave, peer, platform, poison, request, settle, tick, ticket};
+use crate::{State, gateway, late, leave, peer, platform, poison, request, settle, tick, ticket};
 
 /// Takes in one event at a time and appends the effects that follow from it.
 pub fn reduce(state: &mut State, now: Instant, event: Event<'_>, out: &mut Vec<Effect>) {
@@ -13,12 +14,16 @@
         Event::Started => {
             tick::started(state, now, out);
             fleet::started(&mut state.fleet, &state.settings, now, out);
+            gateway::started(state, now, out);
         }
         Event::Request { caller, request } => {
             request::offered(state, now, Requester::Caller(caller), &request, out);
         }
         Event::TicketsWanted { caller, count } => ticket::issue(state, now, caller, count, out),
-        Event::CallerGone { caller } => request::caller_gone(state, now, caller, out),
+        Event::CallerGone { caller } => {
+            request::caller_gone(state, now, caller, out);
+            gateway::caller_gone(state, now, caller, out);
+        }
         Event::Reply { call, reply } => {
             late::replied(state, call, &reply);
             poison::replied(state, call, reply.status);
@@ -55,6 +60,32 @@
         Event::PlatformNote { version, body } => platform::note(state, now, version, body, out),
         Event::PlatformInstances { body } => platform::instances(state, now, body, out),
         Event::PlatformFailed { read, .. } => platform::failed(state, now, read, out),
+        Event::HttpRequest { caller, request } => {
+            gateway::offered(state, now, caller, request, out);
+        }
+        Event::AttemptReplied { attempt, reply } => {
+            gateway::replied(state, now, attempt, &reply, out);
+        }
+        Event::AttemptFailed { attempt, failure } => {
+            gateway::failed(state, now, attempt, failure, out);
+        }
+        Event::StoreAnswered {
+            read,
+            records,
+            revision,
+            next_page,
+        } => {
+            let answer = Answered {
+                read: &read,
+                records: &records,
+                revision,
+                next_page: next_page.as_deref(),
+            };
+            gateway::store_answered(state, now, &answer, out);
+        }
+        Event::StoreFailed { read, failure } => {
+            gateway::store_failed(state, &read, failure, out);
+        }
         Event::Leave => leave::wanted(state, now, out),
     }
 }
@@ -65,6 +96,8 @@
         Timer::Hedge(key) => request::hedge(state, now, key, out),
         Timer::Wait(key) => ticket::wait_over(state, key, out),
         Timer::Tick => tick::due(state, now, out),
+        Timer::Exchange(key) => gateway::exchange_due(state, now, key, out),
+        Timer::Store(area) => gateway::store_due(state, area, out),
         Timer::Platform => fleet::platform_due(&mut state.fleet, &state.settings, now, out),
     }
 }
--- a/crates/tier/src/state.rs
+++ b/crates/tier/src/state.rs
@@ -4,6 +4,7 @@
 
 use admit::Admission;
 use fleet::FleetState;
+use gateway::Gateway;
 use model::Revision;
 use once::{OnceState, Owner};
 use query::Queries;
@@ -23,6 +24,10 @@
     pub queries: Queries,
     /// The queue.
     pub admission: Admission,
+    /// Callers' HTTP requests by host and path, if the settings ask for it.
+    pub gateway: Option<Gateway>,
+    /// When the process started.
+    pub started_at: Option<Instant>,
     /// Tickets and their outcomes.
     pub once: OnceState,
     /// When every target of an accepted configuration had been asked once.
@@ -46,6 +51,11 @@
     };
     State {
         once: once::open(owner, seed),
+        gateway: settings
+            .gateway
+            .as_ref()
+            .map(|settings| gateway::open(settings, seed)),
+        started_at: None,
         last_activity: None,
         targets_asked_at: None,
         can_call_targets: false,
@@ -75,10 +85,16 @@
 
 /// Tells whether the instance should receive new requests.
 pub fn is_ready(state: &State) -> bool {
+    if let Some(gateway) = &state.gateway {
+        return crate::gateway::is_ready(gateway) && !state.fleet.is_leaving;
+    }
     fleet::is_joined(&state.fleet) && state.can_call_targets && !state.fleet.is_leaving
 }
 
 /// Returns the accepted revision, or 0 if there is none.
 pub fn revision(state: &State) -> Revision {
-    state.fleet.note.as_ref().map_or(0, |note| note.revision)
+    match &state.gateway {
+        Some(gateway) => gateway.catalog.version,
+        None => state.fleet.note.as_ref().map_or(0, |note| note.revision),
+    }
 }
--- a/crates/tier/src/tick.rs
+++ b/crates/tier/src/tick.rs
@@ -4,7 +4,7 @@
 
 use model::{Counter, Effect, Level, LogLine, Timer};
 
-use crate::{State, leave, platform, poison, request};
+use crate::{State, gateway, leave, platform, poison, request};
 
 /// Sets the first tick.
 pub(crate) fn started(state: &mut State, now: Instant, out: &mut Vec<Effect>) {
@@ -24,6 +24,7 @@
     platform::divide(state, out);
     platform::confine(state, now);
     request::tick(state, now, out);
+    gateway::tick(state, now, out);
     note_callable_targets(state, now);
     leave::exit_if_quiet(state, now, out);
     out.push(Effect::SetTimer {
