End before the machine does, and watch targets less often

After a change of targets the next watch waits 0.4 s. A repeat that is not allowed is logged with its reason.

--- a/crates/catalog/src/sync.rs
+++ b/crates/catalog/src/sync.rs
@@ -26,6 +26,9 @@
 /// Longest delay after any number of failures; bounds both the calls to a store that is down and
 /// the time until its return is noticed.
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(1_000);
+/// Time between a change of a target and the next watch, so that changes of many targets cost one
+/// call; short against the three seconds within which a leaving target may still be used.
+const TARGETS_GAP: Duration = Duration::from_millis(400);
 /// Doublings of the delay until the longest one is reached.
 const RETRY_DOUBLINGS_MAX: u32 = 4;
 
@@ -174,10 +177,21 @@
             }
         }
     };
-    due(sync, area, out);
+    if area == StoreArea::Targets && !answer.records.is_empty() && is_watching(sync, area) {
+        out.push(Effect::SetTimer {
+            timer: Timer::Store(area),
+            after: TARGETS_GAP,
+        });
+    } else {
+        due(sync, area, out);
+    }
     changes
 }
 
+fn is_watching(sync: &Sync, area: StoreArea) -> bool {
+    matches!(self::area(sync, area).stage, Stage::Watching { .. })
+}
+
 /// Takes in the failure of a read and schedules the next one.
 pub fn failed(
     sync: &mut Sync,
--- a/crates/gateway/src/due.rs
+++ b/crates/gateway/src/due.rs
@@ -92,7 +92,7 @@
         part.late_at = match sent {
             Sent::Yes => part.late_at,
             Sent::Busy => Some(now + RECONSIDER_AFTER),
-            Sent::NotAllowed | Sent::Nobody => None,
+            Sent::NotAllowed(_) | Sent::Nobody => None,
         };
     }
 }
--- a/crates/gateway/src/end.rs
+++ b/crates/gateway/src/end.rs
@@ -4,7 +4,7 @@
 
 use model::{
     AttemptKey, AttemptReply, CallFailure, CallerKey, Counter, Effect, ExchangeKey, Level, LogLine,
-    PassedReply, ReplyStatus,
+    PassedReply, ReplyStatus, to_word,
 };
 
 use crate::{
@@ -13,7 +13,7 @@
     due::arm,
     estimate, health,
     respond::{finish_if_decided, pass},
-    send::{Sent, give_up, try_send},
+    send::{Barrier, Sent, give_up, try_send},
 };
 
 /// Takes in a target's whole reply.
@@ -199,15 +199,9 @@
             if status == ReplyStatus::Failed {
                 exchange.failure = Some(passed(reply));
             }
-            let may_repeat = exchange.is_idempotent || status.is_not_run();
-            repeat(
-                gateway,
-                now,
-                key,
-                part_index,
-                may_repeat && !is_quarantined,
-                out,
-            );
+            let may_have_run = !status.is_not_run();
+            let barrier = barrier(exchange.is_idempotent, may_have_run, is_quarantined);
+            repeat(gateway, now, key, part_index, barrier, out);
         }
     }
     if !finish_if_decided(gateway, now, key, out) {
@@ -250,15 +244,8 @@
     if !may_have_run {
         exchange.parts[part_index].sent_count -= 1;
     }
-    let may_repeat = exchange.is_idempotent || !may_have_run;
-    repeat(
-        gateway,
-        now,
-        key,
-        part_index,
-        may_repeat && !is_quarantined,
-        out,
-    );
+    let barrier = barrier(exchange.is_idempotent, may_have_run, is_quarantined);
+    repeat(gateway, now, key, part_index, barrier, out);
     if !finish_if_decided(gateway, now, key, out) {
         arm(gateway, now, key, out);
     }
@@ -270,18 +257,48 @@
     now: Instant,
     key: ExchangeKey,
     part_index: usize,
-    may_repeat: bool,
+    barrier: Option<Barrier>,
     out: &mut Vec<Effect>,
 ) {
-    if !may_repeat {
-        give_up(gateway, key, part_index);
-        return;
-    }
-    match try_send(gateway, now, key, part_index, Some(Extra::Failed), out) {
-        Sent::Yes => {}
-        Sent::Busy => gateway.waiting.push_back((key, part_index)),
-        Sent::NotAllowed | Sent::Nobody => give_up(gateway, key, part_index),
+    let barrier = match barrier {
+        Some(barrier) => barrier,
+        None => match try_send(gateway, now, key, part_index, Some(Extra::Failed), out) {
+            Sent::Yes => return,
+            Sent::Busy => return gateway.waiting.push_back((key, part_index)),
+            Sent::Nobody => Barrier::NoTarget,
+            Sent::NotAllowed(barrier) => barrier,
+        },
+    };
+    log_barrier(gateway, key, part_index, barrier, out);
+    give_up(gateway, key, part_index);
+}
+
+/// Returns what forbids that a request is sent again after it may have been executed, or not.
+fn barrier(is_idempotent: bool, may_have_run: bool, is_quarantined: bool) -> Option<Barrier> {
+    if may_have_run && !is_idempotent {
+        return Some(Barrier::Kind);
     }
+    is_quarantined.then_some(Barrier::Quarantined)
+}
+
+fn log_barrier(
+    gateway: &Gateway,
+    key: ExchangeKey,
+    part_index: usize,
+    barrier: Barrier,
+    out: &mut Vec<Effect>,
+) {
+    let Some(exchange) = gateway.exchanges.get(key) else {
+        return;
+    };
+    let part = &exchange.parts[part_index];
+    let service = gateway.catalog.services.get(part.service);
+    let line = LogLine::new(Level::Info, "repeat-refused")
+        .with("request_id", exchange.request.request_id.as_str())
+        .with("service", service.map_or("", |service| &*service.name))
+        .with("sent_count", u64::from(part.sent_count))
+        .with("reason", to_word(&barrier).as_str());
+    out.push(Effect::Log(line));
 }
 
 /// Sends the parts that wait for a connection, as far as there are any.
@@ -300,7 +317,7 @@
         match try_send(gateway, now, key, part_index, Some(Extra::Failed), out) {
             Sent::Busy => gateway.waiting.push_back((key, part_index)),
             Sent::Yes => arm(gateway, now, key, out),
-            Sent::NotAllowed | Sent::Nobody => {
+            Sent::NotAllowed(_) | Sent::Nobody => {
                 give_up(gateway, key, part_index);
                 finish_if_decided(gateway, now, key, out);
             }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,6 +37,6 @@
 pub use merge::greatest_records;
 pub use offer::offered;
 pub use place::{Choice, choose};
-pub use respond::refuse;
+pub use respond::{finish_all, refuse};
 pub use table::{Attempt, Exchange, Gateway, Part, PartState, Usage, fingerprint, is_known, open};
 pub use tick::{set_instances, targets_gone, tick};
--- a/crates/gateway/src/respond.rs
+++ b/crates/gateway/src/respond.rs
@@ -113,6 +113,14 @@
     respond(exchange.caller, response, out);
 }
 
+/// Ends every exchange with what has arrived.
+pub fn finish_all(gateway: &mut Gateway, now: Instant, out: &mut Vec<Effect>) {
+    let keys: Vec<ExchangeKey> = gateway.exchanges.keys().collect();
+    for key in keys {
+        finish(gateway, now, key, out);
+    }
+}
+
 /// Removes an exchange; attempts that still run are no longer wanted.
 fn take(gateway: &mut Gateway, now: Instant, key: ExchangeKey) -> Option<Exchange> {
     let mut exchange = gateway.exchanges.remove(key)?;
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use model::{AttemptCall, Counter, Effect, ExchangeKey};
+use serde::Serialize;
 
 use crate::{
     Attempt, Choice, Gateway, budget,
@@ -24,12 +25,31 @@
     out: &mut Vec<Effect>,
 ) {
     match try_send(gateway, now, key, part_index, None, out) {
-        Sent::Yes | Sent::NotAllowed => {}
+        Sent::Yes | Sent::NotAllowed(_) => {}
         Sent::Busy => gateway.waiting.push_back((key, part_index)),
         Sent::Nobody => give_up(gateway, key, part_index),
     }
 }
 
+/// The limit that permits no further call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum Barrier {
+    /// The part has been decided.
+    Decided,
+    /// The front allows no more targets.
+    Attempts,
+    /// This instance's share of the budget is used up.
+    Budget,
+    /// The request may have been executed and must not be executed twice.
+    Kind,
+    /// The request may be what crashes its targets.
+    Quarantined,
+    /// No further target may receive it.
+    NoTarget,
+}
+
 /// What came of the wish to send a part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Sent {
@@ -37,8 +57,8 @@
     Yes,
     /// Every target has as many requests as this instance may send.
     Busy,
-    /// The front or the budget permits no further call.
-    NotAllowed,
+    /// A limit permits no further call.
+    NotAllowed(Barrier),
     /// No further target may receive it.
     Nobody,
 }
@@ -56,18 +76,18 @@
     out: &mut Vec<Effect>,
 ) -> Sent {
     let Some(exchange) = gateway.exchanges.get(key) else {
-        return Sent::NotAllowed;
+        return Sent::NotAllowed(Barrier::Decided);
     };
     let part = &exchange.parts[part_index];
     if !matches!(part.state, PartState::Open) {
-        return Sent::NotAllowed;
+        return Sent::NotAllowed(Barrier::Decided);
     }
     let is_extra = part.sent_count > 0;
     if part.sent_count >= exchange.attempts_max_count {
-        return Sent::NotAllowed;
+        return Sent::NotAllowed(Barrier::Attempts);
     }
     if is_extra && !is_in_budget(gateway, now, part, extra) {
-        return Sent::NotAllowed;
+        return Sent::NotAllowed(Barrier::Budget);
     }
     let (front, service) = (exchange.front, part.service);
     let tried = part.tried.clone();
--- a/crates/tier/src/gateway.rs
+++ b/crates/tier/src/gateway.rs
@@ -38,12 +38,18 @@
     out: &mut Vec<Effect>,
 ) {
     leave::note_activity(state, now);
-    let is_quarantined = is_request_quarantined(state, now, &request);
+    let refusal = if leave::is_refusing(state, now) {
+        Some(NotRunReason::Leaving)
+    } else if is_request_quarantined(state, now, &request) {
+        Some(NotRunReason::Quarantined)
+    } else {
+        None
+    };
     let Some(gateway) = &mut state.gateway else {
         return;
     };
-    if is_quarantined {
-        gateway::refuse(gateway, caller, &request, NotRunReason::Quarantined, out);
+    if let Some(reason) = refusal {
+        gateway::refuse(gateway, caller, &request, reason, out);
         return;
     }
     gateway::offered(gateway, now, caller, request, out);
--- a/crates/tier/src/state.rs
+++ b/crates/tier/src/state.rs
@@ -26,6 +26,8 @@
     pub admission: Admission,
     /// Callers' HTTP requests by host and path, if the settings ask for it.
     pub gateway: Option<Gateway>,
+    /// When the process was asked to shut down.
+    pub leaving_since: Option<Instant>,
     /// When the process started.
     pub started_at: Option<Instant>,
     /// Tickets and their outcomes.
@@ -55,6 +57,7 @@
             .gateway
             .as_ref()
             .map(|settings| gateway::open(settings, seed)),
+        leaving_since: None,
         started_at: None,
         last_activity: None,
         targets_asked_at: None,
--- a/crates/tier/src/tick.rs
+++ b/crates/tier/src/tick.rs
@@ -26,6 +26,7 @@
     request::tick(state, now, out);
     gateway::tick(state, now, out);
     note_callable_targets(state, now);
+    leave::end_before_limit(state, now, out);
     leave::exit_if_quiet(state, now, out);
     out.push(Effect::SetTimer {
         timer: Timer::Tick,
