Send nothing more to a target whose address another one has

Change: 421 is final for the process that is registered; it is used again only under a new registration. Ruled out: the ratio part (0.18 of the requests plus 40) and instances that did not know each other.

--- a/crates/gateway/src/end.rs
+++ b/crates/gateway/src/end.rs
@@ -132,10 +132,13 @@
             }
         }
         ReplyStatus::Misdirected => {
-            health::failed(health);
-            health::unreachable(health, now);
-            let line = target_line(gateway, attempt, "target-replaced");
-            out.push(Effect::Log(line));
+            if !std::mem::replace(&mut health.is_replaced, true) {
+                let line = target_line(gateway, attempt, "target-replaced");
+                out.push(Effect::Log(line));
+                out.push(Effect::Disconnect {
+                    target: attempt.target,
+                });
+            }
         }
         _ => health::failed(health),
     }
--- a/crates/gateway/src/health.rs
+++ b/crates/gateway/src/health.rs
@@ -34,6 +34,8 @@
     pub failures_ratio: f64,
     /// Connections in a row that failed.
     pub refusals_count: u32,
+    /// Whether another target has its address; final, because a new process has a new key.
+    pub is_replaced: bool,
     /// Until when others are preferred.
     #[serde(skip)]
     pub avoid_until: Option<Instant>,
@@ -57,7 +59,7 @@
     health.failures_ratio += (1.0 - health.failures_ratio) * FAILURE_WEIGHT;
 }
 
-/// Notes that no connection could be opened, or that another target has the address.
+/// Notes that no connection could be opened.
 pub(crate) fn unreachable(health: &mut Health, now: Instant) {
     let doublings = health.refusals_count.min(AVOID_DOUBLINGS_MAX);
     health.refusals_count = health.refusals_count.saturating_add(1);
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -57,10 +57,11 @@
         if standing == Standing::Out || !is_allowed(gateway, now, target, standing) {
             continue;
         }
-        let running_count = gateway
-            .health
-            .get(target)
-            .map_or(0, |health| health.running.len());
+        let health = gateway.health.get(target);
+        if health.is_some_and(|health| health.is_replaced) {
+            continue;
+        }
+        let running_count = health.map_or(0, |health| health.running.len());
         if running_count >= connections_max_count {
             is_busy = true;
             continue;
