--- a/crates/balsamd/src/shell.rs
+++ b/crates/balsamd/src/shell.rs
@@ -7,7 +7,7 @@
         Arc, OnceLock,
         atomic::{AtomicBool, Ordering},
     },
-    time::SystemTime,
+    time::{Duration, SystemTime},
 };
 
 use actix::{Actor, AsyncContext, Context, Handler, Message, System};
@@ -17,7 +17,7 @@
 use model::{
     AttemptKey, AttemptReply, CallFailure, CallKey, CallerKey, Effect, Event, HttpRequest,
     HttpResponse, Kind, Level, LoadReport, LogLine, PlatformFailure, PlatformRead, ReplyView,
-    RequestView, StoreFailure, StoreRead, TargetKey, Timer,
+    RequestView, StoreChanges, StoreFailure, StoreRead, TargetKey, Timer,
 };
 use platform::{Reply, StoreValue};
 use rand::{TryRng, rngs::SysRng};
@@ -365,7 +365,7 @@
     /// The read.
     pub read: StoreRead,
     /// The value or the failure.
-    pub result: Result<StoreValue, StoreFailure>,
+    pub result: Result<(StoreValue, Bytes), StoreFailure>,
 }
 
 impl Handler<StoreReadEnded> for Shell {
@@ -374,11 +374,12 @@
     fn handle(&mut self, message: StoreReadEnded, context: &mut Self::Context) {
         let read = message.read;
         let event = match message.result {
-            Ok(value) => Event::StoreAnswered {
+            Ok((value, published)) => Event::StoreAnswered {
                 read,
                 records: Cow::Owned(value.records),
                 revision: value.revision,
                 next_page: value.next_page,
+                published,
             },
             Err(failure) => Event::StoreFailed { read, failure },
         };
@@ -466,6 +467,10 @@
     type Result = ();
 
     fn handle(&mut self, message: PeerMessage, context: &mut Self::Context) {
+        if let model::Message::StoreChanges(changes) = &message.0 {
+            store_shared(self, context, changes);
+            return;
+        }
         handle(
             self,
             context,
@@ -476,6 +481,33 @@
     }
 }
 
+/// Decodes what the reader of the zone has learned from the store.
+fn store_shared(shell: &mut Shell, context: &mut Context<Shell>, changes: &StoreChanges) {
+    let read = StoreRead::Watch {
+        area: changes.area,
+        after_revision: changes.after_revision,
+        wait: Duration::ZERO,
+    };
+    let records = match changes.body.is_empty() {
+        true => Vec::new(),
+        false => match platform::decode_published(&read, &changes.body) {
+            Ok(value) => value.records,
+            Err(_) => {
+                let line = LogLine::new(Level::Warn, "shared-changes-unreadable");
+                logs::write(&line.with("revision", changes.revision));
+                return;
+            }
+        },
+    };
+    let event = Event::StoreShared {
+        area: changes.area,
+        after_revision: changes.after_revision,
+        revision: changes.revision,
+        records: Cow::Owned(records),
+    };
+    handle(shell, context, event);
+}
+
 /// The loss of the connection to another instance.
 #[derive(Debug)]
 #[derive(Message)]
--- a/crates/balsamd/src/store.rs
+++ b/crates/balsamd/src/store.rs
@@ -41,7 +41,7 @@
     config: ServiceConfig,
     address: SocketAddr,
     read: &StoreRead,
-) -> Result<StoreValue, StoreFailure> {
+) -> Result<(StoreValue, Bytes), StoreFailure> {
     let lost = |_| StoreFailure::Unreachable;
     let mut head = RequestHead::default();
     head.uri = platform::encode_read(read)
@@ -54,5 +54,6 @@
     let no_body = Bytes::new();
     let exchange = client::exchange(connection, Rc::new(head), None, &no_body, |_| true);
     let (response, _) = exchange.await.map_err(lost)?;
-    platform::decode_answer(read, response.head.status.as_u16(), &response.body)
+    let value = platform::decode_answer(read, response.head.status.as_u16(), &response.body)?;
+    Ok((value, response.body))
 }
--- a/crates/catalog/src/apply.rs
+++ b/crates/catalog/src/apply.rs
@@ -12,12 +12,15 @@
 
 use crate::{Catalog, Front, Route, Service, Target};
 
-/// Time for which a draining target, or one whose registration is missing, may still receive what
-/// nobody else can take.
+/// Time for which a target that leaves may still receive what nobody else can take.
 ///
-/// The platform lets a target serve for three seconds after it has announced its end, and brings
-/// registrations that lapsed during an outage of the store back within about two.
-const LEAVING_USABLE: Duration = Duration::from_millis(2_200);
+/// The platform lets a target serve for three seconds after its announcement has reached the store;
+/// the news may take two of them.
+const LEAVING_USABLE: Duration = Duration::from_millis(800);
+/// The same for a target whose registration went missing after the store was away: registrations
+/// that lapsed meanwhile are back within about two seconds.
+const LAPSED_USABLE: Duration = Duration::from_millis(2_200);
+
 /// Connections that a target is taken to accept until the configuration tells.
 const CONNECTIONS_DEFAULT_COUNT: u32 = 8;
 
@@ -117,9 +120,12 @@
 
 /// Forgets the targets that have left; returns their keys.
 pub fn expire(catalog: &mut Catalog, now: Instant) -> Vec<TargetKey> {
-    let is_over = |since: Option<Instant>| since.is_some_and(|at| now >= at + LEAVING_USABLE);
     let targets = catalog.targets.iter();
-    let over = targets.filter(|(_, target)| is_over(target.removed_since));
+    let over = targets.filter(|(_, target)| {
+        target
+            .removed_since
+            .is_some_and(|at| now >= at + usable(target))
+    });
     let over: Vec<TargetKey> = over.map(|(key, _)| key).collect();
     for &key in &over {
         forget(catalog, key);
@@ -133,7 +139,14 @@
         .draining_since
         .into_iter()
         .chain(target.removed_since);
-    since.min().is_some_and(|at| now < at + LEAVING_USABLE)
+    since.min().is_some_and(|at| now < at + usable(target))
+}
+
+fn usable(target: &Target) -> Duration {
+    match target.has_lapsed {
+        true => LAPSED_USABLE,
+        false => LEAVING_USABLE,
+    }
 }
 
 fn apply_configuration(
@@ -298,6 +311,7 @@
         cold_until,
         draining_since: registration.is_draining.then_some(now),
         removed_since: None,
+        has_lapsed: false,
     });
     catalog.target_ids.insert(id, target);
     catalog.services[service].targets.push(target);
@@ -349,6 +363,8 @@
         return None;
     }
     target.removed_since = Some(now);
+    target.has_lapsed =
+        target.draining_since.is_none() && catalog.lapses_until.is_some_and(|until| now < until);
     Some(Change::TargetLeaving {
         target: key,
         is_removed: true,
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -20,5 +20,8 @@
 
 pub use apply::{Change, apply, expire};
 pub use standing::{Standing, standing};
-pub use sync::{Answered, AreaSync, Stage, Sync, answered, area, due, failed, open, started};
+pub use sync::{
+    Answered, AreaSync, Role, Shared, Stage, Sync, answered, area, due, failed, open, shared,
+    started,
+};
 pub use table::{Catalog, Front, Route, Service, Target, find_front};
--- a/crates/catalog/src/sync.rs
+++ b/crates/catalog/src/sync.rs
@@ -21,6 +21,14 @@
 /// which has to leave time to read a change within the platform's bound for machines that were cut
 /// off (four seconds) and the one for configurations (three seconds).
 const WATCH_WAIT: Duration = Duration::from_secs(5);
+/// The same for a reader that others of its zone rely on, so that they soon notice that it has lost
+/// the store.
+const READER_WATCH_WAIT: Duration = Duration::from_secs(1);
+/// Age of a reader's last word after which an instance reads by itself: one watch, its margin for
+/// a slow store, and the way.
+const SHARED_AGE_MAX: Duration = Duration::from_millis(1_600);
+/// Time between two looks at the age of the reader's last word.
+const SHARED_CHECK: Duration = Duration::from_millis(300);
 /// Delay of the first read after a failure.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Longest delay after any number of failures; bounds both the calls to a store that is down and
@@ -29,6 +37,8 @@
 /// Time between a change of a target and the next watch, so that changes of many targets cost one
 /// call; short against the three seconds within which a leaving target may still be used.
 const TARGETS_GAP: Duration = Duration::from_millis(400);
+/// Time after the store's return in which registrations may be missing that have lapsed meanwhile.
+const LAPSES_FOR: Duration = Duration::from_secs(3);
 /// Doublings of the delay until the longest one is reached.
 const RETRY_DOUBLINGS_MAX: u32 = 4;
 
@@ -36,12 +46,27 @@
 #[derive(Clone, Debug)]
 #[derive(Serialize)]
 pub struct Sync {
+    /// Whose reads this instance relies on.
+    pub role: Role,
     /// Configuration and zones that are taken out.
     pub operators: AreaSync,
     /// Registrations of targets.
     pub targets: AreaSync,
 }
 
+/// Whose reads an instance relies on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Role {
+    /// Its own; nobody relies on them.
+    Alone,
+    /// Its own, which it tells to the others of its zone.
+    Reader,
+    /// Those of its zone's reader, as long as that one is heard.
+    Follower,
+}
+
 /// The progress of one area.
 #[derive(Clone, Debug, Default)]
 #[derive(Serialize)]
@@ -52,9 +77,14 @@
     pub is_known: bool,
     /// Failures in a row.
     pub failures_count: u32,
-    /// When the store last answered.
+    /// Whether a read has not ended.
+    pub is_reading: bool,
+    /// When the store last answered this instance.
     #[serde(skip)]
     pub answered_at: Option<Instant>,
+    /// When the reader of the zone last told what it has learned.
+    #[serde(skip)]
+    pub shared_at: Option<Instant>,
     /// Identifiers and zones that the list has named so far.
     #[serde(skip)]
     listed: HashSet<String>,
@@ -90,21 +120,39 @@
 /// Returns the progress of a process that has just started.
 pub fn open() -> Sync {
     Sync {
+        role: Role::Alone,
         operators: AreaSync::default(),
         targets: AreaSync::default(),
     }
 }
 
 /// Starts the first list of every area.
-pub fn started(sync: &mut Sync, out: &mut Vec<Effect>) {
+pub fn started(sync: &mut Sync, now: Instant, out: &mut Vec<Effect>) {
     for area in [StoreArea::Operators, StoreArea::Targets] {
-        due(sync, area, out);
+        due(sync, now, area, out);
     }
 }
 
-/// Starts the read that an area needs next.
-pub fn due(sync: &mut Sync, area: StoreArea, out: &mut Vec<Effect>) {
-    let read = match &area_mut(sync, area).stage {
+/// Starts the read that an area needs next, unless one runs or the zone's reader is heard.
+pub fn due(sync: &mut Sync, now: Instant, area: StoreArea, out: &mut Vec<Effect>) {
+    let role = sync.role;
+    let progress = area_mut(sync, area);
+    if progress.is_reading {
+        return;
+    }
+    let is_reader_heard = progress
+        .shared_at
+        .is_some_and(|at| now < at + SHARED_AGE_MAX);
+    let is_watching = matches!(progress.stage, Stage::Watching { .. });
+    if role == Role::Follower && is_watching && is_reader_heard {
+        out.push(Effect::SetTimer {
+            timer: Timer::Store(area),
+            after: SHARED_CHECK,
+        });
+        return;
+    }
+    progress.is_reading = true;
+    let read = match &progress.stage {
         Stage::Listing { after, .. } => StoreRead::List {
             area,
             after: after.clone(),
@@ -112,12 +160,54 @@
         Stage::Watching { revision } => StoreRead::Watch {
             area,
             after_revision: *revision,
-            wait: WATCH_WAIT,
+            wait: match role {
+                Role::Reader => READER_WATCH_WAIT,
+                Role::Alone | Role::Follower => WATCH_WAIT,
+            },
         },
     };
     out.push(Effect::ReadStore(read));
 }
 
+/// What the reader of the zone has learned.
+#[derive(Clone, Copy, Debug)]
+pub struct Shared<'a> {
+    /// The area.
+    pub area: StoreArea,
+    /// Revision after which the changes come.
+    pub after_revision: u64,
+    /// Revision up to which all changes are included.
+    pub revision: u64,
+    /// The changes in their order.
+    pub records: &'a [Record],
+}
+
+/// Takes in what the reader of the zone has learned; returns the changes of the catalog.
+///
+/// Changes that do not follow on what is known here are left to an own read.
+pub fn shared(
+    sync: &mut Sync,
+    catalog: &mut Catalog,
+    now: Instant,
+    shared: &Shared<'_>,
+) -> Vec<Change> {
+    let progress = area_mut(sync, shared.area);
+    let Stage::Watching { revision } = progress.stage else {
+        return Vec::new();
+    };
+    if shared.after_revision > revision || shared.revision < revision {
+        return Vec::new();
+    }
+    progress.shared_at = Some(now);
+    progress.stage = Stage::Watching {
+        revision: shared.revision,
+    };
+    let records = shared.records.iter();
+    records
+        .filter_map(|record| apply(catalog, now, record))
+        .collect()
+}
+
 /// The answer to a read of the store.
 #[derive(Clone, Copy, Debug)]
 pub struct Answered<'a> {
@@ -140,16 +230,27 @@
     out: &mut Vec<Effect>,
 ) -> Vec<Change> {
     let area = answer.read.area();
-    let records = answer.records.iter();
-    let mut changes: Vec<Change> = records
-        .filter_map(|record| apply(catalog, now, record))
-        .collect();
     let progress = area_mut(sync, area);
+    progress.is_reading = false;
+    if progress.failures_count > 0 {
+        catalog.lapses_until = Some(now + LAPSES_FOR);
+    }
     progress.failures_count = 0;
     progress.answered_at = Some(now);
+    // The zone's reader may have told more while this read was on its way.
+    let known_revision = match (answer.read, &progress.stage) {
+        (StoreRead::Watch { .. }, Stage::Watching { revision }) => *revision,
+        _ => 0,
+    };
+    let mut changes: Vec<Change> = Vec::new();
+    if answer.revision >= known_revision {
+        let records = answer.records.iter();
+        changes.extend(records.filter_map(|record| apply(catalog, now, record)));
+    }
+    let progress = area_mut(sync, area);
     progress.stage = match (answer.read, &progress.stage) {
         (StoreRead::Watch { .. }, _) => Stage::Watching {
-            revision: answer.revision,
+            revision: answer.revision.max(known_revision),
         },
         (StoreRead::List { .. }, stage) => {
             progress
@@ -183,7 +284,7 @@
             after: TARGETS_GAP,
         });
     } else {
-        due(sync, area, out);
+        due(sync, now, area, out);
     }
     changes
 }
@@ -202,6 +303,7 @@
 ) {
     let area = read.area();
     let progress = area_mut(sync, area);
+    progress.is_reading = false;
     if failure == StoreFailure::HistoryGone || matches!(read, StoreRead::List { .. }) {
         progress.stage = Stage::default();
         progress.listed.clear();
--- a/crates/catalog/src/table.rs
+++ b/crates/catalog/src/table.rs
@@ -34,6 +34,9 @@
     pub targets: SlotMap<TargetKey, Target>,
     /// Targets by identifier.
     pub target_ids: HashMap<Arc<str>, TargetKey>,
+    /// Until when a missing registration may be one that lapsed while the store was away.
+    #[serde(skip)]
+    pub lapses_until: Option<Instant>,
     /// Zones whose targets receive nothing.
     pub zones_out: BTreeSet<String>,
 }
@@ -120,6 +123,8 @@
     /// When its registration was found missing.
     #[serde(skip)]
     pub removed_since: Option<Instant>,
+    /// Whether the registration may be missing only because the store was away.
+    pub has_lapsed: bool,
 }
 
 /// Returns the front of a request: the one with the longest prefix that begins the path.
--- a/crates/fleet/src/instances.rs
+++ b/crates/fleet/src/instances.rs
@@ -67,6 +67,7 @@
             },
             address: listed.peers,
             zone: listed.zone,
+            capacity_millicores: 0,
             counter: 0,
             state,
         };
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -25,6 +25,7 @@
         id: fleet.id.clone(),
         address: fleet.address,
         zone: fleet.zone.clone(),
+        capacity_millicores: fleet.capacity_millicores,
         counter: fleet.counter,
         state,
     }
--- a/crates/fleet/src/share.rs
+++ b/crates/fleet/src/share.rs
@@ -1,6 +1,8 @@
 //! How many instances share the targets' connections, and this instance's place among them.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, net::SocketAddr};
+
+use model::MemberState;
 
 use crate::{FleetState, Member};
 
@@ -26,3 +28,45 @@
     let names = others.map(|member| member.row.id.name.as_str());
     names.chain([fleet.id.name.as_str()]).collect()
 }
+
+/// Capacity that counts for an instance that states none.
+const CAPACITY_UNSTATED_MILLICORES: u32 = 1000;
+
+/// Returns this instance's part of the processor time of all instances that may hold connections.
+pub fn capacity_ratio(fleet: &FleetState) -> f64 {
+    let stated = |millicores: u32| match millicores {
+        0 => f64::from(CAPACITY_UNSTATED_MILLICORES),
+        stated => f64::from(stated),
+    };
+    let own = stated(fleet.capacity_millicores);
+    let members = fleet.members.values();
+    let others = members.filter(|member| member.is_present() || member.is_listed);
+    let others: f64 = others
+        .map(|member| stated(member.row.capacity_millicores))
+        .sum();
+    own / (own + others)
+}
+
+/// Returns the peers' ports of the instances of this one's zone that have a multiple of its
+/// processor time.
+pub fn larger_in_zone(fleet: &FleetState, factor: u32) -> Vec<SocketAddr> {
+    let least = fleet.capacity_millicores.saturating_mul(factor);
+    if least == 0 {
+        return Vec::new();
+    }
+    let members = alive_in_zone(fleet);
+    let larger = members.filter(|member| member.row.capacity_millicores >= least);
+    larger.map(|member| member.row.address).collect()
+}
+
+/// Returns the peers' ports of the other live instances of this one's zone.
+pub fn zone_addresses(fleet: &FleetState) -> Vec<SocketAddr> {
+    alive_in_zone(fleet)
+        .map(|member| member.row.address)
+        .collect()
+}
+
+fn alive_in_zone(fleet: &FleetState) -> impl Iterator<Item = &Member> {
+    let members = fleet.members.values();
+    members.filter(|member| member.row.state == MemberState::Alive && member.row.zone == fleet.zone)
+}
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -22,6 +22,8 @@
     pub address: SocketAddr,
     /// Availability zone of this instance.
     pub zone: String,
+    /// Processor time that this instance may use, in thousandths of a core; 0 if it is not set.
+    pub capacity_millicores: u32,
     /// Counter that this instance raises to refute a suspicion about itself.
     pub counter: u64,
     /// The accepted configuration.
@@ -178,6 +180,7 @@
         id: InstanceId { name, incarnation },
         address: settings.listen.peers,
         zone: settings.instance.zone.clone(),
+        capacity_millicores: settings.instance.capacity_millicores,
         counter: 0,
         note: None,
         note_body: Bytes::new(),
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -17,8 +17,8 @@
 const LATE_USED: f64 = 0.8;
 /// Part of a target's connections that all instances together use.
 const CONNECTIONS_USED: f64 = 0.9;
-/// Instances that are assumed while nobody knows their number.
-const INSTANCES_ASSUMED_COUNT: u32 = 16;
+/// Part of the limits that is used while nobody knows how many instances share them.
+const SHARE_ASSUMED_RATIO: f64 = 1.0 / 16.0;
 
 /// Requests for a service and extra calls to it, in buckets of time.
 #[derive(Clone, Debug, Default)]
@@ -58,12 +58,12 @@
 
 /// Tells whether one more extra call stays within this instance's share.
 ///
-/// Every instance may use the ratio of the requests that it has seen itself, and an equal part of
-/// the constant, so the sum over all instances holds without any exchange between them.
+/// Every instance may use the ratio of the requests that it has seen itself, and its part of the
+/// constant, so the sum over all instances holds without any exchange between them.
 pub fn may_send_extra(
     settings: &settings::Gateway,
     spending: &Spending,
-    instances_count: Option<u32>,
+    share_ratio: Option<f64>,
     now: Instant,
     is_against_lateness: bool,
 ) -> bool {
@@ -82,9 +82,8 @@
     let extra: u32 = within(window_count + 1)
         .map(|bucket| bucket.extra_count)
         .sum();
-    let constant = instances_count.map_or(0.0, |count| {
-        f64::from(settings.retry_constant_count) * CONSTANT_USED / f64::from(count.max(1))
-    });
+    let constant = f64::from(settings.retry_constant_count) * CONSTANT_USED;
+    let constant = share_ratio.map_or(0.0, |ratio| constant * ratio);
     let mut allowed = settings.retry_ratio * RATIO_USED * f64::from(requests) + constant;
     if is_against_lateness {
         allowed *= LATE_USED;
@@ -96,18 +95,16 @@
 pub(crate) fn cold_max_per_s(
     settings: &settings::Gateway,
     cold_max_per_s: f64,
-    instances_count: Option<u32>,
+    share_ratio: Option<f64>,
 ) -> f64 {
-    let count = f64::from(instances_count.unwrap_or(INSTANCES_ASSUMED_COUNT).max(1));
-    (cold_max_per_s * settings.cold_factor + f64::from(settings.cold_constant_count))
-        * CONSTANT_USED
-        / count
+    let all = cold_max_per_s * settings.cold_factor + f64::from(settings.cold_constant_count);
+    all * CONSTANT_USED * share_ratio.unwrap_or(SHARE_ASSUMED_RATIO)
 }
 
 /// Returns how many connections this instance may hold to a target.
-pub(crate) fn connections_max_count(limit_count: u32, instances_count: Option<u32>) -> usize {
-    let count = instances_count.unwrap_or(INSTANCES_ASSUMED_COUNT).max(1);
-    let share = f64::from(limit_count) * CONNECTIONS_USED / f64::from(count);
+pub(crate) fn connections_max_count(limit_count: u32, share_ratio: Option<f64>) -> usize {
+    let ratio = share_ratio.unwrap_or(SHARE_ASSUMED_RATIO);
+    let share = f64::from(limit_count) * CONNECTIONS_USED * ratio;
     // A float-to-integer conversion saturates.
     (share as usize).max(1)
 }
--- a/crates/gateway/src/due.rs
+++ b/crates/gateway/src/due.rs
@@ -7,6 +7,7 @@
 use crate::{
     Exchange, Gateway, PartState,
     budget::Extra,
+    relay,
     respond::{finish, finish_if_decided},
     send::{Sent, try_send},
 };
@@ -31,6 +32,14 @@
         finish(gateway, now, key, out);
         return;
     }
+    if let Some(relay) = exchange.relay {
+        if relay.take_until.is_some_and(|until| now >= until) {
+            relay::not_taken(gateway, now, key, relay.address, out);
+        } else {
+            arm(gateway, now, key, out);
+        }
+        return;
+    }
     let is_late = due_at.is_some_and(|due_at| now >= due_at + TIMER_LATE);
     if is_late {
         for part in &mut exchange.parts {
@@ -61,6 +70,10 @@
 }
 
 fn next_due(exchange: &Exchange, now: Instant) -> Instant {
+    if let Some(relay) = &exchange.relay {
+        let take_until = relay.take_until.unwrap_or(exchange.deadline);
+        return take_until.min(exchange.deadline);
+    }
     let open = exchange.parts.iter();
     let open = open.filter(|part| matches!(part.state, PartState::Open));
     let late = open.filter_map(|part| part.late_at);
--- a/crates/gateway/src/end.rs
+++ b/crates/gateway/src/end.rs
@@ -4,14 +4,14 @@
 
 use model::{
     AttemptKey, AttemptReply, CallFailure, CallerKey, Counter, Effect, ExchangeKey, Level, LogLine,
-    PassedReply, ReplyStatus, to_word,
+    PassedReply, ReplyStatus, Requester, to_word,
 };
 
 use crate::{
     Attempt, Gateway, PartState,
     budget::Extra,
     due::arm,
-    estimate, health,
+    estimate, health, relay,
     respond::{finish_if_decided, pass},
     send::{Barrier, Sent, give_up, try_send},
 };
@@ -56,8 +56,19 @@
 
 /// Ends the exchange of a caller that has left. What may run once only goes on.
 pub fn caller_gone(gateway: &mut Gateway, now: Instant, caller: CallerKey, out: &mut Vec<Effect>) {
+    let gone = Requester::Caller(caller);
+    withdraw(gateway, now, gone, out);
+}
+
+/// Ends the exchange that nobody waits for any more.
+pub(crate) fn withdraw(
+    gateway: &mut Gateway,
+    now: Instant,
+    gone: Requester,
+    out: &mut Vec<Effect>,
+) {
     let mut exchanges = gateway.exchanges.iter();
-    let Some((key, _)) = exchanges.find(|(_, exchange)| exchange.caller == caller) else {
+    let Some((key, _)) = exchanges.find(|(_, exchange)| exchange.requester == gone) else {
         return;
     };
     let Some(exchange) = gateway.exchanges.remove(key) else {
@@ -66,6 +77,9 @@
     for part in &exchange.parts {
         dismiss(gateway, now, &part.running);
     }
+    if let Some(relay) = &exchange.relay {
+        relay::cancel(gateway, key, relay, out);
+    }
     let line = LogLine::new(Level::Info, "caller-gone")
         .with("request_id", exchange.request.request_id.as_str())
         .with("after_ms", millis(now, exchange.arrived_at))
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod merge;
 mod offer;
 mod place;
+mod relay;
 mod respond;
 mod send;
 mod table;
@@ -37,6 +38,9 @@
 pub use merge::greatest_records;
 pub use offer::offered;
 pub use place::{Choice, choose};
+pub use relay::{relay_answered, relay_cancelled, relay_taken, relay_unreachable, relayed};
 pub use respond::{finish_all, refuse};
-pub use table::{Attempt, Exchange, Gateway, Part, PartState, Usage, fingerprint, is_known, open};
-pub use tick::{set_instances, targets_gone, tick};
+pub use table::{
+    Attempt, Exchange, Gateway, Part, PartState, Relay, Usage, fingerprint, is_known, open,
+};
+pub use tick::{set_fleet, targets_gone, tick};
--- a/crates/gateway/src/offer.rs
+++ b/crates/gateway/src/offer.rs
@@ -7,7 +7,8 @@
 
 use catalog::{Front, Route};
 use model::{
-    CallerKey, Counter, Effect, ExchangeKey, FrontKey, HttpRequest, NotRunReason, ServiceKey,
+    CallerKey, Counter, Effect, ExchangeKey, FrontKey, HttpRequest, NotRunReason, Requester,
+    ServiceKey,
 };
 use once::Evidence;
 use rand::RngExt;
@@ -15,6 +16,7 @@
 use crate::{
     Exchange, Gateway, Part, PartState, Usage, budget,
     due::arm,
+    relay,
     respond::{finish_if_decided, refuse},
     send::send_part,
 };
@@ -42,11 +44,35 @@
         let reason = NotRunReason::UnknownFront;
         return refuse(gateway, caller, &request, reason, out);
     };
-    let Some(key) = store(gateway, now, caller, front, &request) else {
+    let asked = Asked {
+        requester: Requester::Caller(caller),
+        front,
+        request: &request,
+        goal: None,
+    };
+    let Some(key) = store(gateway, now, &asked) else {
         let reason = NotRunReason::DeadlinePassed;
         return refuse(gateway, caller, &request, reason, out);
     };
+    if relay::hand_over(gateway, now, key, out) {
+        arm(gateway, now, key, out);
+    } else {
+        run_here(gateway, now, key, out);
+    }
+}
+
+/// Sends the parts of an exchange to targets.
+pub(crate) fn run_here(
+    gateway: &mut Gateway,
+    now: Instant,
+    key: ExchangeKey,
+    out: &mut Vec<Effect>,
+) {
     for part_index in 0..gateway.exchanges[key].parts.len() {
+        let service = gateway.exchanges[key].parts[part_index].service;
+        if let Some(spending) = gateway.spending.entry(service) {
+            budget::requested(spending.or_default(), now);
+        }
         send_part(gateway, now, key, part_index, out);
     }
     if !finish_if_decided(gateway, now, key, out) {
@@ -54,18 +80,38 @@
     }
 }
 
-fn store(
-    gateway: &mut Gateway,
-    now: Instant,
-    caller: CallerKey,
-    key: FrontKey,
-    request: &Arc<HttpRequest>,
-) -> Option<ExchangeKey> {
-    let reserve = gateway.settings.answer_reserve;
+/// A request with its front.
+pub(crate) struct Asked<'a> {
+    /// Who waits.
+    pub requester: Requester,
+    /// The front.
+    pub front: FrontKey,
+    /// The request.
+    pub request: &'a Arc<HttpRequest>,
+    /// When an answer has to leave to be of full use, if another instance has worked that out;
+    /// `Some(None)` if that is over.
+    pub goal: Option<Option<Instant>>,
+}
+
+/// Stores an exchange; returns nothing if its time is over.
+pub(crate) fn store(gateway: &mut Gateway, now: Instant, asked: &Asked<'_>) -> Option<ExchangeKey> {
+    let (key, request) = (asked.front, asked.request);
+    let is_relayed = matches!(asked.requester, Requester::Peer { .. });
+    // A relayed request has the reserve of the instance that its caller is connected to.
+    let reserve = match is_relayed {
+        true => Duration::ZERO,
+        false => gateway.settings.answer_reserve,
+    };
     let usage = gateway.usage.entry(key)?.or_default();
     let front = &gateway.catalog.fronts[key];
     let timeout = request.timeout.unwrap_or(front.timeout);
-    let waited = waited_before(usage, now, timeout);
+    let goal_at = match asked.goal {
+        Some(goal_at) => goal_at,
+        None => {
+            let waited = waited_before(usage, now, timeout);
+            goal_at(front, now, waited, reserve)
+        }
+    };
     let (services, records_count, least_count) = match &front.route {
         Route::Split(parts) => {
             let first_ratio = gateway.rng.random_range(0.0..1.0);
@@ -81,7 +127,8 @@
     let time_left = timeout.min(front.timeout).checked_sub(reserve)?;
     let parts: Vec<Part> = services.iter().copied().map(part).collect();
     let exchange = Exchange {
-        caller,
+        requester: asked.requester,
+        relay: None,
         request: request.clone(),
         front: key,
         version: gateway.catalog.version,
@@ -90,7 +137,7 @@
         records_count,
         least_count,
         arrived_at: now,
-        goal_at: goal_at(front, now, waited, reserve),
+        goal_at,
         deadline: now + time_left,
         due_at: None,
         open_count: u32::try_from(parts.len()).unwrap_or(u32::MAX),
@@ -100,11 +147,6 @@
         evidence: Evidence::default(),
         failure: None,
     };
-    for service in services {
-        if let Some(spending) = gateway.spending.entry(service) {
-            budget::requested(spending.or_default(), now);
-        }
-    }
     Some(gateway.exchanges.insert(exchange))
 }
 
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -48,7 +48,7 @@
         return Choice::Nobody;
     };
     let connections_max_count =
-        budget::connections_max_count(row.connections_max_count, gateway.instances_count);
+        budget::connections_max_count(row.connections_max_count, gateway.share_ratio);
     let mut rng = gateway.rng.clone();
     let mut is_busy = false;
     let mut best: Option<(f64, TargetKey)> = None;
@@ -140,7 +140,7 @@
     let per_s = budget::cold_max_per_s(
         &gateway.settings,
         service.cold_max_per_s,
-        gateway.instances_count,
+        gateway.share_ratio,
     );
     let sent_count = gateway
         .health
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,305 @@
+//! Queries over many services that a larger instance of the zone runs for a smaller one.
+//!
+//! Sending a request to a hundred targets and reading their replies takes an instance with an
+//! eighth of a core longer than the goal of a query. A larger instance of the same zone does it in
+//! a quarter of the time, and holds open connections and fresh evidence because it does so often.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use model::{
+    Effect, ExchangeKey, HttpRequest, HttpResponse, Level, LogLine, MergedAnswer, Message,
+    NotRunReason, Outcome, RelayedRequest, Requester,
+};
+use rand::seq::IndexedRandom;
+use slotmap::{Key, KeyData};
+
+use crate::{
+    Gateway, Relay,
+    end::withdraw,
+    offer::{Asked, run_here, store},
+    respond::{log, refuse_relayed, respond, take},
+};
+
+/// Least number of parts for which handing over costs less than it saves.
+const PARTS_MIN_COUNT: usize = 24;
+/// Time in which the larger instance has to say that it has started.
+const TAKE_TIMEOUT: Duration = Duration::from_millis(15);
+/// Time reserved for the answer's way back to the smaller instance, and through it.
+const RETURN_RESERVE: Duration = Duration::from_millis(5);
+/// Time for which an instance that did not take a query in time is avoided.
+const AVOID: Duration = Duration::from_secs(2);
+
+/// Hands an exchange over to a larger instance, if there is one; tells whether it did.
+pub(crate) fn hand_over(
+    gateway: &mut Gateway,
+    now: Instant,
+    key: ExchangeKey,
+    out: &mut Vec<Effect>,
+) -> bool {
+    let exchange = &gateway.exchanges[key];
+    let is_gathering = exchange.records_count.is_some();
+    if !is_gathering || exchange.parts.len() < PARTS_MIN_COUNT {
+        return false;
+    }
+    gateway.avoided_relays.retain(|_, until| now < *until);
+    let larger = gateway.larger.iter();
+    let usable = larger.filter(|address| !gateway.avoided_relays.contains_key(address));
+    let usable: Vec<SocketAddr> = usable.copied().collect();
+    let Some(&address) = usable.choose(&mut gateway.rng) else {
+        return false;
+    };
+    let time_left = |at: Instant| {
+        let left = at.saturating_duration_since(now);
+        left.saturating_sub(RETURN_RESERVE)
+    };
+    let request = HttpRequest {
+        timeout: Some(time_left(exchange.deadline)),
+        ..HttpRequest::clone(&exchange.request)
+    };
+    let relayed = RelayedRequest {
+        reply_to: gateway.settings.peers,
+        relay_id: relay_id(key),
+        version: exchange.version,
+        request: Arc::new(request),
+        goal: exchange.goal_at.map(time_left),
+    };
+    let exchange = &mut gateway.exchanges[key];
+    exchange.relay = Some(Relay {
+        address,
+        take_until: Some(now + TAKE_TIMEOUT),
+    });
+    out.push(Effect::Send {
+        address,
+        message: Message::Relay(relayed),
+    });
+    true
+}
+
+/// Takes in that the larger instance has started an exchange.
+pub fn relay_taken(gateway: &mut Gateway, id: u64) {
+    let exchange = gateway.exchanges.get_mut(exchange_key(id));
+    if let Some(relay) = exchange.and_then(|exchange| exchange.relay.as_mut()) {
+        relay.take_until = None;
+    }
+}
+
+/// Takes in the larger instance's answer.
+pub fn relay_answered(
+    gateway: &mut Gateway,
+    now: Instant,
+    id: u64,
+    answer: Option<&MergedAnswer>,
+    is_unsent: bool,
+    out: &mut Vec<Effect>,
+) {
+    let key = exchange_key(id);
+    let Some(exchange) = gateway.exchanges.get(key) else {
+        return;
+    };
+    let is_waiting = exchange.relay.is_some();
+    match answer {
+        Some(answer) => {
+            let Some(exchange) = take(gateway, now, key) else {
+                return;
+            };
+            log(
+                gateway,
+                now,
+                &exchange,
+                "relayed",
+                answer.missing_count,
+                out,
+            );
+            let response = HttpResponse::Merged {
+                proofs: answer.proofs.clone(),
+                missing_count: answer.missing_count,
+                body: answer.body.clone(),
+            };
+            respond(exchange.requester, response, out);
+        }
+        None if is_waiting => {
+            if let Some(relay) = exchange.relay.filter(|_| is_unsent) {
+                avoid(gateway, now, relay.address, "refused", out);
+            }
+            take_back(gateway, now, key, is_unsent, out);
+        }
+        None => {}
+    }
+}
+
+/// Takes back an exchange that the larger instance has not started in time.
+pub(crate) fn not_taken(
+    gateway: &mut Gateway,
+    now: Instant,
+    key: ExchangeKey,
+    address: SocketAddr,
+    out: &mut Vec<Effect>,
+) {
+    avoid(gateway, now, address, "not-taken", out);
+    take_back(gateway, now, key, false, out);
+}
+
+/// Takes back the exchanges that an instance runs which cannot be reached.
+pub fn relay_unreachable(
+    gateway: &mut Gateway,
+    now: Instant,
+    address: SocketAddr,
+    out: &mut Vec<Effect>,
+) {
+    let exchanges = gateway.exchanges.iter();
+    let there = exchanges.filter(|(_, exchange)| {
+        let relay = exchange.relay.as_ref();
+        relay.is_some_and(|relay| relay.address == address)
+    });
+    let there: Vec<ExchangeKey> = there.map(|(key, _)| key).collect();
+    if there.is_empty() {
+        return;
+    }
+    avoid(gateway, now, address, "unreachable", out);
+    for key in there {
+        take_back(gateway, now, key, false, out);
+    }
+}
+
+/// Takes in a query of a smaller instance.
+pub fn relayed(
+    gateway: &mut Gateway,
+    now: Instant,
+    relayed: &RelayedRequest,
+    refusal: Option<NotRunReason>,
+    out: &mut Vec<Effect>,
+) {
+    let requester = Requester::Peer {
+        address: relayed.reply_to,
+        forward_id: relayed.relay_id,
+    };
+    let request = &relayed.request;
+    // Another version may name other services than the smaller instance answers for.
+    let is_same_version = relayed.version == gateway.catalog.version;
+    let front = catalog::find_front(&gateway.catalog, &request.host, &request.path);
+    let front = front.filter(|_| refusal.is_none() && is_same_version);
+    let key = front.and_then(|front| {
+        let asked = Asked {
+            requester,
+            front,
+            request,
+            goal: Some(relayed.goal.map(|goal| now + goal)),
+        };
+        store(gateway, now, &asked)
+    });
+    let Some(key) = key else {
+        let reason = refusal.unwrap_or(NotRunReason::Declined);
+        return refuse_relayed(gateway, requester, request, reason, out);
+    };
+    out.push(Effect::Send {
+        address: relayed.reply_to,
+        message: Message::RelayTaken {
+            relay_id: relayed.relay_id,
+        },
+    });
+    run_here(gateway, now, key, out);
+}
+
+/// Ends the query of a smaller instance that nobody waits for any more.
+pub fn relay_cancelled(
+    gateway: &mut Gateway,
+    now: Instant,
+    reply_to: SocketAddr,
+    id: u64,
+    out: &mut Vec<Effect>,
+) {
+    let requester = Requester::Peer {
+        address: reply_to,
+        forward_id: id,
+    };
+    withdraw(gateway, now, requester, out);
+}
+
+/// Tells the larger instance that nobody waits for an exchange any more.
+pub(crate) fn cancel(gateway: &Gateway, key: ExchangeKey, relay: &Relay, out: &mut Vec<Effect>) {
+    out.push(Effect::Send {
+        address: relay.address,
+        message: Message::RelayCancel {
+            reply_to: gateway.settings.peers,
+            relay_id: relay_id(key),
+        },
+    });
+}
+
+/// Returns the answer to a smaller instance.
+pub(crate) fn answer(relay_id: u64, response: HttpResponse) -> Message {
+    let (answer, is_unsent) = match response {
+        HttpResponse::Merged {
+            proofs,
+            missing_count,
+            body,
+        } => {
+            let answer = MergedAnswer {
+                proofs,
+                missing_count,
+                body,
+            };
+            (Some(answer), false)
+        }
+        HttpResponse::Ended { outcome, .. } => (None, matches!(outcome, Outcome::NotRun(_))),
+        HttpResponse::Passed(_) => (None, false),
+    };
+    Message::RelayAnswer {
+        relay_id,
+        answer,
+        is_unsent,
+    }
+}
+
+/// Runs an exchange here after all.
+///
+/// Unless no target can have received it, each part counts as sent once: a further call needs room
+/// in the budget, and the front's limit of targets holds.
+fn take_back(
+    gateway: &mut Gateway,
+    now: Instant,
+    key: ExchangeKey,
+    is_unsent: bool,
+    out: &mut Vec<Effect>,
+) {
+    let Some(exchange) = gateway.exchanges.get_mut(key) else {
+        return;
+    };
+    let Some(relay) = exchange.relay.take() else {
+        return;
+    };
+    if !is_unsent {
+        exchange.evidence.lost_count += 1;
+        for part in &mut exchange.parts {
+            part.sent_count = 1;
+        }
+        cancel(gateway, key, &relay, out);
+    }
+    run_here(gateway, now, key, out);
+}
+
+fn avoid(
+    gateway: &mut Gateway,
+    now: Instant,
+    address: SocketAddr,
+    reason: &str,
+    out: &mut Vec<Effect>,
+) {
+    gateway.avoided_relays.insert(address, now + AVOID);
+    let line = LogLine::new(Level::Info, "relay-avoided")
+        .with("instance", address.to_string().as_str())
+        .with("reason", reason);
+    out.push(Effect::Log(line));
+}
+
+fn relay_id(key: ExchangeKey) -> u64 {
+    key.data().as_ffi()
+}
+
+fn exchange_key(relay_id: u64) -> ExchangeKey {
+    ExchangeKey::from(KeyData::from_ffi(relay_id))
+}
--- a/crates/gateway/src/respond.rs
+++ b/crates/gateway/src/respond.rs
@@ -7,7 +7,7 @@
 
 use model::{
     CallerKey, Counter, Effect, ExchangeKey, HttpRequest, HttpResponse, Level, LogLine,
-    NotRunReason, Outcome, PassedReply, to_word,
+    NotRunReason, Outcome, PassedReply, Requester, to_word,
 };
 use rand::RngExt;
 
@@ -15,6 +15,7 @@
     Exchange, Gateway, PartState,
     end::{dismiss, millis},
     merge::greatest_records,
+    relay,
 };
 
 /// Shortest time after which a refused caller may come back.
@@ -44,7 +45,24 @@
         .with("reason", to_word(&reason).as_str());
     out.push(Effect::Log(line));
     let response = ended(gateway, Outcome::NotRun(reason));
-    respond(caller, response, out);
+    respond(Requester::Caller(caller), response, out);
+}
+
+/// Refuses a smaller instance's query that was not sent to any target.
+pub(crate) fn refuse_relayed(
+    gateway: &mut Gateway,
+    requester: Requester,
+    request: &Arc<HttpRequest>,
+    reason: NotRunReason,
+    out: &mut Vec<Effect>,
+) {
+    let line = LogLine::new(Level::Info, "relay-refused")
+        .with("request_id", request.request_id.as_str())
+        .with("version", gateway.catalog.version)
+        .with("reason", to_word(&reason).as_str());
+    out.push(Effect::Log(line));
+    let response = ended(gateway, Outcome::NotRun(reason));
+    respond(requester, response, out);
 }
 
 /// Ends an exchange with a target's reply.
@@ -58,8 +76,8 @@
     let Some(exchange) = take(gateway, now, key) else {
         return;
     };
-    log(gateway, now, &exchange, "passed", out);
-    respond(exchange.caller, HttpResponse::Passed(reply), out);
+    log(gateway, now, &exchange, "passed", 0, out);
+    respond(exchange.requester, HttpResponse::Passed(reply), out);
 }
 
 /// Ends an exchange if nothing is gained by waiting; tells whether it has ended.
@@ -109,8 +127,9 @@
             }
         },
     };
-    log(gateway, now, &exchange, word, out);
-    respond(exchange.caller, response, out);
+    let missing_count = exchange.parts.len() as u32 - exchange.answered_count;
+    log(gateway, now, &exchange, word, missing_count, out);
+    respond(exchange.requester, response, out);
 }
 
 /// Ends every exchange with what has arrived.
@@ -122,7 +141,7 @@
 }
 
 /// Removes an exchange; attempts that still run are no longer wanted.
-fn take(gateway: &mut Gateway, now: Instant, key: ExchangeKey) -> Option<Exchange> {
+pub(crate) fn take(gateway: &mut Gateway, now: Instant, key: ExchangeKey) -> Option<Exchange> {
     let mut exchange = gateway.exchanges.remove(key)?;
     for part in &exchange.parts {
         dismiss(gateway, now, &part.running);
@@ -176,18 +195,36 @@
     }
 }
 
-fn respond(caller: CallerKey, response: HttpResponse, out: &mut Vec<Effect>) {
-    out.push(Effect::Respond {
-        caller,
-        response: Box::new(response),
-    });
+/// Sends a response to whoever waits for it.
+pub(crate) fn respond(requester: Requester, response: HttpResponse, out: &mut Vec<Effect>) {
+    match requester {
+        Requester::Caller(caller) => out.push(Effect::Respond {
+            caller,
+            response: Box::new(response),
+        }),
+        Requester::Peer {
+            address,
+            forward_id,
+        } => {
+            let message = relay::answer(forward_id, response);
+            out.push(Effect::Send { address, message });
+        }
+    }
 }
 
-fn log(gateway: &Gateway, now: Instant, exchange: &Exchange, end: &str, out: &mut Vec<Effect>) {
+/// Counts and logs the end of an exchange.
+pub(crate) fn log(
+    gateway: &Gateway,
+    now: Instant,
+    exchange: &Exchange,
+    end: &str,
+    missing_count: u32,
+    out: &mut Vec<Effect>,
+) {
     let front = gateway.catalog.fronts.get(exchange.front);
     let missing = exchange.parts.iter();
     let missing = missing.filter(|part| !matches!(part.state, PartState::Answered { .. }));
-    let names = missing.clone().take(MISSING_NAMED_COUNT);
+    let names = missing.take(MISSING_NAMED_COUNT);
     let names = names.filter_map(|part| {
         let service = gateway.catalog.services.get(part.service)?;
         let targets = part.tried.iter();
@@ -196,10 +233,9 @@
         Some(format!("{}:{}", service.name, targets.join("/")))
     });
     let names: Vec<String> = names.collect();
-    let missing_count = if end == "passed" { 0 } else { missing.count() };
     let counter = match (end, missing_count) {
-        ("passed" | "merged", 0) => Counter::CompleteAnswers,
-        ("merged", _) => Counter::PartialAnswers,
+        ("passed" | "merged" | "relayed", 0) => Counter::CompleteAnswers,
+        ("merged" | "relayed", _) => Counter::PartialAnswers,
         _ => Counter::FailedAnswers,
     };
     out.push(Effect::Count {
@@ -213,9 +249,11 @@
         .with("end", end)
         .with("took_ms", millis(now, exchange.arrived_at))
         .with("parts_count", exchange.parts.len() as u64)
-        .with("missing_count", missing_count as u64)
+        .with("missing_count", u64::from(missing_count))
         .with("extra_count", u64::from(exchange.extra_count));
-    if missing_count > 0 {
+    if let Some(relay) = &exchange.relay {
+        line = line.with("relay", relay.address.to_string().as_str());
+    } else if missing_count > 0 {
         line = line.with("missing", names.join(",").as_str());
     }
     out.push(Effect::Log(line));
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -107,7 +107,7 @@
     budget::may_send_extra(
         &gateway.settings,
         spending,
-        gateway.instances_count,
+        gateway.share_ratio,
         now,
         extra == Some(Extra::Late),
     )
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -1,7 +1,8 @@
 //! The tables of the gateway.
 
 use std::{
-    collections::VecDeque,
+    collections::{HashMap, VecDeque},
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -9,7 +10,7 @@
 use bytes::Bytes;
 use catalog::{Catalog, Sync};
 use model::{
-    AttemptKey, CallerKey, ExchangeKey, FrontKey, HttpRequest, PassedReply, ServiceKey, TargetKey,
+    AttemptKey, ExchangeKey, FrontKey, HttpRequest, PassedReply, Requester, ServiceKey, TargetKey,
 };
 use once::Evidence;
 use rand::SeedableRng;
@@ -41,8 +42,14 @@
     pub usage: SecondaryMap<FrontKey, Usage>,
     /// Parts that wait for a connection, oldest first.
     pub waiting: VecDeque<(ExchangeKey, usize)>,
-    /// Instances that share the limits, once others were heard of or nobody answered.
-    pub instances_count: Option<u32>,
+    /// This instance's part of what all instances may use, once others were heard of or nobody
+    /// answered.
+    pub share_ratio: Option<f64>,
+    /// Larger instances of the zone, by their peers' ports.
+    pub larger: Vec<SocketAddr>,
+    /// Larger instances that did not take a query in time, and until when they are avoided.
+    #[serde(skip)]
+    pub avoided_relays: HashMap<SocketAddr, Instant>,
     /// Generator of jitter.
     #[serde(skip)]
     pub rng: ChaCha8Rng,
@@ -68,7 +75,9 @@
 #[derive(Serialize)]
 pub struct Exchange {
     /// Who waits.
-    pub caller: CallerKey,
+    pub requester: Requester,
+    /// The larger instance that runs it, if one does.
+    pub relay: Option<Relay>,
     /// The request.
     #[serde(skip)]
     pub request: Arc<HttpRequest>,
@@ -111,6 +120,17 @@
     pub failure: Option<PassedReply>,
 }
 
+/// A larger instance that runs an exchange.
+#[derive(Clone, Copy, Debug)]
+#[derive(Serialize)]
+pub struct Relay {
+    /// Its peers' port.
+    pub address: SocketAddr,
+    /// Until when it has to say that it has started; nothing once it has.
+    #[serde(skip)]
+    pub take_until: Option<Instant>,
+}
+
 /// What one service has to contribute.
 #[derive(Clone, Debug)]
 #[derive(Serialize)]
@@ -189,7 +209,9 @@
         spending: SecondaryMap::new(),
         usage: SecondaryMap::new(),
         waiting: VecDeque::new(),
-        instances_count: None,
+        share_ratio: None,
+        larger: Vec::new(),
+        avoided_relays: HashMap::new(),
         rng: ChaCha8Rng::seed_from_u64(seed),
     }
 }
--- a/crates/gateway/src/tick.rs
+++ b/crates/gateway/src/tick.rs
@@ -1,6 +1,9 @@
 //! The regular work: unwanted attempts, targets that have gone, and the number of instances.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use model::{AttemptKey, Effect, TargetKey};
 
@@ -46,9 +49,10 @@
     }
 }
 
-/// Notes how many instances share the limits.
-pub fn set_instances(gateway: &mut Gateway, instances_count: Option<u32>) {
-    gateway.instances_count = instances_count;
+/// Notes this instance's part of the limits, and the larger instances of its zone.
+pub fn set_fleet(gateway: &mut Gateway, share_ratio: Option<f64>, larger: Vec<SocketAddr>) {
+    gateway.share_ratio = share_ratio;
+    gateway.larger = larger;
 }
 
 fn drop_attempt(gateway: &mut Gateway, key: AttemptKey, out: &mut Vec<Effect>) {
--- a/crates/model/src/event.rs
+++ b/crates/model/src/event.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     AttemptKey, CallKey, CallerKey, Header, HttpRequest, LoadReport, Message, Record, RequestView,
-    SlotLoad, Snapshot, StoreFailure, StoreRead, TargetKey, Timer,
+    SlotLoad, Snapshot, StoreArea, StoreFailure, StoreRead, TargetKey, Timer,
 };
 
 /// What a target said about one call.
@@ -242,6 +242,19 @@
         revision: u64,
         /// Key after which the next page begins, if there is one.
         next_page: Option<String>,
+        /// The answer as published.
+        published: Bytes,
+    },
+    /// Another instance told what it has learned from the store.
+    StoreShared {
+        /// The area.
+        area: StoreArea,
+        /// Revision after which the changes come.
+        after_revision: u64,
+        /// Revision up to which all changes are included.
+        revision: u64,
+        /// The changes in their order.
+        records: Cow<'a, [Record]>,
     },
     /// A read of the store failed.
     StoreFailed {
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -36,7 +36,8 @@
 pub use load::{LoadReport, TargetPhase};
 pub use log_line::{Level, LogLine, Value};
 pub use message::{
-    Digest, ForwardedRequest, InstanceId, MemberRow, MemberState, Message, QuarantineRow,
+    Digest, ForwardedRequest, InstanceId, MemberRow, MemberState, MergedAnswer, Message,
+    QuarantineRow, RelayedRequest, StoreChanges,
 };
 pub use outcome::{NotRunReason, Outcome, UnknownReason};
 pub use request::{Kind, Priority, RequestView, Requester};
--- a/crates/model/src/message.rs
+++ b/crates/model/src/message.rs
@@ -1,11 +1,11 @@
 //! Messages between instances.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::{Answer, Priority, Revision};
+use crate::{Answer, HttpRequest, Priority, Revision, StoreArea};
 
 /// Identity of one run of an instance.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -42,6 +42,8 @@
     pub address: SocketAddr,
     /// Its availability zone.
     pub zone: String,
+    /// Processor time that it may use, in thousandths of a core; 0 if it does not say.
+    pub capacity_millicores: u32,
     /// Counter that the instance itself raises to refute a suspicion.
     pub counter: u64,
     /// State.
@@ -104,6 +106,48 @@
     pub body: Bytes,
 }
 
+/// A query over several services that a larger instance of the zone runs for a smaller one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct RelayedRequest {
+    /// Sender's peers' port, where the answer goes.
+    pub reply_to: SocketAddr,
+    /// Sender's correlation number.
+    pub relay_id: u64,
+    /// Version of the configuration that the sender has chosen the front by.
+    pub version: u64,
+    /// The caller's request; its timeout is what is left of it.
+    pub request: Arc<HttpRequest>,
+    /// Time within which an answer is of full use, if that is not over.
+    pub goal: Option<Duration>,
+}
+
+/// A merged answer on its way between instances.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct MergedAnswer {
+    /// Proofs of the parts that are in the body.
+    pub proofs: Vec<Arc<str>>,
+    /// Services whose part is not in the body.
+    pub missing_count: u32,
+    /// The records.
+    pub body: Bytes,
+}
+
+/// Changes of an area of the store, as the store answered a watch.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct StoreChanges {
+    /// The area.
+    pub area: StoreArea,
+    /// Revision after which the changes come.
+    pub after_revision: u64,
+    /// Revision up to which all changes are included.
+    pub revision: u64,
+    /// The answer as published; empty if nothing has changed.
+    pub body: Bytes,
+}
+
 /// A message from one instance to another.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -133,4 +177,29 @@
         /// The answer.
         answer: Box<Answer>,
     },
+    /// A query for a larger instance.
+    Relay(RelayedRequest),
+    /// The larger instance has started the query.
+    RelayTaken {
+        /// Correlation number of the query.
+        relay_id: u64,
+    },
+    /// Nobody waits for the query any more.
+    RelayCancel {
+        /// Peers' port of the instance that relayed the query.
+        reply_to: SocketAddr,
+        /// Its correlation number.
+        relay_id: u64,
+    },
+    /// The larger instance's answer.
+    RelayAnswer {
+        /// Correlation number of the query.
+        relay_id: u64,
+        /// The answer; nothing if the query was not run, or not successfully.
+        answer: Option<MergedAnswer>,
+        /// Whether no target can have received the query.
+        is_unsent: bool,
+    },
+    /// What a reader of the store has learned.
+    StoreChanges(StoreChanges),
 }
--- a/crates/settings/src/areas.rs
+++ b/crates/settings/src/areas.rs
@@ -36,6 +36,8 @@
     pub listen: SocketAddr,
     /// The metadata store's HTTP port.
     pub store: SocketAddr,
+    /// This instance's peers' port.
+    pub peers: SocketAddr,
     /// Peers' ports of some instances, through which the others are found.
     pub seeds: Vec<SocketAddr>,
     /// Largest body that a caller may send.
@@ -65,6 +67,8 @@
     pub name: String,
     /// Availability zone.
     pub zone: String,
+    /// Processor time that the instance may use, in thousandths of a core; 0 if it is not set.
+    pub capacity_millicores: u32,
 }
 
 /// Ports that the instance opens.
@@ -235,6 +239,7 @@
         Gateway {
             listen: unset,
             store: unset,
+            peers: unset,
             seeds: Vec::new(),
             body_max_bytes: 1024 * 1024,
             answer_reserve: Duration::from_millis(14),
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -1,6 +1,6 @@
 //! The checked reading of a settings file.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use findings::{Fields, Findings, Node, with_document};
 
@@ -31,7 +31,8 @@
     let gateway_node = fields.optional("gateway");
     let has_gateway = gateway_node.is_some();
     let listen = listen.and_then(|n| read_listen(n, has_gateway, findings));
-    let gateway = gateway_node.and_then(|n| read_gateway(n, findings));
+    let peers = listen.as_ref().map(|listen| listen.peers);
+    let gateway = gateway_node.and_then(|n| read_gateway(n, peers, findings));
     let platform = match &gateway {
         Some(gateway) => Some(Platform {
             address: gateway.store,
@@ -88,10 +89,16 @@
     let zone = fields
         .required("zone", findings)
         .and_then(|n| n.text(findings));
+    let mut cores = 0.0;
+    set_fraction(&mut cores, &mut fields, "cores", findings);
+    let mut share = 1.0;
+    set_fraction(&mut share, &mut fields, "core_share", findings);
     fields.finish(findings);
     Some(Instance {
         name: name?.to_owned(),
         zone: zone?.to_owned(),
+        // A float-to-integer conversion saturates.
+        capacity_millicores: (cores * share * 1000.0) as u32,
     })
 }
 
@@ -135,7 +142,11 @@
     })
 }
 
-fn read_gateway(node: Node<'_>, findings: &mut Findings) -> Option<Gateway> {
+fn read_gateway(
+    node: Node<'_>,
+    peers: Option<SocketAddr>,
+    findings: &mut Findings,
+) -> Option<Gateway> {
     let mut fields = node.fields(findings)?;
     let listen = fields.required("listen", findings);
     let listen = listen.and_then(|n| n.address(findings));
@@ -148,6 +159,7 @@
     let mut area = Gateway {
         listen: listen?,
         store: store?,
+        peers: peers?,
         seeds,
         ..Gateway::default()
     };
--- a/crates/tier/src/gateway.rs
+++ b/crates/tier/src/gateway.rs
@@ -5,11 +5,14 @@
     time::{Duration, Instant},
 };
 
-use catalog::{Answered, Change};
+use bytes::Bytes;
+use catalog::{Answered, Change, Role, Shared};
+use fleet::FleetState;
 use gateway::Gateway;
 use model::{
     AttemptKey, AttemptReply, CallFailure, CallerKey, Effect, ExchangeKey, HttpRequest, Level,
-    LogLine, NotRunReason, ReplyStatus, StoreArea, StoreFailure, StoreRead, to_word,
+    LogLine, Message, NotRunReason, RelayedRequest, ReplyStatus, StoreArea, StoreChanges,
+    StoreFailure, StoreRead, to_word,
 };
 
 use crate::{State, leave, poison};
@@ -17,6 +20,13 @@
 /// Time after the start from which on an instance that has heard of no other takes itself for the
 /// only one.
 const ALONE_AFTER: Duration = Duration::from_secs(4);
+/// Multiple of the own processor time from which on another instance runs large queries instead.
+const LARGER_FACTOR: u32 = 2;
+/// Other instances of a zone from which on a reader costs fewer calls than their own watches: it
+/// reads five times as often.
+const READER_MIN_COUNT: usize = 6;
+/// Instances of a zone that read the store for the others.
+const READERS_PER_ZONE_COUNT: u32 = 1;
 /// Version changes and target changes that are logged in full for one answer of the store; the rest
 /// is counted.
 const CHANGES_LOGGED_COUNT: usize = 16;
@@ -25,7 +35,7 @@
 pub(crate) fn started(state: &mut State, now: Instant, out: &mut Vec<Effect>) {
     state.started_at = Some(now);
     if let Some(gateway) = &mut state.gateway {
-        catalog::started(&mut gateway.sync, out);
+        catalog::started(&mut gateway.sync, now, out);
     }
 }
 
@@ -123,9 +133,9 @@
 }
 
 /// Starts the read of the store that an area needs next.
-pub(crate) fn store_due(state: &mut State, area: StoreArea, out: &mut Vec<Effect>) {
+pub(crate) fn store_due(state: &mut State, now: Instant, area: StoreArea, out: &mut Vec<Effect>) {
     if let Some(gateway) = &mut state.gateway {
-        catalog::due(&mut gateway.sync, area, out);
+        catalog::due(&mut gateway.sync, now, area, out);
     }
 }
 
@@ -134,8 +144,10 @@
     state: &mut State,
     now: Instant,
     answer: &Answered<'_>,
+    published: &Bytes,
     out: &mut Vec<Effect>,
 ) {
+    share(state, answer, published, out);
     let Some(gateway) = &mut state.gateway else {
         return;
     };
@@ -149,16 +161,7 @@
     let was_known = gateway::is_known(gateway);
     let sync = &mut gateway.sync;
     let changes = catalog::answered(sync, &mut gateway.catalog, now, answer, out);
-    log_changes(gateway, &changes, out);
-    for change in &changes {
-        if let Change::TargetStarted {
-            replaced: Some(replaced),
-            ..
-        } = change
-        {
-            gateway::targets_gone(gateway, &[*replaced], out);
-        }
-    }
+    note_changes(gateway, &changes, out);
     if !was_known && gateway::is_known(gateway) {
         let line = LogLine::new(Level::Info, "catalog-known")
             .with("version", gateway.catalog.version)
@@ -167,6 +170,49 @@
     }
 }
 
+/// Takes in what the reader of the zone has learned from the store.
+pub(crate) fn store_shared(
+    state: &mut State,
+    now: Instant,
+    shared: &Shared<'_>,
+    out: &mut Vec<Effect>,
+) {
+    let Some(gateway) = &mut state.gateway else {
+        return;
+    };
+    let changes = catalog::shared(&mut gateway.sync, &mut gateway.catalog, now, shared);
+    note_changes(gateway, &changes, out);
+}
+
+/// Tells the others of the zone what a watch has answered, if this instance reads for them.
+fn share(state: &State, answer: &Answered<'_>, published: &Bytes, out: &mut Vec<Effect>) {
+    let StoreRead::Watch {
+        area,
+        after_revision,
+        ..
+    } = answer.read
+    else {
+        return;
+    };
+    let gateway = state.gateway.as_ref();
+    if gateway.is_none_or(|gateway| gateway.sync.role != Role::Reader) {
+        return;
+    }
+    let body = match answer.records.is_empty() {
+        true => Bytes::new(),
+        false => published.clone(),
+    };
+    for address in fleet::zone_addresses(&state.fleet) {
+        let message = Message::StoreChanges(StoreChanges {
+            area: *area,
+            after_revision: *after_revision,
+            revision: answer.revision,
+            body: body.clone(),
+        });
+        out.push(Effect::Send { address, message });
+    }
+}
+
 /// Takes in the failure of a read of the store.
 pub(crate) fn store_failed(
     state: &mut State,
@@ -192,18 +238,57 @@
 
 /// Does the regular work.
 pub(crate) fn tick(state: &mut State, now: Instant, out: &mut Vec<Effect>) {
-    let instances_count = fleet::may_hold_count(&state.fleet);
     let is_long_started = state
         .started_at
         .is_some_and(|at| now.saturating_duration_since(at) >= ALONE_AFTER);
+    let fleet = &state.fleet;
+    let is_counted = fleet::may_hold_count(fleet) > 1 || is_long_started;
+    let share_ratio = is_counted.then(|| fleet::capacity_ratio(fleet));
+    let larger = fleet::larger_in_zone(fleet, LARGER_FACTOR);
+    let role = role(fleet);
     let Some(gateway) = &mut state.gateway else {
         return;
     };
-    let is_counted = instances_count > 1 || is_long_started;
-    gateway::set_instances(gateway, is_counted.then_some(instances_count));
+    if gateway.sync.role != role {
+        let line = LogLine::new(Level::Info, "store-role").with("role", to_word(&role).as_str());
+        out.push(Effect::Log(line));
+        gateway.sync.role = role;
+    }
+    gateway::set_fleet(gateway, share_ratio, larger);
     gateway::tick(gateway, now, out);
 }
 
+/// Returns whose reads of the store an instance relies on.
+fn role(fleet: &FleetState) -> Role {
+    if fleet::zone_addresses(fleet).len() < READER_MIN_COUNT {
+        Role::Alone
+    } else if fleet::is_reader(fleet, READERS_PER_ZONE_COUNT) {
+        Role::Reader
+    } else {
+        Role::Follower
+    }
+}
+
+/// Takes in a query that a smaller instance hands over.
+pub(crate) fn relayed(
+    state: &mut State,
+    now: Instant,
+    request: &RelayedRequest,
+    out: &mut Vec<Effect>,
+) {
+    leave::note_activity(state, now);
+    let refusal = if state.fleet.is_leaving {
+        Some(NotRunReason::Leaving)
+    } else if is_request_quarantined(state, now, &request.request) {
+        Some(NotRunReason::Quarantined)
+    } else {
+        None
+    };
+    if let Some(gateway) = &mut state.gateway {
+        gateway::relayed(gateway, now, request, refusal, out);
+    }
+}
+
 /// Tells whether the gateway can serve.
 pub(crate) fn is_ready(gateway: &Gateway) -> bool {
     gateway::is_known(gateway)
@@ -232,6 +317,20 @@
     poison::is_quarantined(state, now, fingerprint)
 }
 
+/// Logs changes of the catalog, and forgets targets that others have replaced.
+fn note_changes(gateway: &mut Gateway, changes: &[Change], out: &mut Vec<Effect>) {
+    log_changes(gateway, changes, out);
+    for change in changes {
+        if let Change::TargetStarted {
+            replaced: Some(replaced),
+            ..
+        } = change
+        {
+            gateway::targets_gone(gateway, &[*replaced], out);
+        }
+    }
+}
+
 fn log_changes(gateway: &Gateway, changes: &[Change], out: &mut Vec<Effect>) {
     let targets = &gateway.catalog.targets;
     let id = |key| targets.get(key).map_or("", |target| &*target.id);
--- a/crates/tier/src/reduce.rs
+++ b/crates/tier/src/reduce.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use catalog::Answered;
+use catalog::{Answered, Shared};
 use model::{Effect, Event, Requester, Timer};
 
 use crate::{State, gateway, late, leave, peer, platform, poison, request, settle, tick, ticket};
@@ -74,6 +74,7 @@
             records,
             revision,
             next_page,
+            published,
         } => {
             let answer = Answered {
                 read: &read,
@@ -81,7 +82,21 @@
                 revision,
                 next_page: next_page.as_deref(),
             };
-            gateway::store_answered(state, now, &answer, out);
+            gateway::store_answered(state, now, &answer, &published, out);
+        }
+        Event::StoreShared {
+            area,
+            after_revision,
+            revision,
+            records,
+        } => {
+            let shared = Shared {
+                area,
+                after_revision,
+                revision,
+                records: &records,
+            };
+            gateway::store_shared(state, now, &shared, out);
         }
         Event::StoreFailed { read, failure } => {
             gateway::store_failed(state, &read, failure, out);
@@ -97,7 +112,7 @@
         Timer::Wait(key) => ticket::wait_over(state, key, out),
         Timer::Tick => tick::due(state, now, out),
         Timer::Exchange(key) => gateway::exchange_due(state, now, key, out),
-        Timer::Store(area) => gateway::store_due(state, area, out),
+        Timer::Store(area) => gateway::store_due(state, now, area, out),
         Timer::Platform => fleet::platform_due(&mut state.fleet, &state.settings, now, out),
     }
 }
--- a/crates/tier/src/tests/membership.rs
+++ b/crates/tier/src/tests/membership.rs
@@ -126,6 +126,7 @@
     let fleet = &mut net.nodes[0].state.fleet;
     let own = fleet::own_row(fleet);
     let row = MemberRow {
+        capacity_millicores: 0,
         counter: 4,
         state: MemberState::Gone,
         ..own.clone()
@@ -138,6 +139,7 @@
     };
     let row = MemberRow {
         id: earlier_run,
+        capacity_millicores: 0,
         counter: 90,
         state: MemberState::Gone,
         ..own
--- a/crates/tier/src/tests/once.rs
+++ b/crates/tier/src/tests/once.rs
@@ -182,6 +182,7 @@
         },
         address,
         zone: "south".to_owned(),
+        capacity_millicores: 0,
         counter: 0,
         state: MemberState::Alive,
     };
--- a/crates/tier/src/tests/ready.rs
+++ b/crates/tier/src/tests/ready.rs
@@ -30,6 +30,7 @@
         },
         address: "127.0.0.1:9".parse().expect("an address"),
         zone: "south".to_owned(),
+        capacity_millicores: 0,
         counter: 0,
         state: MemberState::Alive,
     };
--- a/crates/wire/src/decode.rs
+++ b/crates/wire/src/decode.rs
@@ -1,11 +1,12 @@
 //! From the bytes of a frame to a message.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use displaydoc::Display;
 use model::{
-    Answer, Coverage, Digest, ForwardedRequest, InstanceId, MemberRow, MemberState, Message,
-    Missing, Outcome, Priority, QuarantineRow, ShardResult, from_word,
+    Answer, Coverage, Digest, ForwardedRequest, Header, HttpRequest, InstanceId, MemberRow,
+    MemberState, MergedAnswer, Message, Missing, Outcome, Priority, QuarantineRow, RelayedRequest,
+    ShardResult, StoreArea, StoreChanges, from_word,
 };
 use prost::Message as _;
 use serde::Deserialize;
@@ -51,10 +52,67 @@
                 forward.answer.ok_or(DecodeError::Missing("answer"))?,
             )?),
         },
+        frame::Message::Relay(relay) => Message::Relay(decode_relay(relay)?),
+        frame::Message::RelayTaken(taken) => Message::RelayTaken {
+            relay_id: taken.relay_id,
+        },
+        frame::Message::RelayCancel(cancel) => Message::RelayCancel {
+            reply_to: decode_address(&cancel.reply_to, "reply_to")?,
+            relay_id: cancel.relay_id,
+        },
+        frame::Message::RelayAnswer(answer) => Message::RelayAnswer {
+            relay_id: answer.relay_id,
+            answer: answer.answer.map(|answer| MergedAnswer {
+                proofs: answer.proofs.into_iter().map(Arc::from).collect(),
+                missing_count: answer.missing_count,
+                body: answer.body,
+            }),
+            is_unsent: answer.is_unsent,
+        },
+        frame::Message::StoreChanges(changes) => {
+            Message::StoreChanges(decode_store_changes(changes)?)
+        }
     };
     Ok(message)
 }
 
+fn decode_relay(relay: generated::Relay) -> Result<RelayedRequest, DecodeError> {
+    let request = relay.request.ok_or(DecodeError::Missing("request"))?;
+    let headers = request.headers.into_iter().map(|header| Header {
+        name: header.name,
+        value: header.value,
+    });
+    Ok(RelayedRequest {
+        reply_to: decode_address(&relay.reply_to, "reply_to")?,
+        relay_id: relay.relay_id,
+        version: relay.version,
+        request: Arc::new(HttpRequest {
+            request_id: request.request_id,
+            method: request.method,
+            host: request.host,
+            path: request.path,
+            headers: headers.collect(),
+            timeout: request.timeout_ms.map(Duration::from_millis),
+            body: request.body,
+        }),
+        goal: relay.goal_ms.map(Duration::from_millis),
+    })
+}
+
+fn decode_store_changes(changes: generated::StoreChanges) -> Result<StoreChanges, DecodeError> {
+    let area = match changes.area() {
+        generated::StoreArea::Unspecified => return Err(DecodeError::Invalid("area")),
+        generated::StoreArea::Operators => StoreArea::Operators,
+        generated::StoreArea::Targets => StoreArea::Targets,
+    };
+    Ok(StoreChanges {
+        area,
+        after_revision: changes.after_revision,
+        revision: changes.revision,
+        body: changes.body,
+    })
+}
+
 fn decode_digest(digest: generated::Digest) -> Result<Digest, DecodeError> {
     let members: Result<_, _> = digest.members.into_iter().map(decode_member).collect();
     Ok(Digest {
@@ -87,6 +145,7 @@
         },
         address: decode_address(&member.address, "address")?,
         zone: member.zone,
+        capacity_millicores: member.capacity_millicores,
         counter: member.counter,
         state,
     })
--- a/crates/wire/src/encode.rs
+++ b/crates/wire/src/encode.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use model::{
     Answer, Digest, ForwardedRequest, MemberRow, MemberState, Message, Outcome, Priority,
-    QuarantineRow, to_word,
+    QuarantineRow, RelayedRequest, StoreArea, StoreChanges, to_word,
 };
 use prost::Message as _;
 
@@ -33,6 +33,36 @@
                 answer: Some(encode_answer(answer)),
             })
         }
+        Message::Relay(relay) => frame::Message::Relay(encode_relay(relay)),
+        Message::RelayTaken { relay_id } => frame::Message::RelayTaken(generated::RelayTaken {
+            relay_id: *relay_id,
+        }),
+        Message::RelayCancel { reply_to, relay_id } => {
+            frame::Message::RelayCancel(generated::RelayCancel {
+                reply_to: reply_to.to_string(),
+                relay_id: *relay_id,
+            })
+        }
+        Message::RelayAnswer {
+            relay_id,
+            answer,
+            is_unsent,
+        } => frame::Message::RelayAnswer(generated::RelayAnswer {
+            relay_id: *relay_id,
+            answer: answer.as_ref().map(|answer| generated::MergedAnswer {
+                proofs: answer
+                    .proofs
+                    .iter()
+                    .map(|proof| proof.to_string())
+                    .collect(),
+                missing_count: answer.missing_count,
+                body: answer.body.clone(),
+            }),
+            is_unsent: *is_unsent,
+        }),
+        Message::StoreChanges(changes) => {
+            frame::Message::StoreChanges(encode_store_changes(changes))
+        }
     };
     generated::Frame {
         message: Some(message),
@@ -41,6 +71,42 @@
     .into()
 }
 
+fn encode_relay(relay: &RelayedRequest) -> generated::Relay {
+    let request = &relay.request;
+    let headers = request.headers.iter().map(|header| generated::Header {
+        name: header.name.clone(),
+        value: header.value.clone(),
+    });
+    generated::Relay {
+        reply_to: relay.reply_to.to_string(),
+        relay_id: relay.relay_id,
+        version: relay.version,
+        request: Some(generated::HttpRequest {
+            request_id: request.request_id.clone(),
+            method: request.method.clone(),
+            host: request.host.clone(),
+            path: request.path.clone(),
+            headers: headers.collect(),
+            timeout_ms: request.timeout.map(to_ms),
+            body: request.body.clone(),
+        }),
+        goal_ms: relay.goal.map(to_ms),
+    }
+}
+
+fn encode_store_changes(changes: &StoreChanges) -> generated::StoreChanges {
+    let area = match changes.area {
+        StoreArea::Operators => generated::StoreArea::Operators,
+        StoreArea::Targets => generated::StoreArea::Targets,
+    };
+    generated::StoreChanges {
+        area: area.into(),
+        after_revision: changes.after_revision,
+        revision: changes.revision,
+        body: changes.body.clone(),
+    }
+}
+
 fn encode_digest(digest: &Digest) -> generated::Digest {
     generated::Digest {
         from: Some(encode_member(&digest.from)),
@@ -65,6 +131,7 @@
         incarnation: row.id.incarnation,
         address: row.address.to_string(),
         zone: row.zone.clone(),
+        capacity_millicores: row.capacity_millicores,
         counter: row.counter,
         state: state.into(),
     }
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -5,7 +5,7 @@
 /// One frame on a connection between two instances.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Frame {
-    #[prost(oneof = "frame::Message", tags = "1, 2, 3, 4, 5")]
+    #[prost(oneof = "frame::Message", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub message: ::core::option::Option<frame::Message>,
 }
 /// Nested message and enum types in `Frame`.
@@ -22,6 +22,16 @@
         Forward(super::Forward),
         #[prost(message, tag = "5")]
         ForwardAnswer(super::ForwardAnswer),
+        #[prost(message, tag = "6")]
+        Relay(super::Relay),
+        #[prost(message, tag = "7")]
+        RelayTaken(super::RelayTaken),
+        #[prost(message, tag = "8")]
+        RelayCancel(super::RelayCancel),
+        #[prost(message, tag = "9")]
+        RelayAnswer(super::RelayAnswer),
+        #[prost(message, tag = "10")]
+        StoreChanges(super::StoreChanges),
     }
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -39,6 +49,8 @@
     pub counter: u64,
     #[prost(enumeration = "MemberState", tag = "6")]
     pub state: i32,
+    #[prost(uint32, tag = "7")]
+    pub capacity_millicores: u32,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Quarantine {
@@ -143,6 +155,85 @@
     #[prost(bytes = "bytes", tag = "2")]
     pub body: ::prost::bytes::Bytes,
 }
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Header {
+    #[prost(string, tag = "1")]
+    pub name: ::prost::alloc::string::String,
+    #[prost(bytes = "bytes", tag = "2")]
+    pub value: ::prost::bytes::Bytes,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct HttpRequest {
+    #[prost(string, tag = "1")]
+    pub request_id: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub method: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub host: ::prost::alloc::string::String,
+    #[prost(string, tag = "4")]
+    pub path: ::prost::alloc::string::String,
+    #[prost(message, repeated, tag = "5")]
+    pub headers: ::prost::alloc::vec::Vec<Header>,
+    #[prost(uint64, optional, tag = "6")]
+    pub timeout_ms: ::core::option::Option<u64>,
+    #[prost(bytes = "bytes", tag = "7")]
+    pub body: ::prost::bytes::Bytes,
+}
+/// A query over several services that a larger instance runs for a smaller one.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Relay {
+    #[prost(string, tag = "1")]
+    pub reply_to: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub relay_id: u64,
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
+    #[prost(message, optional, tag = "4")]
+    pub request: ::core::option::Option<HttpRequest>,
+    #[prost(uint64, optional, tag = "5")]
+    pub goal_ms: ::core::option::Option<u64>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RelayTaken {
+    #[prost(uint64, tag = "1")]
+    pub relay_id: u64,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RelayCancel {
+    #[prost(string, tag = "1")]
+    pub reply_to: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub relay_id: u64,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RelayAnswer {
+    #[prost(uint64, tag = "1")]
+    pub relay_id: u64,
+    #[prost(message, optional, tag = "2")]
+    pub answer: ::core::option::Option<MergedAnswer>,
+    #[prost(bool, tag = "3")]
+    pub is_unsent: bool,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct MergedAnswer {
+    #[prost(string, repeated, tag = "1")]
+    pub proofs: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    #[prost(uint32, tag = "2")]
+    pub missing_count: u32,
+    #[prost(bytes = "bytes", tag = "3")]
+    pub body: ::prost::bytes::Bytes,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StoreChanges {
+    #[prost(enumeration = "StoreArea", tag = "1")]
+    pub area: i32,
+    #[prost(uint64, tag = "2")]
+    pub after_revision: u64,
+    #[prost(uint64, tag = "3")]
+    pub revision: u64,
+    #[prost(bytes = "bytes", tag = "4")]
+    pub body: ::prost::bytes::Bytes,
+}
 #[derive(
     Clone,
     Copy,
@@ -272,3 +363,42 @@
         }
     }
 }
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    ::prost::Enumeration
+)]
+#[repr(i32)]
+pub enum StoreArea {
+    Unspecified = 0,
+    Operators = 1,
+    Targets = 2,
+}
+impl StoreArea {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Unspecified => "STORE_AREA_UNSPECIFIED",
+            Self::Operators => "STORE_AREA_OPERATORS",
+            Self::Targets => "STORE_AREA_TARGETS",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "STORE_AREA_UNSPECIFIED" => Some(Self::Unspecified),
+            "STORE_AREA_OPERATORS" => Some(Self::Operators),
+            "STORE_AREA_TARGETS" => Some(Self::Targets),
+            _ => None,
+        }
+    }
+}
--- a/crates/wire/src/tests.rs
+++ b/crates/wire/src/tests.rs
@@ -4,9 +4,9 @@
 
 use bytes::Bytes;
 use model::{
-    Answer, Coverage, Digest, ForwardedRequest, InstanceId, MemberRow, MemberState, Message,
-    Missing, MissingReason, NotRunReason, Outcome, Priority, QuarantineRow, ShardResult,
-    UnknownReason,
+    Answer, Coverage, Digest, ForwardedRequest, Header, HttpRequest, InstanceId, MemberRow,
+    MemberState, MergedAnswer, Message, Missing, MissingReason, NotRunReason, Outcome, Priority,
+    QuarantineRow, RelayedRequest, ShardResult, StoreArea, StoreChanges, UnknownReason,
 };
 use proptest::{collection::vec, option, prelude::*, sample::select, test_runner::RngSeed};
 
@@ -65,9 +65,82 @@
                 answer: Box::new(answer),
             }
         }),
+        any_relay().prop_map(Message::Relay),
+        any::<u64>().prop_map(|relay_id| Message::RelayTaken { relay_id }),
+        (any_address(), any::<u64>())
+            .prop_map(|(reply_to, relay_id)| Message::RelayCancel { reply_to, relay_id }),
+        (any::<u64>(), option::of(any_merged()), any::<bool>()).prop_map(
+            |(relay_id, answer, is_unsent)| Message::RelayAnswer {
+                relay_id,
+                answer,
+                is_unsent,
+            }
+        ),
+        any_store_changes().prop_map(Message::StoreChanges),
     ]
 }
 
+fn any_relay() -> impl Strategy<Value = RelayedRequest> {
+    let text = || "[ -~]{0,12}";
+    let body = || vec(any::<u8>(), 0..32).prop_map(Bytes::from);
+    let header = (text(), body()).prop_map(|(name, value)| Header { name, value });
+    let request = (
+        (text(), text(), text(), text()),
+        vec(header, 0..3),
+        option::of(any_duration()),
+        body(),
+    );
+    let request = request.prop_map(
+        |((request_id, method, host, path), headers, timeout, body)| HttpRequest {
+            request_id,
+            method,
+            host,
+            path,
+            headers,
+            timeout,
+            body,
+        },
+    );
+    let rest = (
+        any_address(),
+        any::<u64>(),
+        any::<u64>(),
+        option::of(any_duration()),
+    );
+    (request, rest).prop_map(
+        |(request, (reply_to, relay_id, version, goal))| RelayedRequest {
+            reply_to,
+            relay_id,
+            version,
+            request: request.into(),
+            goal,
+        },
+    )
+}
+
+fn any_merged() -> impl Strategy<Value = MergedAnswer> {
+    let proofs = vec("[ -~]{0,12}".prop_map(Into::into), 0..4);
+    let body = vec(any::<u8>(), 0..64).prop_map(Bytes::from);
+    (proofs, any::<u32>(), body).prop_map(|(proofs, missing_count, body)| MergedAnswer {
+        proofs,
+        missing_count,
+        body,
+    })
+}
+
+fn any_store_changes() -> impl Strategy<Value = StoreChanges> {
+    let area = select(&[StoreArea::Operators, StoreArea::Targets][..]);
+    let body = vec(any::<u8>(), 0..64).prop_map(Bytes::from);
+    (area, any::<u64>(), any::<u64>(), body).prop_map(|(area, after_revision, revision, body)| {
+        StoreChanges {
+            area,
+            after_revision,
+            revision,
+            body,
+        }
+    })
+}
+
 fn any_address() -> impl Strategy<Value = SocketAddr> {
     (any::<[u8; 4]>(), any::<u16>()).prop_map(SocketAddr::from)
 }
@@ -97,6 +170,7 @@
                 id,
                 address,
                 zone,
+                capacity_millicores: 7,
                 counter,
                 state,
             }
--- a/xtask/src/slopes/peers.rs
+++ b/xtask/src/slopes/peers.rs
@@ -100,6 +100,7 @@
         },
         address: address(peer),
         zone: document::zone_name(peer),
+        capacity_millicores: 0,
         counter: 0,
         state: MemberState::Alive,
     }
