--- a/crates/balsamd/src/client.rs
+++ b/crates/balsamd/src/client.rs
@@ -277,3 +277,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/catalog/src/tests/fixture.rs
@@ -0,0 +1,104 @@
+//! Short ways to records.
+
+use std::time::{Duration, Instant};
+
+use model::{
+    Configuration, Destination, FrontEntry, Record, Registration, ServiceEntry, StoreArea,
+    StoreRead,
+};
+
+use crate::{Answered, Catalog, Change, Sync, answered};
+
+/// A registration of a target of service `shard-1` in zone `kranj`.
+pub(crate) fn registration(port: u16) -> Registration {
+    Registration {
+        service: "shard-1".to_owned(),
+        address: ([10, 0, 0, 1], port).into(),
+        zone: "kranj".to_owned(),
+        slots_count: 2,
+        is_draining: false,
+        cold_for: Duration::ZERO,
+        born_ms: 1,
+    }
+}
+
+/// The record of a registration.
+pub(crate) fn target(id: &str, registration: Registration) -> Record {
+    Record::Target {
+        target_id: id.to_owned(),
+        registration: Some(registration),
+    }
+}
+
+/// The record of a removal.
+pub(crate) fn removed(id: &str) -> Record {
+    Record::TargetRemoved {
+        target_id: id.to_owned(),
+    }
+}
+
+/// A configuration with one front over services.
+pub(crate) fn configuration(version: u64, services: &[&str]) -> Record {
+    let names = services.iter().map(|name| name.to_string());
+    Record::Configuration(Configuration {
+        version,
+        fronts: vec![FrontEntry {
+            name: "search".to_owned(),
+            host: "parts.example".to_owned(),
+            prefix: "/search/".to_owned(),
+            is_idempotent: true,
+            timeout: Duration::from_millis(800),
+            goal: Some(Duration::from_millis(150)),
+            rank: 1,
+            attempts_max_count: 2,
+            destination: Destination::Gather {
+                services: names.clone().collect(),
+                records_count: 10,
+                least_ratio: 0.89,
+            },
+        }],
+        services: names
+            .map(|name| ServiceEntry {
+                name,
+                connections_max_count: 26,
+                cold_max_per_s: 0.0,
+            })
+            .collect(),
+    })
+}
+
+/// A watch of an area.
+pub(crate) fn watch(area: StoreArea, after_revision: u64) -> StoreRead {
+    StoreRead::Watch {
+        area,
+        after_revision,
+        wait: Duration::from_secs(5),
+    }
+}
+
+/// A list of an area.
+pub(crate) fn list(area: StoreArea, after: Option<&str>) -> StoreRead {
+    StoreRead::List {
+        area,
+        after: after.map(str::to_owned),
+    }
+}
+
+/// Feeds one answer; returns the changes.
+pub(crate) fn feed(
+    sync: &mut Sync,
+    catalog: &mut Catalog,
+    now: Instant,
+    read: &StoreRead,
+    records: &[Record],
+    revision: u64,
+    next_page: Option<&str>,
+) -> Vec<Change> {
+    let answer = Answered {
+        read,
+        records,
+        revision,
+        next_page,
+    };
+    answered(sync, catalog, now, &answer, &mut Vec::new())
+}
--- /dev/null
+++ b/crates/catalog/src/tests/syncing.rs
@@ -0,0 +1,230 @@
+//! Tests of lists, watches and what the zone's reader tells.
+
+use std::time::{Duration, Instant};
+
+use model::{Effect, Record, StoreArea, StoreFailure, StoreRead, Timer};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+
+use super::fixture::{configuration, feed, list, registration, removed, target, watch};
+use crate::{Catalog, Role, Shared, Stage, Sync, due, failed, open, shared, started};
+
+const TARGETS: StoreArea = StoreArea::Targets;
+
+/// Returns a catalog that watches targets from revision 10 and knows `i-1`.
+fn watching(now: Instant) -> (Sync, Catalog) {
+    let (mut sync, mut catalog) = (open(), Catalog::default());
+    started(&mut sync, now, &mut Vec::new());
+    let records = [target("i-1", registration(80))];
+    feed(
+        &mut sync,
+        &mut catalog,
+        now,
+        &list(TARGETS, None),
+        &records,
+        10,
+        None,
+    );
+    (sync, catalog)
+}
+
+fn stage(sync: &Sync) -> &Stage {
+    &sync.targets.stage
+}
+
+#[test]
+fn changes_between_two_pages_are_watched_from_the_first() {
+    let now = Instant::now();
+    let (mut sync, mut catalog) = (open(), Catalog::default());
+    let first = [target("i-1", registration(80))];
+    feed(
+        &mut sync,
+        &mut catalog,
+        now,
+        &list(TARGETS, None),
+        &first,
+        10,
+        Some("servers/i-1"),
+    );
+    assert!(!sync.targets.is_known);
+    let read = list(TARGETS, Some("servers/i-1"));
+    let second = [target("i-2", registration(81))];
+    feed(&mut sync, &mut catalog, now, &read, &second, 14, None);
+    assert!(sync.targets.is_known);
+    assert_eq!(*stage(&sync), Stage::Watching { revision: 10 });
+    assert_eq!(catalog.targets.len(), 2);
+}
+
+#[test]
+fn a_list_takes_back_what_it_does_not_name() {
+    let now = Instant::now();
+    let (mut sync, mut catalog) = watching(now);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let gone = StoreFailure::HistoryGone;
+    failed(
+        &mut sync,
+        &mut rng,
+        &watch(TARGETS, 10),
+        gone,
+        &mut Vec::new(),
+    );
+    assert_eq!(*stage(&sync), Stage::default());
+    let records = [target("i-2", registration(81))];
+    feed(
+        &mut sync,
+        &mut catalog,
+        now,
+        &list(TARGETS, None),
+        &records,
+        40,
+        None,
+    );
+    let removed = catalog.targets[catalog.target_ids["i-1"]].removed_since;
+    assert_eq!(removed, Some(now));
+    let zone = Record::ZoneOut {
+        zone: "kranj".to_owned(),
+        is_out: true,
+    };
+    let operators = list(StoreArea::Operators, None);
+    feed(&mut sync, &mut catalog, now, &operators, &[zone], 41, None);
+    assert_eq!(catalog.zones_out.len(), 1);
+    feed(&mut sync, &mut catalog, now, &operators, &[], 42, None);
+    assert_eq!(catalog.zones_out.len(), 0);
+}
+
+#[test]
+fn a_store_that_stays_away_is_asked_less_and_less_often() {
+    let mut sync = open();
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut delays = Vec::new();
+    for _ in 0..8 {
+        let mut out = Vec::new();
+        let read = list(TARGETS, None);
+        failed(&mut sync, &mut rng, &read, StoreFailure::Refused, &mut out);
+        let [
+            Effect::SetTimer {
+                timer: Timer::Store(TARGETS),
+                after,
+            },
+        ] = out[..]
+        else {
+            panic!("one timer, not {out:?}");
+        };
+        delays.push(after);
+    }
+    assert!(delays[0] <= Duration::from_millis(150));
+    assert!(delays.iter().all(|&delay| delay <= Duration::from_secs(1)));
+    assert!(delays[7] >= Duration::from_millis(500));
+}
+
+#[rstest]
+#[case::follows_on(10, 12, Some(12))]
+#[case::overlaps(8, 12, Some(12))]
+#[case::leaves_a_gap(11, 12, None)]
+#[case::is_older(8, 9, None)]
+fn only_changes_that_follow_on_are_taken_from_the_reader(
+    #[case] after_revision: u64,
+    #[case] revision: u64,
+    #[case] expected: Option<u64>,
+) {
+    let now = Instant::now();
+    let (mut sync, mut catalog) = watching(now);
+    let told = Shared {
+        area: TARGETS,
+        after_revision,
+        revision,
+        records: &[removed("i-1")],
+    };
+    let changes = shared(&mut sync, &mut catalog, now, &told);
+    assert_eq!(changes.len(), usize::from(expected.is_some()));
+    let revision = expected.unwrap_or(10);
+    assert_eq!(*stage(&sync), Stage::Watching { revision });
+    assert_eq!(sync.targets.shared_at.is_some(), expected.is_some());
+}
+
+#[test]
+fn a_follower_reads_by_itself_once_the_reader_is_silent() {
+    let now = Instant::now();
+    let (mut sync, mut catalog) = watching(now);
+    sync.role = Role::Follower;
+    sync.targets.is_reading = false;
+    let told = Shared {
+        area: TARGETS,
+        after_revision: 10,
+        revision: 10,
+        records: &[],
+    };
+    shared(&mut sync, &mut catalog, now, &told);
+    let mut out = Vec::new();
+    due(
+        &mut sync,
+        now + Duration::from_millis(500),
+        TARGETS,
+        &mut out,
+    );
+    assert!(matches!(out[..], [Effect::SetTimer { .. }]), "{out:?}");
+    out.clear();
+    due(
+        &mut sync,
+        now + Duration::from_millis(1_700),
+        TARGETS,
+        &mut out,
+    );
+    assert!(
+        matches!(out[..], [Effect::ReadStore(StoreRead::Watch { .. })]),
+        "{out:?}"
+    );
+}
+
+#[test]
+fn an_own_answer_that_is_older_than_the_readers_word_changes_nothing() {
+    let now = Instant::now();
+    let (mut sync, mut catalog) = watching(now);
+    let told = Shared {
+        area: TARGETS,
+        after_revision: 10,
+        revision: 15,
+        records: &[target("i-2", registration(81))],
+    };
+    shared(&mut sync, &mut catalog, now, &told);
+    let late = [removed("i-2")];
+    let changes = feed(
+        &mut sync,
+        &mut catalog,
+        now,
+        &watch(TARGETS, 10),
+        &late,
+        12,
+        None,
+    );
+    assert_eq!(changes, []);
+    assert_eq!(*stage(&sync), Stage::Watching { revision: 15 });
+}
+
+#[test]
+fn one_area_is_read_once_at_a_time() {
+    let now = Instant::now();
+    let mut sync = open();
+    let mut out = Vec::new();
+    started(&mut sync, now, &mut out);
+    started(&mut sync, now, &mut out);
+    assert_eq!(out.len(), 2);
+}
+
+#[test]
+fn an_unreadable_configuration_leaves_the_last_one_in_force() {
+    let now = Instant::now();
+    let (mut sync, mut catalog) = (open(), Catalog::default());
+    let operators = list(StoreArea::Operators, None);
+    let records = [configuration(3, &["a"])];
+    feed(&mut sync, &mut catalog, now, &operators, &records, 5, None);
+    let unreadable = Record::Unreadable {
+        key: "configuration".to_owned(),
+        reason: "cut short".to_owned(),
+    };
+    let read = watch(StoreArea::Operators, 5);
+    let changes = feed(&mut sync, &mut catalog, now, &read, &[unreadable], 6, None);
+    assert_eq!(changes.len(), 1);
+    assert_eq!((catalog.version, catalog.fronts.len()), (3, 1));
+}
--- /dev/null
+++ b/crates/gateway/src/tests/relay.rs
@@ -0,0 +1,200 @@
+//! Queries that a larger instance runs for a smaller one.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use model::{
+    Effect, HttpRequest, HttpResponse, MergedAnswer, Message, NotRunReason, RelayedRequest,
+};
+use rstest::rstest;
+
+use super::fixture::{Fate, plan, record, world};
+use crate::{relay_answered, relay_cancelled, relay_taken, relay_unreachable, relayed};
+
+const LARGER: ([u8; 4], u16) = ([10, 0, 0, 9], 7000);
+
+fn larger() -> SocketAddr {
+    LARGER.into()
+}
+
+fn answer() -> MergedAnswer {
+    MergedAnswer {
+        proofs: vec!["proof".into()],
+        missing_count: 1,
+        body: Bytes::from(record(7)),
+    }
+}
+
+fn request(version: u64) -> RelayedRequest {
+    RelayedRequest {
+        reply_to: larger(),
+        relay_id: 5,
+        version,
+        request: Arc::new(HttpRequest {
+            request_id: "r1".to_owned(),
+            method: "GET".to_owned(),
+            host: "parts.example".to_owned(),
+            path: "/x".to_owned(),
+            timeout: Some(Duration::from_millis(400)),
+            ..HttpRequest::default()
+        }),
+        goal: Some(Duration::from_millis(60)),
+    }
+}
+
+#[test]
+fn a_large_query_is_handed_over_and_its_answer_passed_on() {
+    let mut world = world(&plan(30), |_, _| (5, Fate::Done(record(1))));
+    world.gateway.larger = vec![larger()];
+    let caller = world.ask();
+    let [Message::Relay(relayed)] = &world.sent[..] else {
+        panic!("one message, not {:?}", world.sent);
+    };
+    assert!(
+        relayed
+            .goal
+            .is_some_and(|goal| goal < Duration::from_millis(86))
+    );
+    let id = relayed.relay_id;
+    relay_taken(&mut world.gateway, id);
+    world.pass(40);
+    assert!(world.seen.is_empty());
+    let mut out = Vec::new();
+    relay_answered(
+        &mut world.gateway,
+        world.now,
+        id,
+        Some(&answer()),
+        false,
+        &mut out,
+    );
+    world.run(out);
+    let (_, response) = world.response(caller).expect("an answer");
+    assert!(matches!(
+        response,
+        HttpResponse::Merged {
+            missing_count: 1,
+            ..
+        }
+    ));
+}
+
+#[test]
+fn a_small_query_runs_where_it_arrives() {
+    let mut world = world(&plan(20), |_, _| (5, Fate::Done(record(1))));
+    world.gateway.larger = vec![larger()];
+    world.ask();
+    assert!(world.sent.is_empty());
+    assert_eq!(world.seen.len(), 20);
+}
+
+#[test]
+fn a_query_that_is_not_taken_in_time_runs_here_and_the_instance_is_avoided() {
+    let mut world = world(&plan(30), |_, _| (5, Fate::Done(record(1))));
+    world.gateway.larger = vec![larger()];
+    let first = world.ask();
+    world.pass(25);
+    assert_eq!(world.seen.len(), 30);
+    assert!(world.response(first).is_some());
+    assert!(matches!(world.sent[1], Message::RelayCancel { .. }));
+    let second = world.ask();
+    world.pass(6);
+    assert!(world.response(second).is_some());
+    assert_eq!(world.sent.len(), 2, "the silent instance is not asked");
+}
+
+#[rstest]
+#[case::refused(true)]
+#[case::failed(false)]
+fn a_query_that_the_larger_instance_did_not_serve_runs_here(#[case] is_unsent: bool) {
+    let mut world = world(&plan(30), |_, _| (5, Fate::Done(record(1))));
+    world.gateway.larger = vec![larger()];
+    let caller = world.ask();
+    let Message::Relay(relayed) = &world.sent[0] else {
+        panic!("a hand-over");
+    };
+    let id = relayed.relay_id;
+    let mut out = Vec::new();
+    relay_answered(&mut world.gateway, world.now, id, None, is_unsent, &mut out);
+    world.run(out);
+    world.pass(6);
+    assert!(world.response(caller).is_some());
+    let extra = &world.gateway.exchanges;
+    assert!(extra.is_empty());
+}
+
+#[test]
+fn queries_of_an_unreachable_instance_are_taken_back() {
+    let mut world = world(&plan(30), |_, _| (5, Fate::Done(record(1))));
+    world.gateway.larger = vec![larger()];
+    let caller = world.ask();
+    let mut out = Vec::new();
+    relay_unreachable(&mut world.gateway, world.now, larger(), &mut out);
+    world.run(out);
+    world.pass(6);
+    assert!(world.response(caller).is_some());
+}
+
+#[test]
+fn a_caller_that_leaves_cancels_the_query_at_the_larger_instance() {
+    let mut world = world(&plan(30), |_, _| (5, Fate::Done(record(1))));
+    world.gateway.larger = vec![larger()];
+    let caller = world.ask();
+    world.leave(caller);
+    assert!(matches!(world.sent[1], Message::RelayCancel { .. }));
+}
+
+#[test]
+fn the_larger_instance_says_that_it_has_started_and_answers() {
+    let mut world = world(&plan(30), |_, _| (5, Fate::Done(record(1))));
+    let mut out = Vec::new();
+    relayed(&mut world.gateway, world.now, &request(1), None, &mut out);
+    world.run(out);
+    assert!(matches!(world.sent[0], Message::RelayTaken { relay_id: 5 }));
+    world.pass(6);
+    assert!(matches!(
+        &world.sent[1],
+        Message::RelayAnswer { relay_id: 5, answer: Some(answer), .. } if answer.missing_count == 0
+    ));
+}
+
+#[rstest]
+#[case::another_version(2, None)]
+#[case::leaving(1, Some(NotRunReason::Leaving))]
+fn the_larger_instance_refuses_before_any_target_is_asked(
+    #[case] version: u64,
+    #[case] refusal: Option<NotRunReason>,
+) {
+    let mut world = world(&plan(30), |_, _| (5, Fate::Done(record(1))));
+    let mut out = Vec::new();
+    relayed(
+        &mut world.gateway,
+        world.now,
+        &request(version),
+        refusal,
+        &mut out,
+    );
+    world.run(out);
+    assert!(matches!(
+        world.sent[..],
+        [Message::RelayAnswer {
+            relay_id: 5,
+            answer: None,
+            is_unsent: true
+        }]
+    ));
+    assert!(world.seen.is_empty());
+}
+
+#[test]
+fn a_cancelled_query_ends_at_the_larger_instance() {
+    let mut world = world(&plan(30), |_, _| (0, Fate::Silence));
+    let mut out = Vec::new();
+    relayed(&mut world.gateway, world.now, &request(1), None, &mut out);
+    relay_cancelled(&mut world.gateway, world.now, larger(), 5, &mut out);
+    assert!(
+        out.iter()
+            .any(|effect| matches!(effect, Effect::Attempt(_)))
+    );
+    assert!(world.gateway.exchanges.is_empty());
+}
--- a/crates/tier/src/tests.rs
+++ b/crates/tier/src/tests.rs
@@ -6,6 +6,7 @@
 mod fixture;
 mod fold;
 mod freshness;
+mod gateway;
 mod leave;
 mod membership;
 mod net;
--- a/xtask/src/check/tests.rs
+++ b/xtask/src/check/tests.rs
@@ -2,7 +2,7 @@
 
 use rstest::rstest;
 
-use super::known_red_tests;
+use super::{known_red_tests, names_in};
 
 #[rstest]
 #[case::no_file("", &[])]
@@ -15,3 +15,11 @@
 fn lists_the_named_tests(#[case] known_red: &str, #[case] expected: &[&str]) {
     assert_eq!(known_red_tests(known_red), expected);
 }
+
+#[test]
+fn a_name_of_the_platform_is_found_in_whatever_case() {
+    let names = "Ab-Cd\nEf\n";
+    let found: Vec<&str> = names_in("const HEADER: &str = \"ab-cd\";", names).collect();
+    assert_eq!(found, ["Ab-Cd"]);
+    assert_eq!(names_in("nothing here", names).count(), 0);
+}
--- a/xtask/src/error.rs
+++ b/xtask/src/error.rs
@@ -14,6 +14,9 @@
     Protobuf(String),
     /// `{0}` is not up to date, run `cargo xtask codegen`
     Outdated(&'static str),
+    /** these sources contain names of the platform's messages:
+    {0}*/
+    WireNames(String),
     /// {0}
     Rig(rig::RigError),
     /// these promises were broken: {0}
