Reload settings on a hang-up, and write the log to standard output in bounds

And the log went to standard error, line by line, waiting for whoever reads it.

Change: a hang-up reads the settings file again; limits, seeds and intervals change, identity and addresses stay and are named; a faulty file changes nothing. A thread writes the log to standard output; lines beyond 2,000 a second, or that nobody reads, are counted in a line.

--- a/crates/balsamd/src/commands.rs
+++ b/crates/balsamd/src/commands.rs
@@ -52,7 +52,7 @@
         println!("{}: no findings", path.display());
         return ExitCode::SUCCESS;
     }
-    match shell::run(settings) {
+    match shell::run(settings, path) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("error: {error}");
--- a/crates/balsamd/src/shell.rs
+++ b/crates/balsamd/src/shell.rs
@@ -2,7 +2,9 @@
 
 use std::{
     borrow::Cow,
+    fs,
     net::SocketAddr,
+    path::{Path, PathBuf},
     sync::{
         Arc, OnceLock,
         atomic::{AtomicBool, Ordering},
@@ -75,14 +77,16 @@
 /// # Errors
 ///
 /// Returns an error if a port cannot be opened.
-pub fn run(settings: Settings) -> Result<(), StartError> {
+pub fn run(settings: Settings, settings_path: PathBuf) -> Result<(), StartError> {
     logs::open();
     let system = System::new();
-    system.block_on(start(settings))?;
-    system.run().map_err(StartError::Serve)
+    system.block_on(start(settings, settings_path))?;
+    let ended = system.run().map_err(StartError::Serve);
+    logs::close();
+    ended
 }
 
-async fn start(settings: Settings) -> Result<(), StartError> {
+async fn start(settings: Settings, settings_path: PathBuf) -> Result<(), StartError> {
     let listen = settings.listen.clone();
     let limits = settings.query.clone();
     let gateway = settings.gateway.clone();
@@ -128,7 +132,7 @@
     }
     operators::spawn(address.clone(), registry, gauges, &listen).await?;
     peers::spawn_listener(address.clone(), peers);
-    spawn_signals(address)?;
+    spawn_signals(address, settings_path)?;
     logs::write(&listening(&listen, gateway.as_ref()));
     Ok(())
 }
@@ -158,21 +162,48 @@
         .map_err(|error| StartError::Random(error.to_string()))
 }
 
-fn spawn_signals(shell: actix::Addr<Shell>) -> Result<(), StartError> {
+fn spawn_signals(shell: actix::Addr<Shell>, settings_path: PathBuf) -> Result<(), StartError> {
     let mut terminate = signal(SignalKind::terminate()).map_err(StartError::Serve)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(StartError::Serve)?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(StartError::Serve)?;
     actix_rt::spawn(async move {
         loop {
             tokio::select! {
-                _ = terminate.recv() => {}
-                _ = interrupt.recv() => {}
+                _ = terminate.recv() => shell.do_send(LeaveWanted),
+                _ = interrupt.recv() => shell.do_send(LeaveWanted),
+                _ = hangup.recv() => reload(&shell, &settings_path),
             }
-            shell.do_send(LeaveWanted);
         }
     });
     Ok(())
 }
 
+/// Reads the settings file again.
+fn reload(shell: &actix::Addr<Shell>, path: &Path) {
+    match fs::read_to_string(path) {
+        Ok(document) => shell.do_send(SettingsRead(document)),
+        Err(error) => {
+            let line = LogLine::new(Level::Warn, "settings-unreadable");
+            logs::write(&line.with("message", error.to_string().as_str()));
+        }
+    }
+}
+
+/// The settings file as it was read again.
+#[derive(Debug)]
+#[derive(Message)]
+#[rtype(result = "()")]
+struct SettingsRead(String);
+
+impl Handler<SettingsRead> for Shell {
+    type Result = ();
+
+    fn handle(&mut self, message: SettingsRead, context: &mut Self::Context) {
+        let document = message.0.as_str();
+        handle(self, context, Event::SettingsRead { document });
+    }
+}
+
 impl Actor for Shell {
     type Context = Context<Shell>;
 
--- a/crates/logs/src/write.rs
+++ b/crates/logs/src/write.rs
@@ -1,10 +1,10 @@
 //! Opening the log and writing to it.
 
 use log::kv::Value;
-use logforth::{append::Stderr, filter::RustLogFilter};
+use logforth::filter::RustLogFilter;
 use model::{Level, LogLine};
 
-use crate::layout::EventLayout;
+use crate::bounded;
 
 /// Target of the project's own lines.
 pub(crate) const TARGET: &str = "balsamfall";
@@ -12,17 +12,22 @@
 /// What is written: the project's own lines from info on, those of libraries from warn on.
 const FILTER: &str = "warn,balsamfall=info";
 
-/// Directs the log of the process to standard error.
+/// Directs the log of the process to standard output.
 pub fn open() {
     logforth::starter_log::builder()
         .dispatch(|dispatch| {
             dispatch
                 .filter(RustLogFilter::from(FILTER))
-                .append(Stderr::default().with_layout(EventLayout))
+                .append(bounded::spawn())
         })
         .apply();
 }
 
+/// Waits a moment for the last lines to be written, at the end of the process.
+pub fn close() {
+    log::logger().flush();
+}
+
 /// Writes one line.
 pub fn write(line: &LogLine) {
     let level = match line.level {
--- a/crates/model/src/event.rs
+++ b/crates/model/src/event.rs
@@ -263,6 +263,11 @@
         /// Why.
         failure: StoreFailure,
     },
+    /// The settings file was read again.
+    SettingsRead {
+        /// The file as it is, not yet parsed.
+        document: &'a str,
+    },
     /// The operator or the machine asked the process to shut down.
     Leave,
 }
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -9,7 +9,7 @@
 
 use tokio::{
     io::{AsyncBufReadExt, BufReader},
-    process::{Child, ChildStderr, Command},
+    process::{Child, ChildStdout, Command},
     sync::watch,
     time::timeout,
 };
@@ -40,18 +40,18 @@
     lines: watch::Receiver<VecDeque<String>>,
 }
 
-/// Starts a program; its standard error is its log.
+/// Starts a program; its standard output is its log.
 pub(crate) fn spawn(program: &Path, name: &str, arguments: &[String]) -> Result<Process, RigError> {
     let mut child = Command::new(program)
         .args(arguments)
         .stdin(Stdio::null())
-        .stdout(Stdio::null())
-        .stderr(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::inherit())
         .kill_on_drop(true)
         .spawn()
         .map_err(|error| RigError::Io("start a program", error))?;
     let (sender, lines) = watch::channel(VecDeque::new());
-    if let Some(log) = child.stderr.take() {
+    if let Some(log) = child.stdout.take() {
         actix_rt::spawn(collect(log, sender));
     }
     Ok(Process {
@@ -61,7 +61,7 @@
     })
 }
 
-async fn collect(log: ChildStderr, sender: watch::Sender<VecDeque<String>>) {
+async fn collect(log: ChildStdout, sender: watch::Sender<VecDeque<String>>) {
     let mut lines = BufReader::new(log).lines();
     while let Ok(Some(line)) = lines.next_line().await {
         sender.send_modify(|kept| {
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -18,6 +18,7 @@
 mod platform;
 mod poison;
 mod reduce;
+mod reload;
 mod request;
 mod settle;
 mod state;
--- a/crates/tier/src/reduce.rs
+++ b/crates/tier/src/reduce.rs
@@ -5,7 +5,9 @@
 use catalog::{Answered, Shared};
 use model::{Effect, Event, Requester, Timer};
 
-use crate::{State, gateway, late, leave, peer, platform, poison, request, settle, tick, ticket};
+use crate::{
+    State, gateway, late, leave, peer, platform, poison, reload, request, settle, tick, ticket,
+};
 
 /// Takes in one event at a time and appends the effects that follow from it.
 pub fn reduce(state: &mut State, now: Instant, event: Event<'_>, out: &mut Vec<Effect>) {
@@ -101,6 +103,7 @@
         Event::StoreFailed { read, failure } => {
             gateway::store_failed(state, &read, failure, out);
         }
+        Event::SettingsRead { document } => reload::settings_read(state, document, out),
         Event::Leave => leave::wanted(state, now, out),
     }
 }
--- a/crates/tier/src/tests.rs
+++ b/crates/tier/src/tests.rs
@@ -15,6 +15,7 @@
 mod poison;
 mod promises;
 mod ready;
+mod reload;
 mod replay;
 mod schedules;
 mod snapshot;
