Avoid targets that swallow requests

Only a refused connection counted against a target; one that took requests and never replied was asked again by each query.

Change: silence for four times the time after which a reply is late, 280 ms at least, counts like a refused connection, unless the process was paused itself.

Ruled out: the budget, the store, the instances.

--- a/crates/gateway/src/end.rs
+++ b/crates/gateway/src/end.rs
@@ -131,6 +131,7 @@
     let Some(health) = gateway.health.get_mut(attempt.target) else {
         return;
     };
+    health.replied_at = Some(now);
     if let Some(load) = reply.load {
         health.load = Some((load, now));
     }
--- a/crates/gateway/src/health.rs
+++ b/crates/gateway/src/health.rs
@@ -32,6 +32,9 @@
     pub running: Vec<AttemptKey>,
     /// Share of attempts that failed, the last ones weighing most.
     pub failures_ratio: f64,
+    /// When it last replied.
+    #[serde(skip)]
+    pub replied_at: Option<Instant>,
     /// Connections in a row that failed.
     pub refusals_count: u32,
     /// Whether another target has its address; final, because a new process has a new key.
@@ -59,7 +62,7 @@
     health.failures_ratio += (1.0 - health.failures_ratio) * FAILURE_WEIGHT;
 }
 
-/// Notes that no connection could be opened.
+/// Notes that no connection could be opened, or that nothing came back.
 pub(crate) fn unreachable(health: &mut Health, now: Instant) {
     let doublings = health.refusals_count.min(AVOID_DOUBLINGS_MAX);
     health.refusals_count = health.refusals_count.saturating_add(1);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -43,4 +43,4 @@
 pub use table::{
     Attempt, Exchange, Gateway, Part, PartState, Relay, Usage, fingerprint, is_known, open,
 };
-pub use tick::{set_fleet, targets_gone, tick};
+pub use tick::{paused, set_fleet, targets_gone, tick};
--- a/crates/gateway/src/respond.rs
+++ b/crates/gateway/src/respond.rs
@@ -18,10 +18,10 @@
     relay,
 };
 
-/// Shortest time after which a refused caller may come back.
-const RETRY_AFTER_MIN: Duration = Duration::from_millis(50);
-/// Longest time after which a refused caller may come back; the span keeps callers apart.
-const RETRY_AFTER_MAX: Duration = Duration::from_millis(200);
+/// Bounds of the time after which a refused caller may come back; the span keeps callers apart.
+const RETRY_AFTER: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(200)];
+/// The same if targets are down, which are tried again after a quarter of a second and more.
+const DOWN_RETRY_AFTER: [Duration; 2] = [Duration::from_millis(250), Duration::from_millis(500)];
 /// Missing services that a log line names.
 const MISSING_NAMED_COUNT: usize = 4;
 
@@ -187,8 +187,11 @@
 fn ended(gateway: &mut Gateway, outcome: Outcome) -> HttpResponse {
     let is_refusal =
         matches!(outcome, Outcome::NotRun(reason) if reason != NotRunReason::UnknownFront);
-    let span_ms = RETRY_AFTER_MIN.as_millis() as u64..RETRY_AFTER_MAX.as_millis() as u64;
-    let retry_after = is_refusal.then(|| Duration::from_millis(gateway.rng.random_range(span_ms)));
+    let [min, max] = match outcome {
+        Outcome::NotRun(NotRunReason::NoTarget) => DOWN_RETRY_AFTER,
+        _ => RETRY_AFTER,
+    };
+    let retry_after = is_refusal.then(|| gateway.rng.random_range(min..max));
     HttpResponse::Ended {
         outcome,
         retry_after,
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -50,6 +50,9 @@
     /// Larger instances that did not take a query in time, and until when they are avoided.
     #[serde(skip)]
     pub avoided_relays: HashMap<SocketAddr, Instant>,
+    /// When the process last woke up from a pause; silence before says nothing about targets.
+    #[serde(skip)]
+    pub resumed_at: Option<Instant>,
     /// Generator of jitter.
     #[serde(skip)]
     pub rng: ChaCha8Rng,
@@ -212,6 +215,7 @@
         share_ratio: None,
         larger: Vec::new(),
         avoided_relays: HashMap::new(),
+        resumed_at: None,
         rng: ChaCha8Rng::seed_from_u64(seed),
     }
 }
--- a/crates/gateway/src/tests/gather.rs
+++ b/crates/gateway/src/tests/gather.rs
@@ -4,7 +4,7 @@
 use rstest::rstest;
 
 use super::fixture::{Fate, plan, record, world};
-use crate::greatest_records;
+use crate::{greatest_records, paused};
 
 /// Returns the missing services and the records' first bytes of a merged answer.
 fn merged(response: &HttpResponse) -> (u32, Vec<u8>) {
@@ -188,3 +188,39 @@
     assert_eq!(world.gateway.attempts.len(), 0);
     assert_eq!(world.response(caller), None);
 }
+
+#[test]
+fn a_target_that_has_swallowed_requests_is_avoided() {
+    let mut world = world(&plan(4), |call, _| match &*call.target_id {
+        "shard-0/a" => (0, Fate::Silence),
+        _ => (5, Fate::Done(record(1))),
+    });
+    for _ in 0..40 {
+        world.ask();
+        for _ in 0..5 {
+            world.pass(100);
+            world.tick();
+        }
+    }
+    let swallowed = world.seen.iter().filter(|seen| seen.target == "shard-0/a");
+    let swallowed_count = swallowed.count();
+    assert!(swallowed_count <= 14, "{swallowed_count} of 40 queries");
+}
+
+#[test]
+fn silence_during_an_own_pause_says_nothing_about_targets() {
+    let mut world = world(&plan(4), |_, _| (0, Fate::Silence));
+    let caller = world.ask();
+    world.pass(10);
+    world.leave(caller);
+    world.now += std::time::Duration::from_secs(3);
+    paused(&mut world.gateway, world.now);
+    world.tick();
+    assert_eq!(world.dropped.len(), 4);
+    let avoided = world
+        .gateway
+        .health
+        .values()
+        .filter(|health| health.avoid_until.is_some());
+    assert_eq!(avoided.count(), 0);
+}
--- a/crates/gateway/src/tick.rs
+++ b/crates/gateway/src/tick.rs
@@ -7,7 +7,7 @@
 
 use model::{AttemptKey, Effect, TargetKey};
 
-use crate::{Gateway, end::send_waiting};
+use crate::{Gateway, end::send_waiting, health};
 
 /// Time that an unwanted attempt has to end until its connection is dropped.
 ///
@@ -18,6 +18,11 @@
 /// any target works on one.
 const UNWANTED_ONCE_GRACE: Duration = Duration::from_secs(10);
 
+/// Least time without any reply of a target after which it counts as down; usual pauses are shorter.
+const SILENT_MIN: Duration = Duration::from_millis(280);
+/// The same as a multiple of the time after which its reply is late.
+const SILENT_FACTOR: u32 = 4;
+
 /// Drops the connections of unwanted attempts that do not end, and serves parts that wait.
 pub fn tick(gateway: &mut Gateway, now: Instant, out: &mut Vec<Effect>) {
     let attempts = gateway.attempts.iter();
@@ -31,7 +36,7 @@
     });
     let overdue: Vec<AttemptKey> = overdue.map(|(key, _)| key).collect();
     for key in overdue {
-        drop_attempt(gateway, key, out);
+        drop_attempt(gateway, now, key, out);
     }
     let gone = catalog::expire(&mut gateway.catalog, now);
     targets_gone(gateway, &gone, out);
@@ -49,18 +54,30 @@
     }
 }
 
+/// Notes that the process has woken up from a pause.
+pub fn paused(gateway: &mut Gateway, now: Instant) {
+    gateway.resumed_at = Some(now);
+}
+
 /// Notes this instance's part of the limits, and the larger instances of its zone.
 pub fn set_fleet(gateway: &mut Gateway, share_ratio: Option<f64>, larger: Vec<SocketAddr>) {
     gateway.share_ratio = share_ratio;
     gateway.larger = larger;
 }
 
-fn drop_attempt(gateway: &mut Gateway, key: AttemptKey, out: &mut Vec<Effect>) {
+fn drop_attempt(gateway: &mut Gateway, now: Instant, key: AttemptKey, out: &mut Vec<Effect>) {
     let Some(attempt) = gateway.attempts.remove(key) else {
         return;
     };
     if let Some(health) = gateway.health.get_mut(attempt.target) {
         health.running.retain(|&running| running != key);
+        let has_replied = health.replied_at.is_some_and(|at| at > attempt.sent_at);
+        let is_trusted = gateway.resumed_at.is_none_or(|at| attempt.sent_at >= at);
+        let silent_after = (attempt.late_at - attempt.sent_at) * SILENT_FACTOR;
+        let is_silent = now >= attempt.sent_at + silent_after.max(SILENT_MIN);
+        if is_trusted && !has_replied && is_silent {
+            health::unreachable(health, now);
+        }
     }
     out.push(Effect::DropAttempt {
         attempt: key,
--- a/crates/tier/src/platform.rs
+++ b/crates/tier/src/platform.rs
@@ -62,5 +62,8 @@
 pub(crate) fn paused(state: &mut State, now: Instant, late_by: Duration) {
     fleet::paused(&mut state.fleet, &state.settings, now, late_by);
     route::paused(&mut state.routes, now);
+    if let Some(gateway) = &mut state.gateway {
+        gateway::paused(gateway, now);
+    }
     confine(state, now);
 }
