Soak the real programs, close ports before the end, and show the gateway

Cause: nothing of our own struck the real programs with overlapping faults; latencies were in no metric; status showed nothing of the gateway; the pages knew nothing of it.

An instance closes its ports 0.1 s before its process ends and refuses what still comes in. Histograms of requests and attempts; status of the gateway; pages.

Ruled out: the first findings of the soak were its own: ports shared by runs side by side, a pause taken for a graceful end, a refused connection taken for a cut request, a zone taken back by an earlier fault. Counting an own pause as activity while leaving was tried and dropped: every test of the quiet time passes time in steps that count as pauses.

--- a/crates/balsamd/src/attempts.rs
+++ b/crates/balsamd/src/attempts.rs
@@ -23,9 +23,9 @@
 /// Time after which an idle connection is closed if the peer states no limit.
 const IDLE_MAX: Duration = Duration::from_secs(20);
 
-/// An attempt with the head that all attempts of its request share.
+/// An attempt on its way to a connection, with the head that all attempts of its request share.
 #[derive(Clone, Debug)]
-struct Load {
+struct Outgoing {
     call: AttemptCall,
     head: Option<Rc<RequestHead>>,
 }
@@ -40,7 +40,7 @@
 /// A connection that can carry a request.
 #[derive(Clone, Debug)]
 pub struct Carrier {
-    calls: mpsc::Sender<Load>,
+    calls: mpsc::Sender<Outgoing>,
     task: AbortHandle,
 }
 
@@ -56,7 +56,7 @@
     call: AttemptCall,
 ) -> Carrier {
     let head = encode(last, &call.request);
-    let mut call = Load { call, head };
+    let mut call = Outgoing { call, head };
     let mut carriers = idle.get_mut(call.call.target);
     // The connection that was used last has most of its idle time left.
     while let Some(carrier) = carriers.as_mut().and_then(|carriers| carriers.pop()) {
@@ -93,7 +93,7 @@
 }
 
 /// Opens a connection for a request.
-fn spawn(shell: Addr<Shell>, config: ServiceConfig, call: Load) -> Carrier {
+fn spawn(shell: Addr<Shell>, config: ServiceConfig, call: Outgoing) -> Carrier {
     let (calls, receiver) = mpsc::channel(1);
     let sender = calls.clone();
     let running = actix_rt::spawn(async move {
@@ -119,8 +119,8 @@
 async fn carry(
     shell: Addr<Shell>,
     mut connection: Connection,
-    mut calls: mpsc::Receiver<Load>,
-    mut call: Load,
+    mut calls: mpsc::Receiver<Outgoing>,
+    mut call: Outgoing,
 ) {
     loop {
         let (response, kept) = match send_one(connection, &call).await {
@@ -150,7 +150,7 @@
 }
 
 /// Reports a request that crossed the end of its idle connection as unsent.
-async fn end_idle(shell: &Addr<Shell>, mut calls: mpsc::Receiver<Load>) {
+async fn end_idle(shell: &Addr<Shell>, mut calls: mpsc::Receiver<Outgoing>) {
     calls.close();
     while let Some(call) = calls.recv().await {
         report(shell, &call.call, Err(CallFailure::NotSent), false);
@@ -159,7 +159,7 @@
 
 async fn send_one(
     connection: Connection,
-    call: &Load,
+    call: &Outgoing,
 ) -> Result<(Response, Connection), ClientError> {
     let head = call.head.clone().ok_or(ClientError::Unwritable)?;
     let headers = platform::encode_attempt(&call.call).ok_or(ClientError::Unwritable)?;
--- a/crates/balsamd/src/callers.rs
+++ b/crates/balsamd/src/callers.rs
@@ -26,7 +26,7 @@
 
 use crate::{
     error::StartError,
-    http,
+    http::{self, Closing},
     shell::{CallerGone, CallerRequest, Shell, TicketsWanted},
 };
 
@@ -62,6 +62,7 @@
     address: SocketAddr,
     limits: &settings::Query,
     is_leaving: Arc<AtomicBool>,
+    closing: Closing,
 ) -> Result<(), StartError> {
     let context = Context {
         shell,
@@ -78,7 +79,7 @@
         .h1(map_config(app, |()| AppConfig::default()))
         .tcp();
     if let Ok(service) = factory.new_service(()).await {
-        http::spawn(listener, service);
+        http::spawn(listener, service, closing);
     }
     Ok(())
 }
--- a/crates/balsamd/src/effects.rs
+++ b/crates/balsamd/src/effects.rs
@@ -1,5 +1,7 @@
 //! Runs the effects of the reducer.
 
+use std::time::Duration;
+
 use actix::{Addr, System};
 use model::Effect;
 
@@ -9,6 +11,10 @@
     store, targets,
 };
 
+/// Time between the closing of the ports and the end of the process, in which what was accepted
+/// before is read and answered.
+const CLOSED_BEFORE_EXIT: Duration = Duration::from_millis(100);
+
 /// Runs one effect.
 pub fn run(shell: &mut Shell, address: &Addr<Shell>, effect: Effect) {
     match effect {
@@ -129,6 +135,20 @@
         } => {
             metrics::add(&mut shell.metrics, counter, amount_count);
         }
-        Effect::Exit => System::current().stop(),
+        Effect::Time { timing, took } => metrics::record(&mut shell.metrics, timing, took),
+        Effect::Exit => exit(shell),
+    }
+}
+
+/// Ends the process. The ports close first, so that callers turn elsewhere instead of sending what
+/// nobody reads any more.
+fn exit(shell: &Shell) {
+    if shell.close_ports.send_replace(true) {
+        return;
     }
+    let system = System::current();
+    actix_rt::spawn(async move {
+        actix_rt::time::sleep(CLOSED_BEFORE_EXIT).await;
+        system.stop();
+    });
 }
--- a/crates/balsamd/src/http.rs
+++ b/crates/balsamd/src/http.rs
@@ -4,7 +4,10 @@
 
 use actix_http::HttpServiceBuilder;
 use actix_service::Service;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+};
 
 use crate::error::StartError;
 
@@ -15,6 +18,9 @@
 /// Delay after a failure to accept a connection, which is mostly a lack of descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Tells ports that the process is about to end and accepts nothing any more.
+pub type Closing = watch::Receiver<bool>;
+
 /// Opens a port.
 ///
 /// # Errors
@@ -40,15 +46,19 @@
         .h1_allow_half_closed(false)
 }
 
-/// Accepts connections until the process ends.
-pub fn spawn<S>(listener: TcpListener, service: S)
+/// Accepts connections until the process closes its ports.
+pub fn spawn<S>(listener: TcpListener, service: S, mut closing: Closing)
 where
     S: Service<TcpStream> + 'static,
 {
     let service = Rc::new(service);
     actix_rt::spawn(async move {
         loop {
-            let Ok((stream, _)) = listener.accept().await else {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                _ = closing.wait_for(|is_closing| *is_closing) => return,
+            };
+            let Ok((stream, _)) = accepted else {
                 actix_rt::time::sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             };
--- a/crates/balsamd/src/ingress.rs
+++ b/crates/balsamd/src/ingress.rs
@@ -18,7 +18,7 @@
 use crate::{
     callers::CallerGuard,
     error::StartError,
-    http,
+    http::{self, Closing},
     shell::{HttpArrived, Shell},
 };
 
@@ -38,6 +38,7 @@
     shell: Addr<Shell>,
     settings: &settings::Gateway,
     is_leaving: Arc<AtomicBool>,
+    closing: Closing,
 ) -> Result<(), StartError> {
     let port = Port {
         shell,
@@ -52,7 +53,7 @@
         }))
         .tcp();
     if let Ok(service) = factory.new_service(()).await {
-        http::spawn(listener, service);
+        http::spawn(listener, service, closing);
     }
     Ok(())
 }
--- a/crates/balsamd/src/metrics.rs
+++ b/crates/balsamd/src/metrics.rs
@@ -1,15 +1,21 @@
 //! Counters and status of the reducer as OpenTelemetry metrics in Prometheus text.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
-use model::{Counter, to_word};
-use opentelemetry::metrics::{Gauge, Meter, MeterProvider};
+use model::{Counter, Timing, to_word};
+use opentelemetry::metrics::{Gauge, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 use tier::Status;
 
 use crate::error::StartError;
 
+/// Upper bounds of the histograms' buckets, in milliseconds; doubling, from a reply in the same zone
+/// to the longest time limit.
+const TIME_BOUNDS_MS: [f64; 13] = [
+    2.0, 5.0, 10.0, 20.0, 40.0, 60.0, 80.0, 150.0, 200.0, 400.0, 800.0, 1_600.0, 5_000.0,
+];
+
 /// The metrics of the process.
 #[derive(Clone, Debug)]
 pub struct Metrics {
@@ -18,6 +24,7 @@
     // The exporter stops when its provider is dropped.
     _provider: SdkMeterProvider,
     counters: BTreeMap<Counter, opentelemetry::metrics::Counter<u64>>,
+    histograms: BTreeMap<Timing, Histogram<u64>>,
 }
 
 /// Creates the registry that the operators' port exports.
@@ -39,6 +46,7 @@
         meter,
         _provider: provider,
         counters: BTreeMap::new(),
+        histograms: BTreeMap::new(),
     })
 }
 
@@ -99,6 +107,19 @@
     instrument.add(amount_count, &[]);
 }
 
+/// Adds a time to a histogram.
+pub fn record(metrics: &mut Metrics, timing: Timing, took: Duration) {
+    let meter = &metrics.meter;
+    let histogram = metrics.histograms.entry(timing).or_insert_with(|| {
+        let name = to_word(&timing).replace('-', "_");
+        meter
+            .u64_histogram(format!("balsamd_{name}_ms"))
+            .with_boundaries(TIME_BOUNDS_MS.to_vec())
+            .build()
+    });
+    histogram.record(u64::try_from(took.as_millis()).unwrap_or(u64::MAX), &[]);
+}
+
 /// Returns all metrics in Prometheus text.
 ///
 /// # Errors
--- a/crates/balsamd/src/operators.rs
+++ b/crates/balsamd/src/operators.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     error::StartError,
-    http,
+    http::{self, Closing},
     metrics::{self, Gauges},
     reports::{DumpWanted, StatusWanted},
     shell::Shell,
@@ -39,6 +39,7 @@
     registry: Registry,
     gauges: Gauges,
     listen: &settings::Listen,
+    closing: Closing,
 ) -> Result<(), StartError> {
     let context = Context {
         shell,
@@ -57,7 +58,7 @@
         .h1(map_config(app, |()| AppConfig::default()))
         .tcp();
     if let Ok(service) = factory.new_service(()).await {
-        http::spawn(listener, service);
+        http::spawn(listener, service, closing);
     }
     Ok(())
 }
--- a/crates/balsamd/src/shell.rs
+++ b/crates/balsamd/src/shell.rs
@@ -30,7 +30,7 @@
 use tokio::{
     net::TcpListener,
     signal::unix::{SignalKind, signal},
-    sync::oneshot,
+    sync::{oneshot, watch},
 };
 
 use crate::{
@@ -68,6 +68,8 @@
     pub(crate) client: ServiceConfig,
     pub(crate) idle: Idle,
     pub(crate) last_head: LastHead,
+    /// Closes the ports before the process ends.
+    pub(crate) close_ports: watch::Sender<bool>,
     pub(crate) attempts: SecondaryMap<AttemptKey, Carrier>,
     effects: Vec<Effect>,
 }
@@ -104,6 +106,7 @@
         .await
         .map_err(|error| StartError::Listen("peers", listen.peers, error))?;
     let is_leaving = Arc::new(AtomicBool::new(false));
+    let (close_ports, closing) = watch::channel(false);
     let shell = Shell {
         is_leaving: is_leaving.clone(),
         state: tier::open(settings, incarnation, seed()?),
@@ -120,17 +123,20 @@
         client: client::config(),
         idle: Idle::new(),
         last_head: LastHead::default(),
+        close_ports,
         attempts: SecondaryMap::new(),
         effects: Vec::new(),
     };
     let address = shell.start();
     if let Some(callers) = listen.callers {
-        callers::spawn(address.clone(), callers, &limits, is_leaving.clone()).await?;
+        let is_leaving = is_leaving.clone();
+        let closing = closing.clone();
+        callers::spawn(address.clone(), callers, &limits, is_leaving, closing).await?;
     }
     if let Some(gateway) = &gateway {
-        ingress::spawn(address.clone(), gateway, is_leaving).await?;
+        ingress::spawn(address.clone(), gateway, is_leaving, closing.clone()).await?;
     }
-    operators::spawn(address.clone(), registry, gauges, &listen).await?;
+    operators::spawn(address.clone(), registry, gauges, &listen, closing).await?;
     peers::spawn_listener(address.clone(), peers);
     spawn_signals(address, settings_path)?;
     logs::write(&listening(&listen, gateway.as_ref()));
--- a/crates/gateway/src/end.rs
+++ b/crates/gateway/src/end.rs
@@ -4,7 +4,7 @@
 
 use model::{
     AttemptKey, AttemptReply, CallFailure, CallerKey, Counter, Effect, ExchangeKey, Level, LogLine,
-    PassedReply, ReplyStatus, Requester, to_word,
+    PassedReply, ReplyStatus, Requester, Timing, to_word,
 };
 
 use crate::{
@@ -139,6 +139,10 @@
         ReplyStatus::Done => {
             health::succeeded(health);
             let took = now.saturating_duration_since(attempt.sent_at);
+            out.push(Effect::Time {
+                timing: Timing::Attempt,
+                took,
+            });
             if let Some(latency) = health.latency.entry(attempt.front) {
                 estimate::observe(latency.or_default(), took);
             }
--- a/crates/gateway/src/respond.rs
+++ b/crates/gateway/src/respond.rs
@@ -7,7 +7,7 @@
 
 use model::{
     CallerKey, Counter, Effect, ExchangeKey, HttpRequest, HttpResponse, Level, LogLine,
-    NotRunReason, Outcome, PassedReply, Requester, to_word,
+    NotRunReason, Outcome, PassedReply, Requester, Timing, to_word,
 };
 use rand::RngExt;
 
@@ -245,6 +245,10 @@
         counter,
         amount_count: 1,
     });
+    out.push(Effect::Time {
+        timing: Timing::Request,
+        took: now.saturating_duration_since(exchange.arrived_at),
+    });
     let mut line = LogLine::new(Level::Info, "request-ended")
         .with("request_id", exchange.request.request_id.as_str())
         .with("front", front.map_or("", |front| &*front.name))
--- a/crates/model/src/effect.rs
+++ b/crates/model/src/effect.rs
@@ -83,6 +83,17 @@
     Pauses,
 }
 
+/// Times that the shell exports as histograms.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Timing {
+    /// From the arrival of a caller's request to its response.
+    Request,
+    /// From the sending of a request to a target to its whole reply.
+    Attempt,
+}
+
 /// One thing for the shell to do.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -181,6 +192,13 @@
         /// The amount.
         amount_count: u64,
     },
+    /// Add a time to a histogram.
+    Time {
+        /// The histogram.
+        timing: Timing,
+        /// The time.
+        took: Duration,
+    },
     /// End the process with exit code 0; everything is answered.
     Exit,
 }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -26,7 +26,7 @@
 mod word;
 
 pub use answer::{Answer, Coverage, Missing, MissingReason, ShardResult};
-pub use effect::{Counter, Effect, PlatformRead, TargetCall};
+pub use effect::{Counter, Effect, PlatformRead, TargetCall, Timing};
 pub use event::{AttemptReply, CallFailure, Event, PlatformFailure, ReplyStatus, ReplyView};
 pub use http::{AttemptCall, Header, HttpRequest, HttpResponse, PassedReply, SlotLoad};
 pub use key::{
--- a/crates/settings/src/tests/page.rs
+++ b/crates/settings/src/tests/page.rs
@@ -6,7 +6,7 @@
 use serde_json::Value;
 
 use super::WHOLE;
-use crate::{Admit, Fleet, Once, Query, Route, read};
+use crate::{Admit, Fleet, Gateway, Once, Query, Route, read};
 
 const PAGE: &str = include_str!("../../../../docs/OPERATIONS.md");
 
@@ -49,6 +49,10 @@
             "once",
             serde_json::to_value(Once::default()).expect("plain data"),
         ),
+        (
+            "gateway",
+            serde_json::to_value(Gateway::default()).expect("plain data"),
+        ),
         (
             "fleet",
             serde_json::to_value(Fleet::default()).expect("plain data"),
@@ -57,7 +61,11 @@
     let mut defaults = BTreeMap::new();
     for (area, fields) in areas {
         for (name, value) in fields.as_object().expect("an area is an object") {
-            let Some((key, number)) = in_file(name, value) else {
+            let number = match area {
+                "gateway" => in_gateway(name, value),
+                _ => in_file(name, value),
+            };
+            let Some((key, number)) = number else {
                 continue;
             };
             defaults.insert(format!("{area}.{key}"), number);
@@ -81,3 +89,17 @@
         None => Some((name.to_owned(), number)),
     }
 }
+
+/// The same for the gateway, whose file is filled in by a platform that states ratios as fractions
+/// and most times in seconds.
+fn in_gateway(name: &str, value: &Value) -> Option<(String, f64)> {
+    let (key, number) = in_file(name, value)?;
+    if name.ends_with("_ratio") {
+        return Some((name.to_owned(), value.as_f64()?));
+    }
+    let is_in_seconds = ["retry_window", "shutdown_limit"].contains(&name);
+    Some(match is_in_seconds {
+        true => (format!("{name}_s"), number / 1e3),
+        false => (key, number),
+    })
+}
--- a/crates/tier/src/leave.rs
+++ b/crates/tier/src/leave.rs
@@ -32,7 +32,8 @@
 
 /// Tells whether a shutdown has come so far that new requests are refused.
 pub(crate) fn is_refusing(state: &State, now: Instant) -> bool {
-    is_within(state, now, REFUSE_BEFORE)
+    // After the end was asked for, ports close and what still comes in cannot be finished.
+    state.is_exiting || is_within(state, now, REFUSE_BEFORE)
 }
 
 /// Gives requests in progress their final answer, and ends the process, before the machine does.
@@ -46,6 +47,7 @@
         out.push(Effect::Log(
             LogLine::new(Level::Info, "exiting").with("reason", "limit"),
         ));
+        state.is_exiting = true;
         out.push(Effect::Exit);
     }
 }
@@ -78,6 +80,7 @@
         out.push(Effect::Log(
             LogLine::new(Level::Info, "exiting").with("reason", "quiet"),
         ));
+        state.is_exiting = true;
         out.push(Effect::Exit);
     }
 }
--- a/crates/tier/src/state.rs
+++ b/crates/tier/src/state.rs
@@ -28,6 +28,8 @@
     pub gateway: Option<Gateway>,
     /// When the process was asked to shut down.
     pub leaving_since: Option<Instant>,
+    /// Whether the end of the process was asked for.
+    pub is_exiting: bool,
     /// When the process started.
     pub started_at: Option<Instant>,
     /// Tickets and their outcomes.
@@ -58,6 +60,7 @@
             .as_ref()
             .map(|settings| gateway::open(settings, seed)),
         leaving_since: None,
+        is_exiting: false,
         started_at: None,
         last_activity: None,
         targets_asked_at: None,
--- a/crates/tier/src/status.rs
+++ b/crates/tier/src/status.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use gateway::Gateway;
 use model::Revision;
 use serde::Serialize;
 
@@ -39,6 +40,9 @@
 
 /// Returns the status of an instance.
 pub fn status(state: &State, now: Instant) -> Status {
+    if let Some(gateway) = &state.gateway {
+        return gateway_status(state, gateway, now);
+    }
     let lanes = state.admission.lanes.values();
     let running = lanes.clone().map(|lane| u64::from(lane.running_count));
     let waiting = lanes.flat_map(|lane| &lane.queues);
@@ -61,6 +65,30 @@
     }
 }
 
+fn gateway_status(state: &State, gateway: &Gateway, now: Instant) -> Status {
+    let answered_at = gateway.sync.operators.answered_at;
+    let shared_at = gateway.sync.operators.shared_at;
+    let confirmed_at = answered_at.max(shared_at);
+    let age = confirmed_at.map(|at| now.saturating_duration_since(at));
+    let health = gateway.health.values();
+    let unreachable = health
+        .filter(|health| health.is_replaced || health.avoid_until.is_some_and(|until| now < until));
+    Status {
+        name: state.settings.instance.name.clone(),
+        zone: state.settings.instance.zone.clone(),
+        revision: revision(state),
+        confirmed_ms: age.and_then(millis),
+        is_ready: is_ready(state),
+        is_leaving: state.fleet.is_leaving,
+        running_count: gateway.exchanges.len() as u64,
+        waiting_count: gateway.waiting.len() as u64,
+        calls_count: gateway.attempts.len() as u64,
+        members_count: state.fleet.members.len() as u64,
+        targets_count: gateway.catalog.targets.len() as u64,
+        unreachable_targets_count: unreachable.count() as u64,
+    }
+}
+
 /// Returns whole milliseconds, or nothing for a time without end.
 fn millis(duration: Duration) -> Option<u64> {
     if duration == Duration::MAX {
--- a/crates/tier/src/tests/gateway.rs
+++ b/crates/tier/src/tests/gateway.rs
@@ -198,6 +198,17 @@
     ));
 }
 
+#[test]
+fn what_still_comes_in_after_the_end_was_asked_for_is_refused() {
+    let mut entry = entry();
+    feed(&mut entry, Event::Leave);
+    tick_at(&mut entry, 4_000);
+    assert!(entry.out.contains(&Effect::Exit), "nobody asks any more");
+    ask(&mut entry, 1, "/x");
+    assert!(attempts(&entry.out).is_empty());
+    assert_eq!(responses(&entry.out).len(), 1);
+}
+
 #[test]
 fn a_request_that_crashes_its_targets_is_refused_from_the_third_crash_on() {
     let mut entry = entry();
--- a/xtask/src/check.rs
+++ b/xtask/src/check.rs
@@ -14,6 +14,9 @@
 /// Folders whose sources must not contain them.
 const SOURCE_DIRS: [&str; 2] = ["crates", "xtask"];
 
+/// Seed of the short soak.
+const SOAK_SEED: &str = "1";
+
 /// Checks format, lints, generated code and tests.
 pub fn ci() -> Result<(), TaskError> {
     cargo(&["fmt", "--all", "--check"])?;
@@ -36,7 +39,18 @@
         println!("known red, not run: {test}");
         arguments.extend(["--skip", test]);
     }
-    cargo(&arguments)
+    cargo(&arguments)?;
+    cargo(&[
+        "run",
+        "--locked",
+        "--package",
+        "soak",
+        "--",
+        "--seed",
+        SOAK_SEED,
+        "--seconds",
+        "6",
+    ])
 }
 
 /// Returns the names of the tests that the list of known faults passes over.
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -42,6 +42,11 @@
         /// Arguments of the measuring program.
         arguments: Vec<OsString>,
     },
+    /// Soak the real programs under faults.
+    Soak {
+        /// Arguments of the soak.
+        arguments: Vec<OsString>,
+    },
     /// Measure how configurations spread.
     Spread {
         /// Arguments of the measuring program.
@@ -62,6 +67,7 @@
         Task::Demo { is_kept } => demo::run(is_kept),
         Task::Orders { arguments } => measured::orders(&arguments),
         Task::Slopes { arguments } => measured::slopes(&arguments),
+        Task::Soak { arguments } => measured::soak(&arguments),
         Task::Spread { arguments } => measured::spread(&arguments),
     };
     match result {
@@ -131,5 +137,16 @@
             .descr("Measure how configurations spread and what the exchange costs")
             .command("spread")
     };
-    construct!([ci, codegen, cost, demo, measure, orders, slopes, spread])
+    let soak = {
+        let arguments = any::<OsString, _, _>("ARGUMENT", Some)
+            .help("`--size COUNT` for one fleet only")
+            .many();
+        construct!(Task::Soak { arguments })
+            .to_options()
+            .descr("Soak the real programs under faults")
+            .command("soak")
+    };
+    construct!([
+        ci, codegen, cost, demo, measure, orders, slopes, soak, spread
+    ])
 }
--- a/xtask/src/measured.rs
+++ b/xtask/src/measured.rs
@@ -24,6 +24,30 @@
     release("orders", arguments)
 }
 
+/// Soaks the real programs under faults.
+pub fn soak(arguments: &[OsString]) -> Result<(), TaskError> {
+    let programs = [
+        "--package",
+        "balsamd",
+        "--package",
+        "standin",
+        "--package",
+        "soak",
+    ];
+    let mut build = Command::new("cargo");
+    build.args(["build", "--quiet", "--release"]).args(programs);
+    let mut run = Command::new("cargo");
+    run.args(["run", "--quiet", "--release", "--package", "soak", "--"]);
+    run.args(arguments);
+    for command in [&mut build, &mut run] {
+        let status = command.status();
+        if !status.is_ok_and(|status| status.success()) {
+            return Err(TaskError::Command("soak".to_owned()));
+        }
+    }
+    Ok(())
+}
+
 fn release(program: &str, arguments: &[OsString]) -> Result<(), TaskError> {
     let status = Command::new("cargo")
         .args(["run", "--quiet", "--release", "--package", "xtask", "--bin"])
