--- a/crates/balsamd/src/attempts.rs
+++ b/crates/balsamd/src/attempts.rs
@@ -14,7 +14,8 @@
 
 use crate::{
     client::{self, ClientError, Connection, Response},
-    shell::{AttemptEnded, Shell},
+    exchanges::AttemptEnded,
+    shell::Shell,
 };
 
 /// Time before the peer's own limit at which an idle connection is closed, so that a request does
--- a/crates/balsamd/src/callers.rs
+++ b/crates/balsamd/src/callers.rs
@@ -10,7 +10,7 @@
 };
 
 use actix::Addr;
-use actix_service::{ServiceFactory, map_config};
+use actix_service::map_config;
 use actix_web::{
     App, HttpRequest, HttpResponse,
     dev::AppConfig,
@@ -75,12 +75,12 @@
         .app_data(web::Data::new(context))
         .route("/v1/fronts/{front}/query", web::post().to(query))
         .route("/v1/tickets", web::post().to(tickets));
-    let factory = http::builder()
-        .h1(map_config(app, |()| AppConfig::default()))
-        .tcp();
-    if let Ok(service) = factory.new_service(()).await {
-        http::spawn(listener, service, closing);
-    }
+    http::serve(
+        listener,
+        map_config(app, |()| AppConfig::default()),
+        closing,
+    )
+    .await;
     Ok(())
 }
 
--- a/crates/balsamd/src/http.rs
+++ b/crates/balsamd/src/http.rs
@@ -1,9 +1,12 @@
 //! HTTP ports that are served on the thread of the shell.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{fmt, net::SocketAddr, rc::Rc, time::Duration};
 
-use actix_http::HttpServiceBuilder;
-use actix_service::Service;
+use actix_http::{
+    HttpServiceBuilder, Request, Response,
+    body::{BoxBody, MessageBody},
+};
+use actix_service::{IntoServiceFactory, Service, ServiceFactory};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
@@ -32,22 +35,32 @@
         .map_err(|error| StartError::Listen(name, address, error))
 }
 
-/// Returns the settings that all ports share: a caller that closes its connection no longer waits.
-pub fn builder<S>() -> HttpServiceBuilder<TcpStream, S>
+/// Serves a port until the process closes its ports. A caller that closes its connection no longer
+/// waits for its answer.
+pub async fn serve<F, S, B>(listener: TcpListener, factory: F, closing: Closing)
 where
-    S: actix_service::ServiceFactory<actix_http::Request, Config = ()>,
-    S::Error: Into<actix_http::Response<actix_http::body::BoxBody>> + 'static,
-    S::InitError: std::fmt::Debug,
-    <S::Service as Service<actix_http::Request>>::Future: 'static,
+    F: IntoServiceFactory<S, Request>,
+    S: ServiceFactory<Request, Config = ()> + 'static,
+    S::Future: 'static,
+    S::Error: Into<Response<BoxBody>> + 'static,
+    S::InitError: fmt::Debug,
+    S::Response: Into<Response<B>> + 'static,
+    <S::Service as Service<Request>>::Future: 'static,
+    B: MessageBody + 'static,
 {
-    HttpServiceBuilder::default()
+    let factory = HttpServiceBuilder::default()
         .keep_alive(KEEP_ALIVE)
         .client_request_timeout(FIRST_REQUEST_TIMEOUT)
         .h1_allow_half_closed(false)
+        .h1(factory)
+        .tcp();
+    if let Ok(service) = factory.new_service(()).await {
+        spawn(listener, service, closing);
+    }
 }
 
 /// Accepts connections until the process closes its ports.
-pub fn spawn<S>(listener: TcpListener, service: S, mut closing: Closing)
+fn spawn<S>(listener: TcpListener, service: S, mut closing: Closing)
 where
     S: Service<TcpStream> + 'static,
 {
--- a/crates/balsamd/src/ingress.rs
+++ b/crates/balsamd/src/ingress.rs
@@ -10,7 +10,7 @@
 
 use actix::Addr;
 use actix_http::{ConnectionType, Payload, Request, Response, StatusCode};
-use actix_service::{ServiceFactory, fn_service};
+use actix_service::fn_service;
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use tokio::sync::oneshot;
@@ -18,8 +18,9 @@
 use crate::{
     callers::CallerGuard,
     error::StartError,
+    exchanges::HttpArrived,
     http::{self, Closing},
-    shell::{HttpArrived, Shell},
+    shell::Shell,
 };
 
 #[derive(Clone)]
@@ -46,15 +47,11 @@
         is_leaving,
     };
     let listener = http::bind("gateway", settings.listen).await?;
-    let factory = http::builder()
-        .h1(fn_service(move |request: Request| {
-            let port = port.clone();
-            async move { Ok::<_, Infallible>(serve(&port, request).await) }
-        }))
-        .tcp();
-    if let Ok(service) = factory.new_service(()).await {
-        http::spawn(listener, service, closing);
-    }
+    let service = fn_service(move |request: Request| {
+        let port = port.clone();
+        async move { Ok::<_, Infallible>(serve(&port, request).await) }
+    });
+    http::serve(listener, service, closing).await;
     Ok(())
 }
 
--- a/crates/balsamd/src/main.rs
+++ b/crates/balsamd/src/main.rs
@@ -15,6 +15,7 @@
 mod commands;
 mod effects;
 mod error;
+mod exchanges;
 mod http;
 mod ingress;
 mod metrics;
--- a/crates/balsamd/src/operators.rs
+++ b/crates/balsamd/src/operators.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use actix::Addr;
-use actix_service::{ServiceFactory, map_config};
+use actix_service::map_config;
 use actix_web::{App, HttpResponse, dev::AppConfig, web};
 use model::Revision;
 use prometheus::Registry;
@@ -54,12 +54,12 @@
         .route("/metrics", web::get().to(export_metrics))
         .route("/status", web::get().to(status))
         .route("/state", web::get().to(state));
-    let factory = http::builder()
-        .h1(map_config(app, |()| AppConfig::default()))
-        .tcp();
-    if let Ok(service) = factory.new_service(()).await {
-        http::spawn(listener, service, closing);
-    }
+    http::serve(
+        listener,
+        map_config(app, |()| AppConfig::default()),
+        closing,
+    )
+    .await;
     Ok(())
 }
 
--- a/crates/balsamd/src/store.rs
+++ b/crates/balsamd/src/store.rs
@@ -9,10 +9,7 @@
 use model::{StoreFailure, StoreRead};
 use platform::StoreValue;
 
-use crate::{
-    client,
-    shell::{Shell, StoreReadEnded},
-};
+use crate::{client, exchanges::StoreReadEnded, shell::Shell};
 
 /// Time that an answer may take beyond the time that the read waits for a change.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
--- a/crates/gateway/src/offer.rs
+++ b/crates/gateway/src/offer.rs
@@ -48,7 +48,7 @@
         requester: Requester::Caller(caller),
         front,
         request: &request,
-        goal: None,
+        goal: Goal::Own,
     };
     let Some(key) = store(gateway, now, &asked) else {
         let reason = NotRunReason::DeadlinePassed;
@@ -88,9 +88,16 @@
     pub front: FrontKey,
     /// The request.
     pub request: &'a Arc<HttpRequest>,
-    /// When an answer has to leave to be of full use, if another instance has worked that out;
-    /// `Some(None)` if that is over.
-    pub goal: Option<Option<Instant>>,
+    /// Who works out when an answer has to leave to be of full use.
+    pub goal: Goal,
+}
+
+/// Who works out when an answer has to leave to be of full use.
+pub(crate) enum Goal {
+    /// This instance, from the front and the caller's timeout.
+    Own,
+    /// The instance that the caller is connected to; nothing if that time is over.
+    Told(Option<Instant>),
 }
 
 /// Stores an exchange; returns nothing if its time is over.
@@ -106,8 +113,8 @@
     let front = &gateway.catalog.fronts[key];
     let timeout = request.timeout.unwrap_or(front.timeout);
     let goal_at = match asked.goal {
-        Some(goal_at) => goal_at,
-        None => {
+        Goal::Told(goal_at) => goal_at,
+        Goal::Own => {
             let waited = waited_before(usage, now, timeout);
             goal_at(front, now, waited, reserve)
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -20,7 +20,7 @@
 use crate::{
     Gateway, Relay,
     end::withdraw,
-    offer::{Asked, run_here, store},
+    offer::{Asked, Goal, run_here, store},
     respond::{log, refuse_relayed, respond, take},
 };
 
@@ -187,7 +187,7 @@
             requester,
             front,
             request,
-            goal: Some(relayed.goal.map(|goal| now + goal)),
+            goal: Goal::Told(relayed.goal.map(|goal| now + goal)),
         };
         store(gateway, now, &asked)
     });
