Aim second calls at the goal of a query

Cause: a second call went out when the reply was late by the target's own times.

Now it goes out at the usual lateness of the front at the latest, and at the last moment from which a second reply probably makes the goal.

--- a/crates/gateway/src/estimate.rs
+++ b/crates/gateway/src/estimate.rs
@@ -48,6 +48,11 @@
 
 /// Returns the time after which a reply is late.
 pub fn late_after(estimate: &Estimate) -> Duration {
-    let beyond_ms = (estimate.deviation_ms * LATE_DEVIATIONS).max(LATE_MIN_MS);
+    within(estimate, LATE_DEVIATIONS)
+}
+
+/// Returns the time within which most replies come, a number of mean deviations beyond the mean.
+pub fn within(estimate: &Estimate, deviations: f64) -> Duration {
+    let beyond_ms = (estimate.deviation_ms * deviations).max(LATE_MIN_MS);
     Duration::from_secs_f64((estimate.mean_ms + beyond_ms) / 1000.0)
 }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -1,6 +1,6 @@
 //! Sending a part to a target.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use model::{AttemptCall, Counter, Effect, ExchangeKey};
 use serde::Serialize;
@@ -8,13 +8,21 @@
 use crate::{
     Attempt, Choice, Gateway, budget,
     budget::Extra,
-    choose, estimate, fingerprint, health,
+    choose, estimate,
+    estimate::Estimate,
+    fingerprint, health,
     table::{Part, PartState},
 };
 use catalog::Standing;
 
 /// Time after which a reply is late on a front that nobody has replied on yet.
-const LATE_UNKNOWN: std::time::Duration = std::time::Duration::from_millis(150);
+const LATE_UNKNOWN: Duration = Duration::from_millis(150);
+/// Mean deviations beyond the mean that a second call has until the goal: 97 of 100 replies of a
+/// normal distribution come within them.
+const SECOND_CALL_DEVIATIONS: f64 = 2.4;
+/// Mean deviations beyond the mean that a first call has before a second one may go out to meet the
+/// goal: three in four replies come within them.
+const FIRST_CALL_DEVIATIONS: f64 = 0.8;
 
 /// Sends an open part to its first target, or lets it wait for a connection.
 pub(crate) fn send_part(
@@ -130,6 +138,8 @@
         .get(front)
         .map_or("", |front| &front.name);
     let late_after = late_after(gateway, front, target);
+    let usual = gateway.usage.get(front).map(|usage| &usage.latency);
+    let call_again_at = call_again_at(now, late_after, usual, exchange.goal_at);
     let attempt = gateway.attempts.insert(Attempt {
         exchange: key,
         part_index,
@@ -165,7 +175,7 @@
     part.tried.push(target);
     part.sent_count += 1;
     part.running.push(attempt);
-    part.late_at = Some(now + late_after);
+    part.late_at = Some(call_again_at);
     let service = part.service;
     let counter = if is_extra {
         exchange.extra_count += 1;
@@ -183,11 +193,7 @@
 }
 
 /// Returns the time after which a target's reply is late.
-fn late_after(
-    gateway: &Gateway,
-    front: model::FrontKey,
-    target: model::TargetKey,
-) -> std::time::Duration {
+fn late_after(gateway: &Gateway, front: model::FrontKey, target: model::TargetKey) -> Duration {
     let own = gateway
         .health
         .get(target)
@@ -203,6 +209,27 @@
     }
 }
 
+/// Returns when another target should be called for a part that is sent now: when the reply is late
+/// by the usual times of the front, or at the last moment from which a second call probably
+/// replies before the goal.
+fn call_again_at(
+    now: Instant,
+    late_after: Duration,
+    usual: Option<&Estimate>,
+    goal_at: Option<Instant>,
+) -> Instant {
+    let Some(usual) = usual.filter(|usual| usual.replies_count > 0) else {
+        return now + late_after;
+    };
+    let late_at = now + late_after.min(estimate::late_after(usual));
+    let last_useful_at =
+        goal_at.and_then(|at| at.checked_sub(estimate::within(usual, SECOND_CALL_DEVIATIONS)));
+    match last_useful_at {
+        Some(at) => late_at.min(at.max(now + estimate::within(usual, FIRST_CALL_DEVIATIONS))),
+        None => late_at,
+    }
+}
+
 /// Marks an open part that no attempt runs for as missing.
 pub(crate) fn give_up(gateway: &mut Gateway, key: ExchangeKey, part_index: usize) {
     let Some(exchange) = gateway.exchanges.get_mut(key) else {
--- a/crates/gateway/src/tests/load.rs
+++ b/crates/gateway/src/tests/load.rs
@@ -75,9 +75,14 @@
 }
 
 /// Plays queries over 20 services at an even rate.
-fn play(attempts_max_count: u32, every_ms: u64, mut targets: Targets) -> Got {
+fn play(attempts_max_count: u32, every_ms: u64, targets: Targets) -> Got {
+    play_within(80, attempts_max_count, every_ms, targets)
+}
+
+/// The same with another goal.
+fn play_within(goal_ms: u64, attempts_max_count: u32, every_ms: u64, mut targets: Targets) -> Got {
     let mut plan = plan(20);
-    plan.goal_ms = 80;
+    plan.goal_ms = goal_ms;
     plan.attempts_max_count = attempts_max_count;
     let mut world = world(&plan, |call, at_ms| targets.serve(call, at_ms));
     let queries_count = 12_000 / every_ms;
@@ -128,6 +133,16 @@
     assert!(got.worth_ratio > 0.95, "{got:?}");
 }
 
+#[test]
+fn a_tight_goal_is_met_beside_pauses_and_slow_targets() {
+    // The goal leaves 36 ms, and a first call takes 8 to 16. Targets 3/a and 13/a take 26 to 58, so
+    // their two services of 20 cannot be complete while the other target pauses, 4.4% of the time.
+    // That costs 0.9% of the worth; everything else may cost a third as much.
+    let got = play_within(50, 2, 20, targets(Some(("3/a", 4.0)), true));
+    assert!(got.worth_ratio > 0.988, "{got:?}");
+    assert!(got.calls_ratio < 1.15, "{got:?}");
+}
+
 #[test]
 fn a_load_near_the_targets_capacity_is_served() {
     // Four slots a service and 10 ms of work bear a query every 2.5 ms.
