Open peers' connections again that have gone silent

Cause: a connection to another instance that goes silent without an end was never opened again. Questions sent on it stayed unanswered, but as long as the other's own questions arrived on their connection, the other counted as heard and nothing was repeated; the other suspected this instance for good, and each computed its share of the limits from a wrong number of instances.

Change: a question that is unanswered after a quarter of the time of a suspicion is repeated whether or not the member is heard, and on a new connection (Effect::Reconnect).

Ruled out: the loss of single messages (covered by the repeat already).

--- a/crates/balsamd/src/effects.rs
+++ b/crates/balsamd/src/effects.rs
@@ -87,6 +87,7 @@
         } => {
             peers::send(&mut shell.outboxes, address, peer, &message);
         }
+        Effect::Reconnect { address: peer } => peers::disconnect(&mut shell.outboxes, peer),
         Effect::ReadPlatform(read) => {
             let settings = &shell.state.settings.platform;
             notes::spawn_read(address, &shell.platform, settings, read);
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -24,7 +24,12 @@
     suspicion::check(fleet, &settings.fleet, now, out);
     member::forget_gone(fleet, now);
     let mut receivers = digest::receivers(fleet, &settings.fleet);
-    receivers.extend(suspicion::repeats(fleet, &settings.fleet, now));
+    let repeats = suspicion::repeats(fleet, &settings.fleet, now);
+    // A connection may have gone silent without an end; the repeated question goes on a new one.
+    out.extend(repeats.iter().map(|receiver| Effect::Reconnect {
+        address: receiver.address,
+    }));
+    receivers.extend(repeats);
     receivers.extend(digest::seed(fleet, settings));
     for receiver in receivers {
         let digest = digest::outgoing(fleet, now, &receiver, quarantine);
--- a/crates/fleet/src/suspicion.rs
+++ b/crates/fleet/src/suspicion.rs
@@ -62,6 +62,9 @@
 }
 
 /// Returns the members to ask again, so that a lost message alone never causes a suspicion.
+///
+/// A member that is heard but does not reply is asked again too: its own messages do not tell
+/// whether those to it arrive.
 pub(crate) fn repeats(
     fleet: &mut FleetState,
     settings: &settings::Fleet,
@@ -77,7 +80,7 @@
         let Some(member) = fleet.members.get(&probe.name) else {
             continue;
         };
-        if !member.is_present() || is_heard_since(member, probe.first_sent_at) {
+        if !member.is_present() {
             continue;
         }
         probe.is_repeated = true;
--- a/crates/model/src/effect.rs
+++ b/crates/model/src/effect.rs
@@ -151,6 +151,11 @@
         /// The message.
         message: Message,
     },
+    /// Send further messages to another instance on a new connection; the present one may be dead.
+    Reconnect {
+        /// Address of the other instance's peers' port.
+        address: SocketAddr,
+    },
     /// Read from the platform.
     ReadPlatform(PlatformRead),
     /// Send a caller's request to a target.
--- a/crates/tier/src/tests/membership.rs
+++ b/crates/tier/src/tests/membership.rs
@@ -45,6 +45,15 @@
     assert_eq!(states_of(&net, 2), [MemberState::Alive; 5]);
 }
 
+#[test]
+fn connections_that_have_gone_silent_are_opened_again() {
+    let mut net = settled(6, 7);
+    net.silent_connections = (1..6).map(|to| (0, to)).collect();
+    run_for(&mut net, Duration::from_secs(12));
+    assert!(net.silent_connections.is_empty());
+    assert_eq!(states_of(&net, 0), [MemberState::Alive; 5]);
+}
+
 #[test]
 fn both_sides_of_a_cut_find_each_other_again() {
     let mut net = settled(6, 3);
--- a/crates/tier/src/tests/net.rs
+++ b/crates/tier/src/tests/net.rs
@@ -2,7 +2,7 @@
 
 use std::{
     borrow::Cow,
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -76,6 +76,8 @@
     pub(crate) now: Instant,
     pub(crate) platform: Platform,
     pub(crate) faults: Faults,
+    /// Open connections, from and to, on which nothing arrives any more.
+    pub(crate) silent_connections: BTreeSet<(usize, usize)>,
     queue: BTreeMap<(Instant, u64), (usize, u64, Due)>,
     queued_count: u64,
     rng: ChaCha8Rng,
@@ -92,6 +94,7 @@
             double_ratio: 0.0,
             delay_max: Duration::from_millis(3),
         },
+        silent_connections: BTreeSet::new(),
         queue: BTreeMap::new(),
         queued_count: 0,
         rng: ChaCha8Rng::seed_from_u64(seed),
@@ -261,6 +264,10 @@
 fn run_effect(net: &mut Net, index: usize, effect: Effect) {
     match effect {
         Effect::Send { address, message } => send(net, index, address, message),
+        Effect::Reconnect { address } => {
+            let to = usize::from(address.port() - FIRST_PORT);
+            net.silent_connections.remove(&(index, to));
+        }
         Effect::SetTimer { timer, after } => push(net, net.now + after, index, Due::Timer(timer)),
         Effect::ReadPlatform(read) => read_platform(net, index, read),
         Effect::AskLoad { target, .. } => {
@@ -300,6 +307,9 @@
     if net.nodes[index].group != net.nodes[from].group {
         return;
     }
+    if net.silent_connections.contains(&(from, index)) {
+        return;
+    }
     let copies_count = 1 + usize::from(net.rng.random_bool(net.faults.double_ratio));
     for _ in 0..copies_count {
         if net.rng.random_bool(net.faults.drop_ratio) {
