Turn callers away from a zone that is cut off

Cause: instances of a cut-off zone went on taking queries that they could not answer, because the targets of most services were beyond the cut, and kept each until its deadline. The platform and the callers heard nothing of it.

Change: an instance that hears no other zone and reaches too few targets is not ready, refuses what it cannot serve as not run, ends what is hopeless and closes callers' connections. Silence of a target is noticed by the tick instead of at the end of the query.

--- a/crates/balsamd/src/callers.rs
+++ b/crates/balsamd/src/callers.rs
@@ -49,7 +49,7 @@
 struct Context {
     shell: Addr<Shell>,
     body_max_bytes: usize,
-    is_leaving: Arc<AtomicBool>,
+    turns_away: Arc<AtomicBool>,
 }
 
 /// Serves the callers' port until the process ends.
@@ -61,13 +61,13 @@
     shell: Addr<Shell>,
     address: SocketAddr,
     limits: &settings::Query,
-    is_leaving: Arc<AtomicBool>,
+    turns_away: Arc<AtomicBool>,
     closing: Closing,
 ) -> Result<(), StartError> {
     let context = Context {
         shell,
         body_max_bytes: limits.body_max_bytes as usize,
-        is_leaving,
+        turns_away,
     };
     let listener = http::bind("callers", address).await?;
     let app = App::new()
@@ -120,7 +120,7 @@
 /// Closes the connection after its response if the instance shuts down, so that the caller's next
 /// request goes to another instance.
 fn close_if_leaving(context: &Context, mut response: HttpResponse) -> HttpResponse {
-    if context.is_leaving.load(Ordering::Relaxed) {
+    if context.turns_away.load(Ordering::Relaxed) {
         response
             .head_mut()
             .set_connection_type(ConnectionType::Close);
@@ -340,7 +340,8 @@
             | NotRunReason::Overloaded
             | NotRunReason::NoTarget
             | NotRunReason::Declined
-            | NotRunReason::Leaving => StatusCode::SERVICE_UNAVAILABLE,
+            | NotRunReason::Leaving
+            | NotRunReason::CutOff => StatusCode::SERVICE_UNAVAILABLE,
         },
     }
 }
--- a/crates/balsamd/src/ingress.rs
+++ b/crates/balsamd/src/ingress.rs
@@ -27,7 +27,7 @@
 struct Port {
     shell: Addr<Shell>,
     body_max_bytes: usize,
-    is_leaving: Arc<AtomicBool>,
+    turns_away: Arc<AtomicBool>,
 }
 
 /// Serves the gateway's port until the process ends.
@@ -38,13 +38,13 @@
 pub async fn spawn(
     shell: Addr<Shell>,
     settings: &settings::Gateway,
-    is_leaving: Arc<AtomicBool>,
+    turns_away: Arc<AtomicBool>,
     closing: Closing,
 ) -> Result<(), StartError> {
     let port = Port {
         shell,
         body_max_bytes: settings.body_max_bytes as usize,
-        is_leaving,
+        turns_away,
     };
     let listener = http::bind("gateway", settings.listen).await?;
     let service = fn_service(move |request: Request| {
@@ -57,7 +57,7 @@
 
 async fn serve(port: &Port, request: Request) -> Response<Bytes> {
     let mut response = respond(port, request).await;
-    if port.is_leaving.load(Ordering::Relaxed) {
+    if port.turns_away.load(Ordering::Relaxed) {
         response
             .head_mut()
             .set_connection_type(ConnectionType::Close);
--- a/crates/balsamd/src/shell.rs
+++ b/crates/balsamd/src/shell.rs
@@ -50,8 +50,8 @@
 /// The actor: the reducer's state and what its effects need.
 pub struct Shell {
     pub(crate) state: State,
-    /// Tells the callers' port to let callers reconnect elsewhere.
-    pub(crate) is_leaving: Arc<AtomicBool>,
+    /// Tells the callers' ports to let callers reconnect elsewhere.
+    pub(crate) turns_away: Arc<AtomicBool>,
     pub(crate) clock: Clock,
     pub(crate) metrics: Metrics,
     pub(crate) timers: Option<Timers>,
@@ -103,10 +103,10 @@
     let peers = TcpListener::bind(listen.peers)
         .await
         .map_err(|error| StartError::Listen("peers", listen.peers, error))?;
-    let is_leaving = Arc::new(AtomicBool::new(false));
+    let turns_away = Arc::new(AtomicBool::new(false));
     let (close_ports, closing) = watch::channel(false);
     let shell = Shell {
-        is_leaving: is_leaving.clone(),
+        turns_away: turns_away.clone(),
         state: tier::open(settings, incarnation, seed()?),
         clock: clock::system(),
         metrics,
@@ -127,12 +127,12 @@
     };
     let address = shell.start();
     if let Some(callers) = listen.callers {
-        let is_leaving = is_leaving.clone();
+        let turns_away = turns_away.clone();
         let closing = closing.clone();
-        callers::spawn(address.clone(), callers, &limits, is_leaving, closing).await?;
+        callers::spawn(address.clone(), callers, &limits, turns_away, closing).await?;
     }
     if let Some(gateway) = &gateway {
-        ingress::spawn(address.clone(), gateway, is_leaving, closing.clone()).await?;
+        ingress::spawn(address.clone(), gateway, turns_away, closing.clone()).await?;
     }
     operators::spawn(address.clone(), registry, gauges, &listen, closing).await?;
     peers::spawn_listener(address.clone(), peers);
@@ -227,6 +227,8 @@
         effects::run(shell, &address, effect);
     }
     shell.effects = out;
+    let turns_away = tier::turns_callers_away(&shell.state);
+    shell.turns_away.store(turns_away, Ordering::Relaxed);
     waits::settle(shell);
 }
 
@@ -478,7 +480,6 @@
     type Result = ();
 
     fn handle(&mut self, _: LeaveWanted, context: &mut Self::Context) {
-        self.is_leaving.store(true, Ordering::Relaxed);
         handle(self, context, Event::Leave);
     }
 }
--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -4,9 +4,10 @@
 
 use model::{Digest, MemberRow, MemberState, QuarantineRow};
 use rand::{RngExt, seq::IteratorRandom};
+use rand_chacha::ChaCha8Rng;
 use settings::Settings;
 
-use crate::{FleetState, Join, Member, Probe, freshness, join, member};
+use crate::{FleetState, Join, Member, Probe, freshness, join, member, share};
 
 /// Rows about members in one digest, which bounds its size.
 const ROWS_MAX_COUNT: usize = 2;
@@ -15,6 +16,9 @@
 /// Ticks between two questions to a seed that is not known as a member.
 const SEED_TICKS_COUNT: u64 = 10;
 
+/// Ticks without a word of any other zone after which each of them is asked.
+const SILENT_TICKS_COUNT: u32 = 2;
+
 /// An instance that receives a digest this tick.
 #[derive(Clone, Debug)]
 pub(crate) struct Receiver {
@@ -29,7 +33,13 @@
 ///
 /// The first comes from the zone that answered longest ago, so news cross the zones and every zone
 /// is asked in turn. An instance that counts as gone is tried now and then, which ends partitions.
-pub(crate) fn receivers(fleet: &mut FleetState, settings: &settings::Fleet) -> Vec<Receiver> {
+/// If no other zone was heard for some ticks, each of them is asked: either one answers, or this
+/// instance is cut off.
+pub(crate) fn receivers(
+    fleet: &mut FleetState,
+    settings: &settings::Fleet,
+    now: Instant,
+) -> Vec<Receiver> {
     let is_joining = fleet.join == Join::Waiting;
     let mut fanout_count = settings.fanout_count as usize;
     if is_joining {
@@ -46,6 +56,13 @@
             chosen.push(member);
         }
     }
+    let questions_min_count = match is_every_other_zone_silent(fleet, settings, now) {
+        true => {
+            chosen.extend(one_of_each_other_zone(fleet, &chosen, &mut rng));
+            chosen.len()
+        }
+        false => 1,
+    };
     let gone = fleet.members.values().filter(|member| !member.is_present());
     if fleet.ticks_count.is_multiple_of(GONE_RETRY_TICKS_COUNT) {
         chosen.extend(gone.choose(&mut rng));
@@ -56,7 +73,7 @@
         .map(|(index, member)| Receiver {
             name: member.row.id.name.clone(),
             address: member.row.address,
-            wants_reply: index == 0 || is_joining || !member.is_present(),
+            wants_reply: index < questions_min_count || is_joining || !member.is_present(),
             first_sent_at: None,
         });
     let receivers = receivers.collect();
@@ -64,6 +81,36 @@
     receivers
 }
 
+/// Tells whether no instance of another zone was heard for some ticks, though there are some.
+fn is_every_other_zone_silent(
+    fleet: &FleetState,
+    settings: &settings::Fleet,
+    now: Instant,
+) -> bool {
+    let heard_at = share::other_zones_heard_at(fleet);
+    heard_at.is_some_and(|at| now >= at + settings.tick * SILENT_TICKS_COUNT)
+}
+
+/// Chooses an instance of each other zone that none of the chosen ones belongs to.
+fn one_of_each_other_zone<'a>(
+    fleet: &'a FleetState,
+    chosen: &[&Member],
+    rng: &mut ChaCha8Rng,
+) -> Vec<&'a Member> {
+    let is_covered =
+        |zone: &str| zone == fleet.zone || chosen.iter().any(|member| member.row.zone == zone);
+    let mut zones: BTreeMap<&str, Vec<&Member>> = BTreeMap::new();
+    for member in fleet.members.values().filter(|member| member.is_present()) {
+        if !is_covered(&member.row.zone) {
+            zones.entry(&member.row.zone).or_default().push(member);
+        }
+    }
+    let zones = zones.into_values();
+    zones
+        .filter_map(|members| members.into_iter().choose(rng))
+        .collect()
+}
+
 /// Chooses a seed that is asked for the other instances: every tick until somebody is known, and
 /// now and then later, which joins parts of the fleet that know nothing of each other.
 pub(crate) fn seed(fleet: &mut FleetState, settings: &Settings) -> Option<Receiver> {
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -23,7 +23,7 @@
     fleet.ticks_count += 1;
     suspicion::check(fleet, &settings.fleet, now, out);
     member::forget_gone(fleet, now);
-    let mut receivers = digest::receivers(fleet, &settings.fleet);
+    let mut receivers = digest::receivers(fleet, &settings.fleet, now);
     let repeats = suspicion::repeats(fleet, &settings.fleet, now);
     // A connection may have gone silent without an end; the repeated question goes on a new one.
     out.extend(repeats.iter().map(|receiver| Effect::Reconnect {
@@ -73,7 +73,7 @@
     now: Instant,
     out: &mut Vec<Effect>,
 ) {
-    for mut receiver in digest::receivers(fleet, &settings.fleet) {
+    for mut receiver in digest::receivers(fleet, &settings.fleet, now) {
         receiver.wants_reply = false;
         let digest = digest::outgoing(fleet, now, &receiver, &[]);
         send(receiver.address, Message::Digest(digest), out);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -34,6 +34,8 @@
 pub use member::{is_before, knows_address, merge_row, own_row};
 pub use readers::is_reader;
 pub use reading::{READS_PER_READER_MAX_PER_S, platform_due, platform_failed, started};
-pub use share::{capacity_ratio, larger_in_zone, may_hold_count, own_rank, zone_addresses};
+pub use share::{
+    capacity_ratio, larger_in_zone, may_hold_count, other_zones_heard_at, own_rank, zone_addresses,
+};
 pub use suspicion::peer_unreachable;
 pub use table::{FleetState, Join, Member, Probe, Reading, Voucher, open};
--- a/crates/fleet/src/share.rs
+++ b/crates/fleet/src/share.rs
@@ -1,6 +1,6 @@
 //! How many instances share the targets' connections, and this instance's place among them.
 
-use std::{collections::BTreeSet, net::SocketAddr};
+use std::{collections::BTreeSet, net::SocketAddr, time::Instant};
 
 use model::MemberState;
 
@@ -66,6 +66,13 @@
         .collect()
 }
 
+/// Returns when an instance of another zone was last heard; nothing if none ever was.
+pub fn other_zones_heard_at(fleet: &FleetState) -> Option<Instant> {
+    let members = fleet.members.values();
+    let others = members.filter(|member| member.row.zone != fleet.zone);
+    others.filter_map(|member| member.heard_at).max()
+}
+
 fn alive_in_zone(fleet: &FleetState) -> impl Iterator<Item = &Member> {
     let members = fleet.members.values();
     members.filter(|member| member.row.state == MemberState::Alive && member.row.zone == fleet.zone)
--- a/crates/gateway/src/end.rs
+++ b/crates/gateway/src/end.rs
@@ -4,7 +4,7 @@
 
 use model::{
     AttemptKey, AttemptReply, CallFailure, CallerKey, Counter, Effect, ExchangeKey, Level, LogLine,
-    PassedReply, ReplyStatus, Requester, Timing, to_word,
+    PassedReply, ReplyStatus, Requester, TargetKey, Timing, to_word,
 };
 
 use crate::{
@@ -152,7 +152,7 @@
         }
         ReplyStatus::Misdirected => {
             if !std::mem::replace(&mut health.is_replaced, true) {
-                let line = target_line(gateway, attempt, "target-replaced");
+                let line = target_line(gateway, attempt.target, "target-replaced");
                 out.push(Effect::Log(line));
                 out.push(Effect::Disconnect {
                     target: attempt.target,
@@ -177,19 +177,20 @@
     if failure != CallFailure::ConnectRefused {
         return;
     }
-    let was_avoided = health.avoid_until.is_some_and(|until| now < until);
+    let was_avoided = health::is_avoided(health, now);
     health::unreachable(health, now);
     if !was_avoided {
         out.push(Effect::Log(target_line(
             gateway,
-            attempt,
+            attempt.target,
             "target-unreachable",
         )));
     }
 }
 
-fn target_line(gateway: &Gateway, attempt: &Attempt, name: &str) -> LogLine {
-    let target = gateway.catalog.targets.get(attempt.target);
+/// Returns the start of a log line about a target.
+pub(crate) fn target_line(gateway: &Gateway, target: TargetKey, name: &str) -> LogLine {
+    let target = gateway.catalog.targets.get(target);
     let id = target.map_or("", |target| &*target.id);
     let service = target.and_then(|target| gateway.catalog.services.get(target.service));
     let service = service.map_or("", |service| &*service.name);
--- a/crates/gateway/src/health.rs
+++ b/crates/gateway/src/health.rs
@@ -70,6 +70,22 @@
     health.avoid_until = Some(now + avoid);
 }
 
+/// Tells whether others are preferred at present because the target could not be reached.
+pub fn is_avoided(health: &Health, now: Instant) -> bool {
+    health.avoid_until.is_some_and(|until| now < until)
+}
+
+/// Tells whether the target has not been reached since it last failed to reply.
+pub(crate) fn is_unreached(health: &Health) -> bool {
+    health.is_replaced || health.refusals_count > 0
+}
+
+/// Forgets that the target could not be reached.
+pub(crate) fn forgive(health: &mut Health) {
+    health.refusals_count = 0;
+    health.avoid_until = None;
+}
+
 /// Returns how many requests were sent to the target in the last second of its cold start.
 pub(crate) fn cold_sent_count(health: &Health, now: Instant) -> usize {
     let sent = health.cold_sent_at.iter();
--- /dev/null
+++ b/crates/gateway/src/isolation.rs
@@ -0,0 +1,105 @@
+//! Whether this instance reaches enough targets to be of use to its callers.
+//!
+//! A zone that is cut off from the others reaches only its own targets. Its instances cannot answer
+//! queries that need more, while instances of other zones can; so they say at once that they do not
+//! run such a query, and tell the platform that they are not ready. Targets that are down look the
+//! same from here, but then the other zones are still heard, and nothing is gained by turning
+//! callers away.
+
+use std::time::Instant;
+
+use catalog::{Front, Route, Standing};
+use model::{Effect, ExchangeKey, Level, LogLine, ServiceKey, TargetKey};
+
+use crate::{Gateway, PartState, health, respond::finish};
+
+/// Brings the state of isolation up to date.
+pub(crate) fn update(gateway: &mut Gateway, now: Instant, out: &mut Vec<Effect>) {
+    let was_isolated = gateway.is_isolated;
+    // Once callers go elsewhere nothing is tried any more, so only the end of the cut ends it.
+    gateway.is_isolated = gateway.is_cut_off && (was_isolated || lacks_targets(gateway, now));
+    match (was_isolated, gateway.is_isolated) {
+        (false, true) => {
+            out.push(Effect::Log(line(gateway, "isolated")));
+            end_hopeless(gateway, now, out);
+        }
+        (true, false) => {
+            for health in gateway.health.values_mut() {
+                health::forgive(health);
+            }
+            out.push(Effect::Log(line(gateway, "isolation-over")));
+        }
+        _ => {}
+    }
+}
+
+/// Tells whether a front's requests can be answered with the targets that are reached.
+pub(crate) fn can_serve(gateway: &Gateway, now: Instant, front: &Front) -> bool {
+    let is_reached = |service: ServiceKey| is_service_reached(gateway, now, service);
+    match &front.route {
+        Route::Split(parts) => parts.iter().any(|&(service, _)| is_reached(service)),
+        Route::Gather {
+            services,
+            least_count,
+            ..
+        } => {
+            let reached = services.iter().filter(|&&service| is_reached(service));
+            reached.count() >= *least_count as usize
+        }
+    }
+}
+
+/// Tells whether a front that callers use cannot be served.
+fn lacks_targets(gateway: &Gateway, now: Instant) -> bool {
+    let mut used = gateway.usage.iter().filter(|(_, usage)| {
+        let [present, last] = usage.timeouts_max;
+        !present.max(last).is_zero()
+    });
+    used.any(|(front, _)| {
+        let front = gateway.catalog.fronts.get(front);
+        front.is_some_and(|front| !can_serve(gateway, now, front))
+    })
+}
+
+fn is_service_reached(gateway: &Gateway, now: Instant, service: ServiceKey) -> bool {
+    let Some(service) = gateway.catalog.services.get(service) else {
+        return false;
+    };
+    service.targets.iter().any(|&target| {
+        let is_out = catalog::standing(&gateway.catalog, target, now) == Standing::Out;
+        !is_out && is_target_reached(gateway, target)
+    })
+}
+
+fn is_target_reached(gateway: &Gateway, target: TargetKey) -> bool {
+    let health = gateway.health.get(target);
+    !health.is_some_and(health::is_unreached)
+}
+
+/// Ends the exchanges that cannot get enough parts any more, so that their callers try elsewhere.
+fn end_hopeless(gateway: &mut Gateway, now: Instant, out: &mut Vec<Effect>) {
+    let exchanges = gateway.exchanges.iter();
+    let hopeless = exchanges.filter(|(_, exchange)| {
+        let open = exchange.parts.iter();
+        let open = open.filter(|part| matches!(part.state, PartState::Open));
+        let possible = open.filter(|part| is_service_reached(gateway, now, part.service));
+        let possible_count = u32::try_from(possible.count()).unwrap_or(u32::MAX);
+        exchange.relay.is_none()
+            && exchange.is_idempotent
+            && exchange.answered_count + possible_count < exchange.least_count
+    });
+    let hopeless: Vec<ExchangeKey> = hopeless.map(|(key, _)| key).collect();
+    for key in hopeless {
+        finish(gateway, now, key, out);
+    }
+}
+
+fn line(gateway: &Gateway, name: &str) -> LogLine {
+    let health = gateway.health.values();
+    let unreached = health.filter(|health| health::is_unreached(health));
+    LogLine::new(Level::Warn, name)
+        .with("version", gateway.catalog.version)
+        .with("targets_count", gateway.catalog.targets.len() as u64)
+        .with("unreached_count", unreached.count() as u64)
+        .with("exchanges_count", gateway.exchanges.len() as u64)
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod end;
 mod estimate;
 mod health;
+mod isolation;
 mod merge;
 mod offer;
 mod place;
@@ -34,7 +35,7 @@
 pub use due::due;
 pub use end::{attempt_failed, attempt_replied, caller_gone};
 pub use estimate::Estimate;
-pub use health::Health;
+pub use health::{Health, is_avoided};
 pub use merge::greatest_records;
 pub use offer::offered;
 pub use place::{Choice, choose};
@@ -43,4 +44,4 @@
 pub use table::{
     Attempt, Exchange, Gateway, Part, PartState, Relay, Usage, fingerprint, is_known, open,
 };
-pub use tick::{paused, set_fleet, targets_gone, tick};
+pub use tick::{Fleet, paused, set_fleet, targets_gone, tick};
--- a/crates/gateway/src/offer.rs
+++ b/crates/gateway/src/offer.rs
@@ -16,7 +16,7 @@
 use crate::{
     Exchange, Gateway, Part, PartState, Usage, budget,
     due::arm,
-    relay,
+    isolation, relay,
     respond::{finish_if_decided, refuse},
     send::send_part,
 };
@@ -44,6 +44,9 @@
         let reason = NotRunReason::UnknownFront;
         return refuse(gateway, caller, &request, reason, out);
     };
+    if gateway.is_isolated && !isolation::can_serve(gateway, now, &gateway.catalog.fronts[front]) {
+        return refuse(gateway, caller, &request, NotRunReason::CutOff, out);
+    }
     let asked = Asked {
         requester: Requester::Caller(caller),
         front,
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -101,9 +101,9 @@
     let before = requests_before(health, now);
     let queue_ms = reply_ms * (before + 1.0 - slots).max(0.0) / slots;
     let failure_ms = health.failures_ratio * reply_ms * FAILURE_FACTOR;
-    let avoided_ms = match health.avoid_until {
-        Some(until) if now < until => AVOIDED_MS,
-        _ => 0.0,
+    let avoided_ms = match health::is_avoided(health, now) {
+        true => AVOIDED_MS,
+        false => 0.0,
     };
     reply_ms + queue_ms + failure_ms + avoided_ms + silent_ms(gateway, health, now)
 }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -148,6 +148,7 @@
         is_extra,
         sent_at: now,
         late_at: now + late_after,
+        is_silence_noted: false,
         unwanted_since: None,
         is_idempotent: exchange.is_idempotent,
         fingerprint: fingerprint(front_name, &exchange.request),
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -45,6 +45,10 @@
     /// This instance's part of what all instances may use, once others were heard of or nobody
     /// answered.
     pub share_ratio: Option<f64>,
+    /// Whether no instance of another zone is heard any more.
+    pub is_cut_off: bool,
+    /// Whether this instance is cut off from more targets than its callers can do without.
+    pub is_isolated: bool,
     /// Larger instances of the zone, by their peers' ports.
     pub larger: Vec<SocketAddr>,
     /// Larger instances that did not take a query in time, and until when they are avoided.
@@ -191,6 +195,8 @@
     /// When its reply is late.
     #[serde(skip)]
     pub late_at: Instant,
+    /// Whether the target's silence since then has been taken for a failure.
+    pub is_silence_noted: bool,
     /// When nobody needed its reply any more.
     #[serde(skip)]
     pub unwanted_since: Option<Instant>,
@@ -213,6 +219,8 @@
         usage: SecondaryMap::new(),
         waiting: VecDeque::new(),
         share_ratio: None,
+        is_cut_off: false,
+        is_isolated: false,
         larger: Vec::new(),
         avoided_relays: HashMap::new(),
         resumed_at: None,
--- a/crates/gateway/src/tests.rs
+++ b/crates/gateway/src/tests.rs
@@ -3,6 +3,7 @@
 
 mod fixture;
 mod gather;
+mod isolation;
 mod limits;
 mod load;
 mod once;
--- a/crates/gateway/src/tick.rs
+++ b/crates/gateway/src/tick.rs
@@ -7,7 +7,11 @@
 
 use model::{AttemptKey, Effect, TargetKey};
 
-use crate::{Gateway, end::send_waiting, health};
+use crate::{
+    Gateway, end,
+    end::{send_waiting, target_line},
+    health, isolation,
+};
 
 /// Time that an unwanted attempt has to end until its connection is dropped.
 ///
@@ -35,9 +39,11 @@
         since.is_some_and(|since| now >= since + grace)
     });
     let overdue: Vec<AttemptKey> = overdue.map(|(key, _)| key).collect();
+    note_silence(gateway, now, out);
     for key in overdue {
-        drop_attempt(gateway, now, key, out);
+        drop_attempt(gateway, key, out);
     }
+    isolation::update(gateway, now, out);
     let gone = catalog::expire(&mut gateway.catalog, now);
     targets_gone(gateway, &gone, out);
     gateway
@@ -59,25 +65,58 @@
     gateway.resumed_at = Some(now);
 }
 
-/// Notes this instance's part of the limits, and the larger instances of its zone.
-pub fn set_fleet(gateway: &mut Gateway, share_ratio: Option<f64>, larger: Vec<SocketAddr>) {
-    gateway.share_ratio = share_ratio;
-    gateway.larger = larger;
+/// What the gateway has to know about the other instances.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    /// This instance's part of what all instances may use together, once that is known.
+    pub share_ratio: Option<f64>,
+    /// Larger instances of the zone, by their peers' ports.
+    pub larger: Vec<SocketAddr>,
+    /// Whether no instance of another zone is heard any more.
+    pub is_cut_off: bool,
+}
+
+/// Takes in what is known about the other instances.
+pub fn set_fleet(gateway: &mut Gateway, fleet: Fleet) {
+    gateway.share_ratio = fleet.share_ratio;
+    gateway.larger = fleet.larger;
+    gateway.is_cut_off = fleet.is_cut_off;
 }
 
-fn drop_attempt(gateway: &mut Gateway, now: Instant, key: AttemptKey, out: &mut Vec<Effect>) {
+/// Avoids targets from which nothing has come for much longer than a usual reply takes.
+///
+/// Silence while the process itself was paused says nothing.
+fn note_silence(gateway: &mut Gateway, now: Instant, out: &mut Vec<Effect>) {
+    let silent = gateway.attempts.iter().filter(|(_, attempt)| {
+        let is_trusted = gateway.resumed_at.is_none_or(|at| attempt.sent_at >= at);
+        let silent_after = (attempt.late_at - attempt.sent_at) * SILENT_FACTOR;
+        let is_silent = now >= attempt.sent_at + silent_after.max(SILENT_MIN);
+        !attempt.is_silence_noted && is_trusted && is_silent
+    });
+    let silent: Vec<AttemptKey> = silent.map(|(key, _)| key).collect();
+    for key in silent {
+        let attempt = &mut gateway.attempts[key];
+        attempt.is_silence_noted = true;
+        let Some(health) = gateway.health.get_mut(attempt.target) else {
+            continue;
+        };
+        let has_replied = health.replied_at.is_some_and(|at| at > attempt.sent_at);
+        if has_replied || health::is_avoided(health, now) {
+            continue;
+        }
+        health::unreachable(health, now);
+        let silent_ms = end::millis(now, attempt.sent_at);
+        let line = target_line(gateway, gateway.attempts[key].target, "target-silent");
+        out.push(Effect::Log(line.with("silent_ms", silent_ms)));
+    }
+}
+
+fn drop_attempt(gateway: &mut Gateway, key: AttemptKey, out: &mut Vec<Effect>) {
     let Some(attempt) = gateway.attempts.remove(key) else {
         return;
     };
     if let Some(health) = gateway.health.get_mut(attempt.target) {
         health.running.retain(|&running| running != key);
-        let has_replied = health.replied_at.is_some_and(|at| at > attempt.sent_at);
-        let is_trusted = gateway.resumed_at.is_none_or(|at| attempt.sent_at >= at);
-        let silent_after = (attempt.late_at - attempt.sent_at) * SILENT_FACTOR;
-        let is_silent = now >= attempt.sent_at + silent_after.max(SILENT_MIN);
-        if is_trusted && !has_replied && is_silent {
-            health::unreachable(health, now);
-        }
     }
     out.push(Effect::DropAttempt {
         attempt: key,
--- a/crates/model/src/outcome.rs
+++ b/crates/model/src/outcome.rs
@@ -47,6 +47,8 @@
     TicketExpired,
     /// the instance is shutting down and issues no more tickets
     Leaving,
+    /// the instance is cut off from too many targets
+    CutOff,
 }
 
 /// Why it is not known whether a request ran.
--- a/crates/tier/src/gateway.rs
+++ b/crates/tier/src/gateway.rs
@@ -31,6 +31,10 @@
 /// is counted.
 const CHANGES_LOGGED_COUNT: usize = 16;
 
+/// Time without a word of any instance of another zone after which this one may be cut off: four
+/// ticks, in each of which the zone that was heard longest ago is asked.
+const CUT_OFF_AFTER: Duration = Duration::from_millis(800);
+
 /// Starts to read the store.
 pub(crate) fn started(state: &mut State, now: Instant, out: &mut Vec<Effect>) {
     state.started_at = Some(now);
@@ -245,6 +249,7 @@
     let is_counted = fleet::may_hold_count(fleet) > 1 || is_long_started;
     let share_ratio = is_counted.then(|| fleet::capacity_ratio(fleet));
     let larger = fleet::larger_in_zone(fleet, LARGER_FACTOR);
+    let heard_at = fleet::other_zones_heard_at(fleet);
     let role = role(fleet);
     let Some(gateway) = &mut state.gateway else {
         return;
@@ -254,7 +259,18 @@
         out.push(Effect::Log(line));
         gateway.sync.role = role;
     }
-    gateway::set_fleet(gateway, share_ratio, larger);
+    // What arrived during a pause of the process has not been read yet.
+    let heard_at = heard_at.map(|at| {
+        gateway
+            .resumed_at
+            .map_or(at, |resumed_at| at.max(resumed_at))
+    });
+    let fleet = gateway::Fleet {
+        share_ratio,
+        larger,
+        is_cut_off: heard_at.is_some_and(|at| now >= at + CUT_OFF_AFTER),
+    };
+    gateway::set_fleet(gateway, fleet);
     gateway::tick(gateway, now, out);
 }
 
@@ -277,8 +293,14 @@
     out: &mut Vec<Effect>,
 ) {
     leave::note_activity(state, now);
+    let is_isolated = state
+        .gateway
+        .as_ref()
+        .is_some_and(|gateway| gateway.is_isolated);
     let refusal = if state.fleet.is_leaving {
         Some(NotRunReason::Leaving)
+    } else if is_isolated {
+        Some(NotRunReason::CutOff)
     } else if is_request_quarantined(state, now, &request.request) {
         Some(NotRunReason::Quarantined)
     } else {
@@ -289,11 +311,6 @@
     }
 }
 
-/// Tells whether the gateway can serve.
-pub(crate) fn is_ready(gateway: &Gateway) -> bool {
-    gateway::is_known(gateway)
-}
-
 fn fingerprint(state: &State, key: AttemptKey) -> Option<u64> {
     if state.once.suspects.is_empty() {
         return None;
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -31,5 +31,5 @@
 
 pub use dump::{Dump, dump};
 pub use reduce::reduce;
-pub use state::{State, is_ready, open, revision};
+pub use state::{State, is_ready, open, revision, turns_callers_away};
 pub use status::{Status, status};
--- a/crates/tier/src/state.rs
+++ b/crates/tier/src/state.rs
@@ -92,11 +92,18 @@
 /// Tells whether the instance should receive new requests.
 pub fn is_ready(state: &State) -> bool {
     if let Some(gateway) = &state.gateway {
-        return crate::gateway::is_ready(gateway) && !state.fleet.is_leaving;
+        return gateway::is_known(gateway) && !gateway.is_isolated && !state.fleet.is_leaving;
     }
     fleet::is_joined(&state.fleet) && state.can_call_targets && !state.fleet.is_leaving
 }
 
+/// Tells whether callers should turn to another instance, so that their connections end with the
+/// next answer.
+pub fn turns_callers_away(state: &State) -> bool {
+    let gateway = state.gateway.as_ref();
+    state.fleet.is_leaving || gateway.is_some_and(|gateway| gateway.is_isolated)
+}
+
 /// Returns the accepted revision, or 0 if there is none.
 pub fn revision(state: &State) -> Revision {
     match &state.gateway {
--- a/crates/tier/src/status.rs
+++ b/crates/tier/src/status.rs
@@ -71,8 +71,8 @@
     let confirmed_at = answered_at.max(shared_at);
     let age = confirmed_at.map(|at| now.saturating_duration_since(at));
     let health = gateway.health.values();
-    let unreachable = health
-        .filter(|health| health.is_replaced || health.avoid_until.is_some_and(|until| now < until));
+    let unreachable =
+        health.filter(|health| health.is_replaced || gateway::is_avoided(health, now));
     Status {
         name: state.settings.instance.name.clone(),
         zone: state.settings.instance.zone.clone(),
--- a/crates/tier/src/tests/gateway.rs
+++ b/crates/tier/src/tests/gateway.rs
@@ -17,7 +17,7 @@
 use slotmap::KeyData;
 
 use super::fixture::settings;
-use crate::{State, is_ready, open, reduce, revision};
+use crate::{State, is_ready, open, reduce, revision, turns_callers_away};
 
 /// Time after which the machine ends the process.
 const LIMIT: Duration = Duration::from_secs(6);
@@ -345,3 +345,59 @@
     assert_eq!(role == Some(catalog::Role::Alone), !is_shared);
     assert_eq!(told_count > 0, is_reader);
 }
+
+/// A digest of an instance of another zone.
+fn word_of_another_zone(sequence: u64) -> Message {
+    Message::Digest(Digest {
+        from: MemberRow {
+            id: InstanceId {
+                name: "far-1".to_owned(),
+                incarnation: 1,
+            },
+            address: ([10, 9, 9, 9], 7000).into(),
+            zone: "far".to_owned(),
+            capacity_millicores: 250,
+            counter: sequence,
+            state: MemberState::Alive,
+        },
+        sequence: 0,
+        wants_reply: false,
+        revision: 0,
+        freshness_age: Duration::ZERO,
+        members: Vec::new(),
+        quarantine: Vec::new(),
+    })
+}
+
+#[test]
+fn an_instance_that_is_cut_off_from_targets_and_zones_is_not_ready() {
+    let mut entry = entry();
+    let message = Cow::Owned(word_of_another_zone(1));
+    feed(&mut entry, Event::Peer { message });
+    for number in 1..=5 {
+        ask(&mut entry, number, &format!("/{number}"));
+        let calls = attempts(&entry.out);
+        for call in calls {
+            let attempt = call.attempt;
+            let failure = CallFailure::ConnectRefused;
+            feed(&mut entry, Event::AttemptFailed { attempt, failure });
+        }
+    }
+    tick_at(&mut entry, 600);
+    assert!(is_ready(&entry.state), "the other zone may only be slow");
+    tick_at(&mut entry, 1_200);
+    assert!(!is_ready(&entry.state));
+    assert!(turns_callers_away(&entry.state));
+    ask(&mut entry, 9, "/9");
+    let refusal = Outcome::NotRun(NotRunReason::CutOff);
+    let responses = responses(&entry.out);
+    assert!(
+        matches!(responses[..], [HttpResponse::Ended { outcome, .. }] if outcome == refusal),
+        "{responses:?}"
+    );
+    let message = Cow::Owned(word_of_another_zone(2));
+    feed(&mut entry, Event::Peer { message });
+    tick_at(&mut entry, 1_400);
+    assert!(is_ready(&entry.state));
+    assert!(!turns_callers_away(&entry.state));
+}
--- a/crates/tier/src/tests/membership.rs
+++ b/crates/tier/src/tests/membership.rs
@@ -54,6 +54,32 @@
     assert_eq!(states_of(&net, 0), [MemberState::Alive; 5]);
 }
 
+#[test]
+fn in_a_cut_only_the_smaller_side_hears_no_other_zone() {
+    let mut net = settled(9, 8);
+    let north = |index: usize| index.is_multiple_of(3);
+    for (index, node) in net.nodes.iter_mut().enumerate() {
+        node.group = u32::from(north(index));
+    }
+    let silent_for = |net: &Net, index: usize| {
+        let heard_at = fleet::other_zones_heard_at(&net.nodes[index].state.fleet);
+        net.now - heard_at.expect("others are known")
+    };
+    for step in 0..25 {
+        run_for(&mut net, Duration::from_millis(200));
+        for index in 0..9 {
+            let is_silent = silent_for(&net, index) >= Duration::from_millis(800);
+            assert_eq!(is_silent && north(index), is_silent, "{index} at {step}");
+            assert!(is_silent || !north(index) || step < 4, "{index} at {step}");
+        }
+    }
+    net.nodes.iter_mut().for_each(|node| node.group = 0);
+    run_for(&mut net, Duration::from_millis(800));
+    for index in 0..9 {
+        assert!(silent_for(&net, index) < Duration::from_millis(800));
+    }
+}
+
 #[test]
 fn both_sides_of_a_cut_find_each_other_again() {
     let mut net = settled(6, 3);
