Notice the store's return sooner, and read on at once while behind

A watch that the silent store had swallowed looked like one without news and was given up after 6.5 s. An instance that the store had turned away for 9 s read the missed changes in answers of 500, with a gap of 0.4 s after each, while 440 more came a second; it was 4 to 5 s behind. An answer that does not hold all changes is now followed by the next read at once.

Ruled out: the reader's words (only those that follow on are taken), the revision of a cut answer (right since the last change), the times of re-read announcements.

Tests: after_a_failure_a_watch_is_short_until_the_store_answers, an_answer_that_does_not_hold_all_changes_is_followed_by_a_read_at_once.

--- a/crates/balsamd/src/exchanges.rs
+++ b/crates/balsamd/src/exchanges.rs
@@ -111,6 +111,7 @@
                 read,
                 records: Cow::Owned(value.records),
                 revision: value.revision,
+                is_behind: value.is_behind,
                 next_page: value.next_page,
                 published,
             },
--- a/crates/catalog/src/sync.rs
+++ b/crates/catalog/src/sync.rs
@@ -24,6 +24,9 @@
 /// The same for a reader that others of its zone rely on, so that they soon notice that it has lost
 /// the store.
 const READER_WATCH_WAIT: Duration = Duration::from_secs(1);
+/// The same after a failure. A store that swallows a watch looks like one without news until the
+/// watch is over, so the first ones after a failure are short and notice the store's return.
+const RECOVERY_WATCH_WAIT: Duration = Duration::from_millis(500);
 /// Age of a reader's last word after which an instance reads by itself: one watch, its margin for
 /// a slow store, and the way.
 const SHARED_AGE_MAX: Duration = Duration::from_millis(1_600);
@@ -35,7 +38,7 @@
 /// the time until its return is noticed.
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(1_000);
 /// Time between a change of a target and the next watch, so that changes of many targets cost one
-/// call; short against the three seconds within which a leaving target may still be used.
+/// call, unless the answer did not hold all changes; short against the three seconds within which a leaving target may still be used.
 const TARGETS_GAP: Duration = Duration::from_millis(400);
 /// Time after the store's return in which registrations may be missing that have lapsed meanwhile.
 const LAPSES_FOR: Duration = Duration::from_secs(3);
@@ -161,6 +164,7 @@
             area,
             after_revision: *revision,
             wait: match role {
+                _ if progress.failures_count > 0 => RECOVERY_WATCH_WAIT,
                 Role::Reader => READER_WATCH_WAIT,
                 Role::Alone | Role::Follower => WATCH_WAIT,
             },
@@ -215,8 +219,10 @@
     pub read: &'a StoreRead,
     /// Items of the page, or changes in their order.
     pub records: &'a [Record],
-    /// Revision of the store at the time of the answer.
+    /// Revision up to which all changes are included; of a page, that of the store.
     pub revision: u64,
+    /// Whether the store may hold changes beyond that revision.
+    pub is_behind: bool,
     /// Key after which the next page begins, if there is one.
     pub next_page: Option<&'a str>,
 }
@@ -278,7 +284,8 @@
             }
         }
     };
-    if area == StoreArea::Targets && !answer.records.is_empty() && is_watching(sync, area) {
+    let is_up_to_date = is_watching(sync, area) && !answer.is_behind;
+    if area == StoreArea::Targets && !answer.records.is_empty() && is_up_to_date {
         out.push(Effect::SetTimer {
             timer: Timer::Store(area),
             after: TARGETS_GAP,
--- a/crates/catalog/src/tests/fixture.rs
+++ b/crates/catalog/src/tests/fixture.rs
@@ -98,6 +98,7 @@
         read,
         records,
         revision,
+        is_behind: false,
         next_page,
     };
     answered(sync, catalog, now, &answer, &mut Vec::new())
--- a/crates/catalog/src/tests/syncing.rs
+++ b/crates/catalog/src/tests/syncing.rs
@@ -8,7 +8,9 @@
 use rstest::rstest;
 
 use super::fixture::{configuration, feed, list, registration, removed, target, watch};
-use crate::{Catalog, Role, Shared, Stage, Sync, due, failed, open, shared, started};
+use crate::{
+    Answered, Catalog, Role, Shared, Stage, Sync, answered, due, failed, open, shared, started,
+};
 
 const TARGETS: StoreArea = StoreArea::Targets;
 
@@ -228,3 +230,56 @@
     assert_eq!(changes.len(), 1);
     assert_eq!((catalog.version, catalog.fronts.len()), (3, 1));
 }
+
+#[rstest]
+#[case::all_told(false, false)]
+#[case::cut_short(true, true)]
+fn an_answer_that_does_not_hold_all_changes_is_followed_by_a_read_at_once(
+    #[case] is_behind: bool,
+    #[case] reads_at_once: bool,
+) {
+    let now = Instant::now();
+    let (mut sync, mut catalog) = watching(now);
+    let read = watch(TARGETS, 10);
+    let answer = Answered {
+        read: &read,
+        records: &[target("i-2", registration(81))],
+        revision: 12,
+        is_behind,
+        next_page: None,
+    };
+    let mut out = Vec::new();
+    answered(&mut sync, &mut catalog, now, &answer, &mut out);
+    let has_read = matches!(out[..], [Effect::ReadStore(StoreRead::Watch { .. })]);
+    assert_eq!(has_read, reads_at_once, "{out:?}");
+}
+
+#[test]
+fn after_a_failure_a_watch_is_short_until_the_store_answers() {
+    let now = Instant::now();
+    let (mut sync, mut catalog) = watching(now);
+    let read = watch(TARGETS, 10);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut out = Vec::new();
+    let failure = StoreFailure::Unreachable;
+    failed(&mut sync, &mut rng, &read, failure, &mut out);
+    out.clear();
+    due(&mut sync, now, TARGETS, &mut out);
+    let wait_of = |out: &[Effect]| match out {
+        [Effect::ReadStore(StoreRead::Watch { wait, .. })] => *wait,
+        other => panic!("a watch, not {other:?}"),
+    };
+    // A second beside the margin for a slow answer: the news has to be known three seconds after
+    // the store is back.
+    assert!(wait_of(&out) <= Duration::from_secs(1));
+    out.clear();
+    let answer = Answered {
+        read: &read,
+        records: &[],
+        revision: 10,
+        is_behind: false,
+        next_page: None,
+    };
+    answered(&mut sync, &mut catalog, now, &answer, &mut out);
+    assert!(wait_of(&out) > Duration::from_secs(1));
+}
--- a/crates/model/src/event.rs
+++ b/crates/model/src/event.rs
@@ -238,8 +238,10 @@
         read: StoreRead,
         /// Items of the page, or changes in their order.
         records: Cow<'a, [Record]>,
-        /// Revision of the store at the time of the answer.
+        /// Revision up to which all changes are included; of a page, that of the store.
         revision: u64,
+        /// Whether the store may hold changes beyond that revision.
+        is_behind: bool,
         /// Key after which the next page begins, if there is one.
         next_page: Option<String>,
         /// The answer as published.
--- a/crates/tier/src/reduce.rs
+++ b/crates/tier/src/reduce.rs
@@ -75,6 +75,7 @@
             read,
             records,
             revision,
+            is_behind,
             next_page,
             published,
         } => {
@@ -82,6 +83,7 @@
                 read: &read,
                 records: &records,
                 revision,
+                is_behind,
                 next_page: next_page.as_deref(),
             };
             gateway::store_answered(state, now, &answer, &published, out);
--- a/crates/tier/src/tests/gateway.rs
+++ b/crates/tier/src/tests/gateway.rs
@@ -50,6 +50,7 @@
         read: StoreRead::List { area, after: None },
         records: Cow::Owned(records),
         revision: 10,
+        is_behind: false,
         next_page: None,
         published: Bytes::new(),
     }
@@ -326,6 +327,7 @@
         },
         records: Cow::Owned(vec![target(6)]),
         revision: 12,
+        is_behind: false,
         next_page: None,
         published: Bytes::from_static(b"published"),
     };
