--- a/crates/fleet/src/readers.rs
+++ b/crates/fleet/src/readers.rs
@@ -1,6 +1,9 @@
 //! The choice of the instances that read the platform for their zone.
 
-use std::time::{Duration, Instant};
+use std::{
+    cmp::Reverse,
+    time::{Duration, Instant},
+};
 
 use model::{Effect, MemberState};
 use settings::Settings;
@@ -13,8 +16,9 @@
 
 /// Tells whether this instance is one of its zone's readers.
 ///
-/// The instances with the smallest hashes read, so every instance with the same members chooses the
-/// same readers, and the next one takes over when one goes.
+/// The largest instances read, and among equal ones those with the smallest hashes, so every
+/// instance with the same members chooses the same readers, and the next one takes over when one
+/// goes.
 pub fn is_reader(fleet: &FleetState, readers_per_zone_count: u32) -> bool {
     if fleet.is_leaving {
         return false;
@@ -22,18 +26,25 @@
     readers_before(fleet) < readers_per_zone_count as usize
 }
 
-/// Counts the instances of the zone whose hash is smaller than this instance's.
+/// Counts the instances of the zone that are chosen before this one.
 fn readers_before(fleet: &FleetState) -> usize {
-    let weight = |name: &str| (xxh3_64(name.as_bytes()), name.to_owned());
-    let own = weight(&fleet.id.name);
+    let own = order(fleet.capacity_millicores, &fleet.id.name);
     let others = fleet
         .members
         .values()
         .filter(|member| member.row.state == MemberState::Alive && member.row.zone == fleet.zone);
-    let before = others.filter(|member| weight(&member.row.id.name) < own);
+    let before = others.filter(|member| {
+        let row = &member.row;
+        order(row.capacity_millicores, &row.id.name) < own
+    });
     before.count()
 }
 
+/// Returns the place of an instance in the order in which readers are chosen.
+fn order(capacity_millicores: u32, name: &str) -> (Reverse<u32>, u64, &str) {
+    (Reverse(capacity_millicores), xxh3_64(name.as_bytes()), name)
+}
+
 /// Lets an instance that is no reader try the platform when the freshness runs out.
 ///
 /// The instances of a zone take turns, as many each second as the zone has readers, so the attempts
--- a/crates/tier/src/gateway.rs
+++ b/crates/tier/src/gateway.rs
@@ -188,7 +188,8 @@
     note_changes(gateway, &changes, out);
 }
 
-/// Tells the others of the zone what a watch has answered, if this instance reads for them.
+/// Tells the others of the zone what a watch has answered, if this instance reads for them. While
+/// it is behind itself, they know as much or soon read by themselves.
 fn share(state: &State, answer: &Answered<'_>, published: &Bytes, out: &mut Vec<Effect>) {
     let StoreRead::Watch {
         area,
@@ -199,7 +200,7 @@
         return;
     };
     let gateway = state.gateway.as_ref();
-    if gateway.is_none_or(|gateway| gateway.sync.role != Role::Reader) {
+    if answer.is_behind || gateway.is_none_or(|gateway| gateway.sync.role != Role::Reader) {
         return;
     }
     let body = match answer.records.is_empty() {
--- a/crates/tier/src/tests/gateway.rs
+++ b/crates/tier/src/tests/gateway.rs
@@ -276,7 +276,7 @@
     assert!(is_logged(&entry.out, "store-regained"));
 }
 
-fn digest(name: &str) -> Message {
+fn digest(name: &str, capacity_millicores: u32) -> Message {
     Message::Digest(Digest {
         from: MemberRow {
             id: InstanceId {
@@ -285,7 +285,7 @@
             },
             address: ([10, 0, 9, 1], 9_000).into(),
             zone: settings().instance.zone,
-            capacity_millicores: 0,
+            capacity_millicores,
             counter: 0,
             state: MemberState::Alive,
         },
@@ -298,6 +298,66 @@
     })
 }
 
+/// A watch's answer that tells of a sixth target.
+fn changed(is_behind: bool) -> Event<'static> {
+    Event::StoreAnswered {
+        read: StoreRead::Watch {
+            area: StoreArea::Targets,
+            after_revision: 10,
+            wait: Duration::from_secs(1),
+        },
+        records: Cow::Owned(vec![target(6)]),
+        revision: 12,
+        is_behind,
+        next_page: None,
+        published: Bytes::from_static(b"published"),
+    }
+}
+
+fn shared_count(out: &[Effect]) -> usize {
+    let shared = out.iter().filter(|effect| {
+        let Effect::Send { message, .. } = effect else {
+            return false;
+        };
+        matches!(message, Message::StoreChanges(_))
+    });
+    shared.count()
+}
+
+#[rstest]
+#[case::larger(500, true)]
+#[case::smaller(100, false)]
+fn the_largest_instance_of_a_zone_reads_for_the_others(
+    #[case] own_millicores: u32,
+    #[case] is_reader: bool,
+) {
+    // A hash alone makes each of twelve the reader of some zone, so several zones are tried.
+    for zone in 0..12 {
+        let mut entry = entry();
+        entry.state.fleet.capacity_millicores = own_millicores;
+        for number in 0..8 {
+            let message = Cow::Owned(digest(&format!("other-{zone}-{number}"), 250));
+            feed(&mut entry, Event::Peer { message });
+        }
+        tick_at(&mut entry, 400);
+        feed(&mut entry, changed(false));
+        assert_eq!(shared_count(&entry.out) > 0, is_reader, "zone {zone}");
+    }
+}
+
+#[test]
+fn a_reader_that_is_behind_tells_the_others_nothing() {
+    let mut entry = entry();
+    entry.state.fleet.capacity_millicores = 500;
+    for number in 0..8 {
+        let message = Cow::Owned(digest(&format!("other-{number}"), 250));
+        feed(&mut entry, Event::Peer { message });
+    }
+    tick_at(&mut entry, 400);
+    feed(&mut entry, changed(true));
+    assert_eq!(shared_count(&entry.out), 0);
+}
+
 #[rstest]
 #[case::small_zone(3, false)]
 #[case::large_zone(12, true)]
@@ -305,7 +365,7 @@
     let mut told_count = 0;
     let mut entry = entry();
     for number in 0..others_count {
-        let message = digest(&format!("other-{number}"));
+        let message = digest(&format!("other-{number}"), 0);
         feed(
             &mut entry,
             Event::Peer {
@@ -319,19 +379,7 @@
         .gateway
         .as_ref()
         .map(|gateway| gateway.sync.role);
-    let changed = Event::StoreAnswered {
-        read: StoreRead::Watch {
-            area: StoreArea::Targets,
-            after_revision: 10,
-            wait: Duration::from_secs(1),
-        },
-        records: Cow::Owned(vec![target(6)]),
-        revision: 12,
-        is_behind: false,
-        next_page: None,
-        published: Bytes::from_static(b"published"),
-    };
-    feed(&mut entry, changed);
+    feed(&mut entry, changed(false));
     for effect in &entry.out {
         if let Effect::Send {
             message: Message::StoreChanges(changes),
