--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -21,7 +21,7 @@
     Gateway, Relay,
     end::withdraw,
     offer::{Asked, Goal, run_here, store},
-    respond::{log, refuse_relayed, respond, take},
+    respond::{finish, log, refuse_relayed, respond, take},
 };
 
 /// Least number of parts for which handing over costs less than it saves.
@@ -121,12 +121,13 @@
             };
             respond(exchange.requester, response, out);
         }
-        None if is_waiting => {
-            if let Some(relay) = exchange.relay.filter(|_| is_unsent) {
+        None if is_waiting && is_unsent => {
+            if let Some(relay) = exchange.relay {
                 avoid(gateway, now, relay.address, "refused", out);
             }
-            take_back(gateway, now, key, is_unsent, out);
+            take_back(gateway, now, key, true, out);
         }
+        None if is_waiting => end_run_elsewhere(gateway, now, key, out),
         None => {}
     }
 }
@@ -143,7 +144,8 @@
     take_back(gateway, now, key, false, out);
 }
 
-/// Takes back the exchanges that an instance runs which cannot be reached.
+/// Takes back the exchanges that an instance was to run which cannot be reached, and ends those that
+/// it had started.
 pub fn relay_unreachable(
     gateway: &mut Gateway,
     now: Instant,
@@ -161,7 +163,14 @@
     }
     avoid(gateway, now, address, "unreachable", out);
     for key in there {
-        take_back(gateway, now, key, false, out);
+        let relay = gateway
+            .exchanges
+            .get(key)
+            .and_then(|exchange| exchange.relay);
+        match relay.and_then(|relay| relay.take_until) {
+            Some(_) => take_back(gateway, now, key, false, out),
+            None => end_run_elsewhere(gateway, now, key, out),
+        }
     }
 }
 
@@ -255,7 +264,7 @@
     }
 }
 
-/// Runs an exchange here after all.
+/// Runs an exchange here after all that the larger instance has refused or not said to have started.
 ///
 /// Unless no target can have received it, each part counts as sent once: a further call needs room
 /// in the budget, and the front's limit of targets holds.
@@ -282,6 +291,18 @@
     run_here(gateway, now, key, out);
 }
 
+/// Ends an exchange that a larger instance has run without an answer. It may have asked as many
+/// targets as the front allows, so nothing is sent from here.
+fn end_run_elsewhere(gateway: &mut Gateway, now: Instant, key: ExchangeKey, out: &mut Vec<Effect>) {
+    if let Some(exchange) = gateway.exchanges.get_mut(key) {
+        exchange.evidence.lost_count += 1;
+        for part in &mut exchange.parts {
+            part.sent_count = exchange.attempts_max_count;
+        }
+    }
+    finish(gateway, now, key, out);
+}
+
 fn avoid(
     gateway: &mut Gateway,
     now: Instant,
