Hash a request once, log the end once, and drop state that nobody reads

Left from the last read-through: the fingerprint was hashed for each attempt of a query, a leaving instance that had reached its limit logged its end again when it was quiet, and Catalog::version_since was written and never read. Behaviour is otherwise unchanged; tests of gateway, catalog and tier pass.

--- a/crates/catalog/src/apply.rs
+++ b/crates/catalog/src/apply.rs
@@ -75,9 +75,7 @@
 /// Takes in one record; returns what it has changed, if anything.
 pub fn apply(catalog: &mut Catalog, now: Instant, record: &Record) -> Option<Change> {
     match record {
-        Record::Configuration(configuration) => {
-            Some(apply_configuration(catalog, now, configuration))
-        }
+        Record::Configuration(configuration) => Some(apply_configuration(catalog, configuration)),
         Record::ZoneOut { zone, is_out } => {
             let is_changed = match is_out {
                 true => catalog.zones_out.insert(zone.clone()),
@@ -149,18 +147,13 @@
     }
 }
 
-fn apply_configuration(
-    catalog: &mut Catalog,
-    now: Instant,
-    configuration: &Configuration,
-) -> Change {
+fn apply_configuration(catalog: &mut Catalog, configuration: &Configuration) -> Change {
     if configuration.version <= catalog.version {
         return Change::OldConfiguration {
             version: configuration.version,
         };
     }
     let from = std::mem::replace(&mut catalog.version, configuration.version);
-    catalog.version_since = Some(now);
     for service in catalog.services.values_mut() {
         service.is_configured = false;
     }
--- a/crates/catalog/src/table.rs
+++ b/crates/catalog/src/table.rs
@@ -17,9 +17,6 @@
 pub struct Catalog {
     /// Version of the configuration, or 0 if none is known.
     pub version: u64,
-    /// When the configuration was put in force here.
-    #[serde(skip)]
-    pub version_since: Option<Instant>,
     /// Fronts.
     pub fronts: SlotMap<FrontKey, Front>,
     /// Fronts of each host, the longest prefix first.
--- a/crates/gateway/src/offer.rs
+++ b/crates/gateway/src/offer.rs
@@ -16,7 +16,7 @@
 use crate::{
     Exchange, Gateway, Part, PartState, Usage, budget,
     due::arm,
-    isolation, relay,
+    fingerprint, isolation, relay,
     respond::{finish_if_decided, refuse},
     send::{send_first, send_part},
 };
@@ -146,6 +146,7 @@
         requester: asked.requester,
         relay: None,
         request: request.clone(),
+        fingerprint: fingerprint(&front.name, request),
         front: key,
         version: gateway.catalog.version,
         is_idempotent: front.is_idempotent,
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -10,7 +10,7 @@
     budget::Extra,
     choose, estimate,
     estimate::Estimate,
-    fingerprint, health,
+    health,
     table::{Part, PartState},
 };
 use catalog::Standing;
@@ -220,11 +220,6 @@
     } = call;
     let exchange = &gateway.exchanges[key];
     let front = exchange.front;
-    let front_name = gateway
-        .catalog
-        .fronts
-        .get(front)
-        .map_or("", |front| &front.name);
     let late_after = late_after(gateway, front, target);
     let usual = gateway.usage.get(front).map(|usage| &usage.latency);
     let call_again_at = call_again_at(now, late_after, usual, exchange.goal_at);
@@ -239,7 +234,7 @@
         is_silence_noted: false,
         unwanted_since: None,
         is_idempotent: exchange.is_idempotent,
-        fingerprint: fingerprint(front_name, &exchange.request),
+        fingerprint: exchange.fingerprint,
     });
     let row = &gateway.catalog.targets[target];
     out.push(Effect::Attempt(AttemptCall {
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -88,6 +88,8 @@
     /// The request.
     #[serde(skip)]
     pub request: Arc<HttpRequest>,
+    /// Hash of what the request asks for.
+    pub fingerprint: u64,
     /// The front.
     pub front: FrontKey,
     /// Version of the configuration that chose the services.
--- a/crates/tier/src/leave.rs
+++ b/crates/tier/src/leave.rs
@@ -43,7 +43,7 @@
     {
         gateway::finish_all(gateway, now, out);
     }
-    if is_within(state, now, EXIT_BEFORE) {
+    if is_within(state, now, EXIT_BEFORE) && !state.is_exiting {
         out.push(Effect::Log(
             LogLine::new(Level::Info, "exiting").with("reason", "limit"),
         ));
@@ -66,7 +66,7 @@
 ///
 /// The quiet time follows answers too, so that the last one has left before the process ends.
 pub(crate) fn exit_if_quiet(state: &mut State, now: Instant, out: &mut Vec<Effect>) {
-    if !state.fleet.is_leaving {
+    if !state.fleet.is_leaving || state.is_exiting {
         return;
     }
     let gateway = state.gateway.as_ref();
