Explain a request from log files

balsamctl explain ID LOG… shows the lines about a request and what the instances that handled it knew at its end, which took several searches by hand before.

--- a/crates/balsamctl/src/commands.rs
+++ b/crates/balsamctl/src/commands.rs
@@ -8,7 +8,7 @@
 use crate::{
     error::CommandError,
     exit::{self, Exit},
-    notes,
+    explain, notes,
     query::{self, Query},
     status, wait,
 };
@@ -37,6 +37,13 @@
         /// Operators' port.
         instance: SocketAddr,
     },
+    /// Show what logs say about a request.
+    Explain {
+        /// Identifier of the request.
+        request_id: String,
+        /// Logs of instances.
+        logs: Vec<PathBuf>,
+    },
     /// Wait for a revision.
     Wait {
         /// Operators' ports.
@@ -92,6 +99,7 @@
         Command::Query(query) => system.block_on(query::run(query, is_json)),
         Command::Status { instances } => system.block_on(status::run(instances, is_json)),
         Command::Dump { instance } => system.block_on(status::dump(*instance)),
+        Command::Explain { request_id, logs } => explain::run(request_id, logs, is_json),
         Command::Wait {
             instances,
             revision,
@@ -105,7 +113,7 @@
 
 /// Returns the parser of the command line.
 pub(crate) fn invocation() -> impl Parser<Invocation> {
-    let commands = construct!([query(), status(), dump(), wait(), note()]);
+    let commands = construct!([query(), status(), dump(), explain(), wait(), note()]);
     commands.map(|(is_json, command)| Invocation { is_json, command })
 }
 
@@ -179,6 +187,19 @@
         .command("dump")
 }
 
+fn explain() -> impl Parser<Parsed> {
+    let json = json();
+    let request_id = positional::<String>("ID").help("Identifier of the request");
+    let logs = positional::<PathBuf>("LOG")
+        .help("Log of an instance; those of the whole zone tell most")
+        .some("at least one log is needed");
+    let command = construct!(Command::Explain { request_id, logs });
+    construct!(json, command)
+        .to_options()
+        .descr("Show what logs say about a request, and what was known at its end")
+        .command("explain")
+}
+
 fn wait() -> impl Parser<Parsed> {
     let json = json();
     let instances = instances();
--- a/crates/balsamctl/src/main.rs
+++ b/crates/balsamctl/src/main.rs
@@ -12,6 +12,7 @@
 mod commands;
 mod error;
 mod exit;
+mod explain;
 mod notes;
 mod query;
 mod status;
--- a/crates/balsamctl/src/tests.rs
+++ b/crates/balsamctl/src/tests.rs
@@ -1,11 +1,16 @@
-//! Tests of the command line and of exit codes.
+//! Tests of the command line, of exit codes, and of what logs say about a request.
 
 use bpaf::{Args, Parser};
 use note::Difference;
 use rstest::rstest;
 use serde_json::{Value, json};
 
-use crate::{commands::invocation, exit::Exit, notes, query, status};
+use crate::{
+    commands::invocation,
+    exit::Exit,
+    explain::{Explanation, Line, explain},
+    notes, query, status,
+};
 
 #[rstest]
 #[case::status("status --instance 127.0.0.1:1 --json", true)]
@@ -22,6 +27,8 @@
 #[case::wait("wait --instance 127.0.0.1:1 --revision 7", true)]
 #[case::wait_too_long("wait --instance 127.0.0.1:1 --revision 7 --limit-s 61", false)]
 #[case::dump("dump --instance 127.0.0.1:1", true)]
+#[case::explain("explain 9c41d07be2a35f68 a.log b.log", true)]
+#[case::explain_without_logs("explain 9c41d07be2a35f68", false)]
 #[case::check("note check note.json --previous old.json", true)]
 #[case::diff("note diff old.json note.json", true)]
 #[case::compose("note compose old.json change.json", true)]
@@ -70,3 +77,52 @@
         "coverage": {"answered_count": answered_count, "total_count": 2},
     })
 }
+
+/// Logs of two instances: one hands a query over, the other one runs it.
+fn logs() -> Vec<(String, String)> {
+    let small = "\
+ts=2026-01-01T00:00:01.0Z level=info event=listening gateway=10.0.0.1:80
+ts=2026-01-01T00:00:05.3Z level=info event=request-ended request_id=r1 end=ended relay=10.0.0.2:90
+";
+    let larger = "\
+ts=2026-01-01T00:00:01.0Z level=info event=store-lost area=targets
+ts=2026-01-01T00:00:02.0Z level=info event=target-silent target=i-1 service=a silent_ms=300
+ts=2026-01-01T00:00:04.0Z level=info event=target-unreachable target=i-1 service=a
+ts=2026-01-01T00:00:04.5Z level=info event=target-silent target=i-9 service=c silent_ms=300
+ts=2026-01-01T00:00:05.1Z level=info event=request-ended request_id=r1 end=ended missing=a:i-1,b:
+ts=2026-01-01T00:00:05.2Z level=info event=request-ended request_id=r11 end=merged missing=c:i-9
+ts=2026-01-01T00:00:06.0Z level=info event=target-changed target=i-1 service=a
+";
+    vec![
+        ("small".to_owned(), small.to_owned()),
+        ("larger".to_owned(), larger.to_owned()),
+    ]
+}
+
+#[test]
+fn a_request_is_explained_by_its_lines_and_what_was_known_at_its_end() {
+    let logs = logs();
+    let explanation = explain("r1", &logs);
+    let times = |lines: &[Line<'_>]| -> Vec<(String, String)> {
+        let shown = lines.iter().map(|line| {
+            let time = &line.text["ts=2026-01-01T00:00:".len()..][..4];
+            (line.log.to_owned(), time.to_owned())
+        });
+        shown.collect()
+    };
+    let expected = |lines: &[(&str, &str)]| -> Vec<(String, String)> {
+        let owned = lines.iter();
+        owned
+            .map(|&(log, time)| (log.to_owned(), time.to_owned()))
+            .collect()
+    };
+    let own = expected(&[("larger", "05.1"), ("small", "05.3")]);
+    assert_eq!(times(&explanation.own), own);
+    let beliefs = [("small", "01.0"), ("larger", "01.0"), ("larger", "04.0")];
+    assert_eq!(times(&explanation.beliefs), expected(&beliefs));
+}
+
+#[test]
+fn a_request_that_no_log_names_has_no_explanation() {
+    assert_eq!(explain("r", &logs()), Explanation::default());
+}
