Give every part the whole time once the goal cannot be met

A query that a larger instance takes over late, or whose caller tries again, may have no time left until its goal; the calls that its answer can do without then got a timeout of 0 to 3 ms, which is none, though the answer would have waited for the other parts beyond the goal. Found by reading the change. Test every_call_gets_enough_time_for_a_reply failed before with 0 and 3 ms.

--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -52,7 +52,12 @@
     let goal_at = exchange.goal_at.unwrap_or(deadline);
     let spare_count = parts_count.saturating_sub(exchange.least_count as usize);
     let left_ms = goal_at.saturating_duration_since(now).as_secs_f64() * 1000.0;
-    let dispensable = dispensable(&choices, left_ms * SLOW_RATIO, spare_count);
+    let usual = gateway.usage.get(front).map(|usage| &usage.latency);
+    // Once the goal cannot be met any more, every part has the whole time.
+    let dispensable = match usual.is_some_and(|usual| usual.mean_ms < left_ms) {
+        true => dispensable(&choices, left_ms * SLOW_RATIO, spare_count),
+        false => Vec::new(),
+    };
     for (part_index, choice) in choices.into_iter().enumerate() {
         match choice {
             Choice::Target { target, .. } => {
--- a/crates/gateway/src/tests/relay.rs
+++ b/crates/gateway/src/tests/relay.rs
@@ -241,3 +241,28 @@
     );
     assert!(world.gateway.exchanges.is_empty());
 }
+
+#[rstest]
+#[case::goal_over(0)]
+#[case::goal_too_near(3)]
+#[case::time_left(60)]
+fn every_call_gets_enough_time_for_a_reply(#[case] goal_ms: u64) {
+    let mut least = Duration::MAX;
+    let mut world = world(&plan(30), |call, _| {
+        least = least.min(call.timeout);
+        (5, Fate::Done(record(1)))
+    });
+    // The usual time of a reply is known.
+    world.ask();
+    world.pass(100);
+    let request = RelayedRequest {
+        goal: Some(Duration::from_millis(goal_ms)),
+        ..request(1)
+    };
+    let mut out = Vec::new();
+    relayed(&mut world.gateway, world.now, &request, None, &mut out);
+    world.run(out);
+    world.pass(10);
+    drop(world);
+    assert!(least >= Duration::from_millis(5), "{least:?}");
+}
