--- a/crates/catalog/src/sync.rs
+++ b/crates/catalog/src/sync.rs
@@ -24,9 +24,13 @@
 /// The same for a reader that others of its zone rely on, so that they soon notice that it has lost
 /// the store.
 const READER_WATCH_WAIT: Duration = Duration::from_secs(1);
-/// The same after a failure. A store that swallows a watch looks like one without news until the
-/// watch is over, so the first ones after a failure are short and notice the store's return.
+/// The same after a failure, and after a time without an own answer. A store that swallows a watch
+/// looks like one without news until the watch is over, so the first ones are short and notice that
+/// the store is back or has lost its history.
 const RECOVERY_WATCH_WAIT: Duration = Duration::from_millis(500);
+/// Age of an own answer until which the store is taken to answer watches: the gap between an answer
+/// and the next watch, and some more.
+const PROVEN_FOR: Duration = Duration::from_secs(1);
 /// Age of a reader's last word after which an instance reads by itself: one watch, its margin for
 /// a slow store, and the way.
 const SHARED_AGE_MAX: Duration = Duration::from_millis(1_600);
@@ -38,7 +42,8 @@
 /// the time until its return is noticed.
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(1_000);
 /// Time between a change of a target and the next watch, so that changes of many targets cost one
-/// call, unless the answer did not hold all changes; short against the three seconds within which a leaving target may still be used.
+/// call, unless the answer did not hold all changes; short against the three seconds within which a
+/// leaving target may still be used.
 const TARGETS_GAP: Duration = Duration::from_millis(400);
 /// Time after the store's return in which registrations may be missing that have lapsed meanwhile.
 const LAPSES_FOR: Duration = Duration::from_secs(3);
@@ -155,6 +160,8 @@
         return;
     }
     progress.is_reading = true;
+    let is_proven = progress.failures_count == 0
+        && progress.answered_at.is_some_and(|at| now < at + PROVEN_FOR);
     let read = match &progress.stage {
         Stage::Listing { after, .. } => StoreRead::List {
             area,
@@ -164,7 +171,7 @@
             area,
             after_revision: *revision,
             wait: match role {
-                _ if progress.failures_count > 0 => RECOVERY_WATCH_WAIT,
+                _ if !is_proven => RECOVERY_WATCH_WAIT,
                 Role::Reader => READER_WATCH_WAIT,
                 Role::Alone | Role::Follower => WATCH_WAIT,
             },
--- a/crates/catalog/src/tests/syncing.rs
+++ b/crates/catalog/src/tests/syncing.rs
@@ -283,3 +283,46 @@
     answered(&mut sync, &mut catalog, now, &answer, &mut out);
     assert!(wait_of(&out) > Duration::from_secs(1));
 }
+
+#[test]
+fn a_follower_that_reads_by_itself_again_begins_with_a_short_watch() {
+    let now = Instant::now();
+    let (mut sync, mut catalog) = watching(now);
+    sync.role = Role::Follower;
+    sync.targets.is_reading = false;
+    let told = Shared {
+        area: TARGETS,
+        after_revision: 10,
+        revision: 10,
+        records: &[],
+    };
+    let heard_last = now + Duration::from_secs(20);
+    shared(&mut sync, &mut catalog, heard_last, &told);
+    let alone = heard_last + Duration::from_secs(2);
+    let mut out = Vec::new();
+    due(&mut sync, alone, TARGETS, &mut out);
+    let [Effect::ReadStore(read)] = &out[..] else {
+        panic!("a watch, not {out:?}");
+    };
+    let read = read.clone();
+    // What silenced the reader may keep the store from answering this watch before its end.
+    let wait_of = |read: &StoreRead| match read {
+        StoreRead::Watch { wait, .. } => *wait,
+        StoreRead::List { .. } => panic!("a watch, not {read:?}"),
+    };
+    assert!(wait_of(&read) <= Duration::from_secs(1));
+    let answer = Answered {
+        read: &read,
+        records: &[],
+        revision: 10,
+        is_behind: false,
+        next_page: None,
+    };
+    out.clear();
+    let answered_at = alone + Duration::from_millis(500);
+    answered(&mut sync, &mut catalog, answered_at, &answer, &mut out);
+    let [Effect::ReadStore(read)] = &out[..] else {
+        panic!("a watch, not {out:?}");
+    };
+    assert!(wait_of(read) > Duration::from_secs(1));
+}
--- a/crates/tier/src/tests/gateway.rs
+++ b/crates/tier/src/tests/gateway.rs
@@ -276,7 +276,12 @@
     assert!(is_logged(&entry.out, "store-regained"));
 }
 
+/// A digest of an instance of the own zone.
 fn digest(name: &str, capacity_millicores: u32) -> Message {
+    digest_of(&settings().instance.zone, name, capacity_millicores)
+}
+
+fn digest_of(zone: &str, name: &str, capacity_millicores: u32) -> Message {
     Message::Digest(Digest {
         from: MemberRow {
             id: InstanceId {
@@ -284,7 +289,7 @@
                 incarnation: 1,
             },
             address: ([10, 0, 9, 1], 9_000).into(),
-            zone: settings().instance.zone,
+            zone: zone.to_owned(),
             capacity_millicores,
             counter: 0,
             state: MemberState::Alive,
@@ -396,33 +401,10 @@
     assert_eq!(told_count > 0, is_reader);
 }
 
-/// A digest of an instance of another zone.
-fn word_of_another_zone(sequence: u64) -> Message {
-    Message::Digest(Digest {
-        from: MemberRow {
-            id: InstanceId {
-                name: "far-1".to_owned(),
-                incarnation: 1,
-            },
-            address: ([10, 9, 9, 9], 7000).into(),
-            zone: "far".to_owned(),
-            capacity_millicores: 250,
-            counter: sequence,
-            state: MemberState::Alive,
-        },
-        sequence: 0,
-        wants_reply: false,
-        revision: 0,
-        freshness_age: Duration::ZERO,
-        members: Vec::new(),
-        quarantine: Vec::new(),
-    })
-}
-
 #[test]
 fn an_instance_that_is_cut_off_from_targets_and_zones_is_not_ready() {
     let mut entry = entry();
-    let message = Cow::Owned(word_of_another_zone(1));
+    let message = Cow::Owned(digest_of("far", "far-1", 250));
     feed(&mut entry, Event::Peer { message });
     for number in 1..=5 {
         ask(&mut entry, number, &format!("/{number}"));
@@ -445,7 +427,7 @@
         matches!(responses[..], [HttpResponse::Ended { outcome, .. }] if outcome == refusal),
         "{responses:?}"
     );
-    let message = Cow::Owned(word_of_another_zone(2));
+    let message = Cow::Owned(digest_of("far", "far-1", 250));
     feed(&mut entry, Event::Peer { message });
     tick_at(&mut entry, 1_400);
     assert!(is_ready(&entry.state));
