Log strikes, their clearing, and quarantines learned from others

Only the start of a quarantine left a line, on the instance that counted the last strike. Whether a strike was missed, cleared, lost on its way or replaced could not be told apart afterwards.

Now: strike-recorded (request, fingerprint, service, target, time at the target, strikes known), strikes-cleared and quarantine-learned, and counters for strikes, cleared requests and refusals. The logic is unchanged; 123 tests of once and tier pass.

--- a/crates/model/src/effect.rs
+++ b/crates/model/src/effect.rs
@@ -81,6 +81,12 @@
     RejectedNotes,
     /// Pauses of the process, detected by late ticks.
     Pauses,
+    /// Strikes recorded by this instance against requests whose targets were lost.
+    Strikes,
+    /// Requests whose strikes this instance cleared because a target executed them.
+    StrikesCleared,
+    /// Requests refused because they are quarantined.
+    QuarantineRefusals,
 }
 
 /// Durations that the shell exports as histograms, named after the variants.
--- a/crates/once/src/quarantine.rs
+++ b/crates/once/src/quarantine.rs
@@ -65,19 +65,21 @@
     entry.strikes_count
 }
 
-/// Clears the strikes of a request that a target has replied to, unless it is quarantined.
+/// Clears the strikes of a request that a target has replied to, unless it is quarantined; returns
+/// whether there were any.
 ///
 /// The entry stays with 0 strikes as a tombstone, so that an older update from another instance
 /// does not restore them.
-pub fn clear_strikes(once: &mut OnceState, settings: &settings::Once, fingerprint: u64) {
+pub fn clear_strikes(once: &mut OnceState, settings: &settings::Once, fingerprint: u64) -> bool {
     let Some(entry) = once.quarantine_entries.get_mut(&fingerprint) else {
-        return;
+        return false;
     };
     let has_clearable_strikes = (1..settings.strikes_max_count).contains(&entry.strikes_count);
     if has_clearable_strikes {
         entry.strikes_count = 0;
         entry.is_dirty = true;
     }
+    has_clearable_strikes
 }
 
 /// Returns whether a request must be refused because its strikes have reached the limit.
--- a/crates/tier/src/gateway.rs
+++ b/crates/tier/src/gateway.rs
@@ -10,12 +10,12 @@
 use fleet::FleetState;
 use gateway::Gateway;
 use model::{
-    AttemptKey, AttemptReply, CallFailure, CallerKey, Effect, ExchangeKey, HttpRequest, Level,
-    LogLine, Message, NotRunReason, RelayedRequest, ReplyStatus, StoreArea, StoreChanges,
+    AttemptKey, AttemptReply, CallFailure, CallerKey, Counter, Effect, ExchangeKey, HttpRequest,
+    Level, LogLine, Message, NotRunReason, RelayedRequest, ReplyStatus, StoreArea, StoreChanges,
     StoreFailure, StoreRead, variant_name,
 };
 
-use crate::{State, quarantine, shutdown};
+use crate::{State, quarantine, quarantine::Strike, shutdown};
 
 /// Time since startup after which an instance that has heard of no other assumes that it is the
 /// only one.
@@ -63,6 +63,12 @@
         return;
     };
     if let Some(reason) = refusal {
+        if reason == NotRunReason::Quarantined {
+            out.push(Effect::Count {
+                counter: Counter::QuarantineRefusals,
+                amount_count: 1,
+            });
+        }
         gateway::refuse(gateway, caller, &request, reason, out);
         return;
     }
@@ -81,7 +87,7 @@
     if let Some(fingerprint) = fingerprint
         && reply.status == ReplyStatus::Done
     {
-        quarantine::clear_strikes(state, fingerprint);
+        quarantine::clear_strikes(state, fingerprint, out);
     }
     let is_quarantined =
         fingerprint.is_some_and(|f| quarantine::is_fingerprint_quarantined(state, now, f));
@@ -98,21 +104,42 @@
     failure: CallFailure,
     out: &mut Vec<Effect>,
 ) {
+    if failure == CallFailure::ConnectionLost {
+        record_attempt_strike(state, now, key, out);
+    }
     let gateway = state.gateway.as_ref();
     let attempt = gateway.and_then(|gateway| gateway.attempts.get(key));
-    let attempt = attempt.map(|attempt| (attempt.fingerprint, attempt.sent_at));
-    let mut is_quarantined = false;
-    if let Some((fingerprint, sent_at)) = attempt {
-        if failure == CallFailure::ConnectionLost {
-            quarantine::record_strike(state, now, fingerprint, sent_at, out);
-        }
-        is_quarantined = quarantine::is_fingerprint_quarantined(state, now, fingerprint);
-    }
+    let is_quarantined = attempt.is_some_and(|attempt| {
+        quarantine::is_fingerprint_quarantined(state, now, attempt.fingerprint)
+    });
     if let Some(gateway) = &mut state.gateway {
         gateway::on_attempt_failure(gateway, now, key, failure, is_quarantined, out);
     }
 }
 
+fn record_attempt_strike(state: &mut State, now: Instant, key: AttemptKey, out: &mut Vec<Effect>) {
+    let Some(gateway) = &state.gateway else {
+        return;
+    };
+    let Some(attempt) = gateway.attempts.get(key) else {
+        return;
+    };
+    let exchange = gateway.exchanges.get(attempt.exchange);
+    let request = exchange.map(|exchange| exchange.request.clone());
+    let target = gateway.catalog.targets.get(attempt.target);
+    let service = target.and_then(|target| gateway.catalog.services.get(target.service));
+    let service = service.map(|service| service.name.clone());
+    let target = target.map(|target| target.id.clone());
+    let strike = Strike {
+        fingerprint: attempt.fingerprint,
+        request_id: request.as_ref().map_or("", |request| &request.request_id),
+        service: service.as_deref().unwrap_or_default(),
+        target: target.as_deref().unwrap_or_default(),
+        sent_at: attempt.sent_at,
+    };
+    quarantine::record_strike(state, now, &strike, out);
+}
+
 /// Ends the exchange of a caller that has disconnected.
 pub(crate) fn on_caller_gone(
     state: &mut State,
--- a/crates/tier/src/late_call.rs
+++ b/crates/tier/src/late_call.rs
@@ -11,7 +11,7 @@
 };
 use once::{Evidence, LateCall};
 
-use crate::{State, quarantine, ticket};
+use crate::{State, quarantine, quarantine::Strike, ticket};
 
 /// Tracks the calls in flight of a query that is about to end without them.
 pub(crate) fn track_in_flight(state: &mut State, key: QueryKey) {
@@ -37,12 +37,17 @@
 }
 
 /// Handles the reply to a late call.
-pub(crate) fn on_reply(state: &mut State, call: CallKey, reply: &ReplyView<'_>) {
+pub(crate) fn on_reply(
+    state: &mut State,
+    call: CallKey,
+    reply: &ReplyView<'_>,
+    out: &mut Vec<Effect>,
+) {
     let Some(late) = once::take_late_call(&mut state.once, call) else {
         return;
     };
     if reply.status.is_executed() {
-        quarantine::clear_strikes(state, late.fingerprint);
+        quarantine::clear_strikes(state, late.fingerprint, out);
     }
     let mut evidence = Evidence::default();
     evidence.record_reply(reply.status);
@@ -67,7 +72,14 @@
     let running = state.queries.calls.get(call);
     let is_abandoned = running.is_some_and(|call| call.is_abandoned);
     if failure.may_have_reached_target() && !is_abandoned {
-        quarantine::record_strike(state, now, late.fingerprint, late.sent_at, out);
+        let strike = Strike {
+            fingerprint: late.fingerprint,
+            request_id: "",
+            service: &late.service,
+            target: "",
+            sent_at: late.sent_at,
+        };
+        quarantine::record_strike(state, now, &strike, out);
     }
     let mut evidence = Evidence::default();
     evidence.record_failure(failure);
--- a/crates/tier/src/peer.rs
+++ b/crates/tier/src/peer.rs
@@ -15,7 +15,8 @@
 ) {
     match message {
         Message::Digest(digest) => {
-            quarantine::merge_updates(state, now, &digest.quarantine);
+            let from = &digest.from.id.name;
+            quarantine::merge_updates(state, now, from, &digest.quarantine, out);
             let updates = quarantine::digest_updates(state, now);
             fleet::on_digest(
                 &mut state.fleet,
--- a/crates/tier/src/quarantine.rs
+++ b/crates/tier/src/quarantine.rs
@@ -6,7 +6,7 @@
 use std::time::Instant;
 
 use model::{
-    CallFailure, CallKey, Effect, Level, LogLine, QuarantineUpdate, QueryKey, ReplyStatus,
+    CallFailure, CallKey, Counter, Effect, Level, LogLine, QuarantineUpdate, QueryKey, ReplyStatus,
     RequestView,
 };
 use query::Call;
@@ -22,7 +22,12 @@
 
 /// Handles a complete reply: if the target executed the request without crashing, the request's
 /// strikes are cleared.
-pub(crate) fn on_reply(state: &mut State, call: CallKey, status: ReplyStatus) {
+pub(crate) fn on_reply(
+    state: &mut State,
+    call: CallKey,
+    status: ReplyStatus,
+    out: &mut Vec<Effect>,
+) {
     if !status.is_executed() || state.once.quarantine_entries.is_empty() {
         return;
     }
@@ -30,7 +35,7 @@
         return;
     };
     let fingerprint = call_fingerprint(state, &call);
-    clear_strikes(state, fingerprint);
+    clear_strikes(state, fingerprint, out);
 }
 
 /// Handles the loss of a target that may have been executing a call.
@@ -50,7 +55,19 @@
         return;
     };
     let fingerprint = call_fingerprint(state, &call);
-    record_strike(state, now, fingerprint, call.sent_at, out);
+    let query = &state.queries.queries[call.query];
+    let service = query.shards[call.shard_index].name.clone();
+    let request_id = query.request_id.clone();
+    let target = state.routes.targets.get(call.target);
+    let target = target.map_or_else(String::new, |target| target.name.to_string());
+    let strike = Strike {
+        fingerprint,
+        request_id: &request_id,
+        service: &service,
+        target: &target,
+        sent_at: call.sent_at,
+    };
+    record_strike(state, now, &strike, out);
     let is_quarantined = is_fingerprint_quarantined(state, now, fingerprint);
     let Some(query) = state.queries.queries.get_mut(call.query) else {
         return;
@@ -62,17 +79,45 @@
     shard.is_retry_barred = is_quarantined || at_risk_count >= TARGETS_LOST_PER_SHARD_MAX_COUNT;
 }
 
-/// Records and announces a strike, and logs the start of a quarantine.
+/// A target lost while it executed a request.
+pub(crate) struct Strike<'a> {
+    /// Fingerprint of the request.
+    pub fingerprint: u64,
+    /// Identifier of the request; empty if it has been answered.
+    pub request_id: &'a str,
+    /// Service of the target.
+    pub service: &'a str,
+    /// The target; empty if it is no longer known.
+    pub target: &'a str,
+    /// When the request was sent to the target.
+    pub sent_at: Instant,
+}
+
+/// Records, logs and announces a strike, and logs the start of a quarantine.
 pub(crate) fn record_strike(
     state: &mut State,
     now: Instant,
-    fingerprint: u64,
-    sent_at: Instant,
+    strike: &Strike<'_>,
     out: &mut Vec<Effect>,
 ) {
+    let fingerprint = strike.fingerprint;
     let was_quarantined = is_fingerprint_quarantined(state, now, fingerprint);
     let settings = &state.settings.once;
-    let strikes_count = once::add_strike(&mut state.once, settings, now, fingerprint, sent_at);
+    let strikes_count =
+        once::add_strike(&mut state.once, settings, now, fingerprint, strike.sent_at);
+    let took = now.saturating_duration_since(strike.sent_at);
+    let line = LogLine::new(Level::Info, "strike-recorded")
+        .with("request_id", strike.request_id)
+        .with("fingerprint", fingerprint)
+        .with("service", strike.service)
+        .with("target", strike.target)
+        .with(
+            "after_ms",
+            u64::try_from(took.as_millis()).unwrap_or(u64::MAX),
+        )
+        .with("strikes_count", u64::from(strikes_count));
+    out.push(Effect::Log(line));
+    count(out, Counter::Strikes);
     announce_strike(state, now, fingerprint, out);
     if was_quarantined || !is_fingerprint_quarantined(state, now, fingerprint) {
         return;
@@ -109,14 +154,45 @@
     once::mark_quarantine_sent(&mut state.once, sent);
 }
 
-/// Merges the quarantine updates of another instance's digest.
-pub(crate) fn merge_updates(state: &mut State, now: Instant, updates: &[QuarantineUpdate]) {
+/// Merges the quarantine updates of another instance's digest, and logs the requests that are
+/// quarantined by them.
+pub(crate) fn merge_updates(
+    state: &mut State,
+    now: Instant,
+    from: &str,
+    updates: &[QuarantineUpdate],
+    out: &mut Vec<Effect>,
+) {
+    let unquarantined = updates.iter().map(|update| update.fingerprint);
+    let unquarantined: Vec<u64> = unquarantined
+        .filter(|&fingerprint| !is_fingerprint_quarantined(state, now, fingerprint))
+        .collect();
     once::merge_quarantine(&mut state.once, &state.settings.once, now, updates);
+    for fingerprint in unquarantined {
+        if is_fingerprint_quarantined(state, now, fingerprint) {
+            let line = LogLine::new(Level::Warn, "quarantine-learned")
+                .with("fingerprint", fingerprint)
+                .with("from", from);
+            out.push(Effect::Log(line));
+        }
+    }
+}
+
+/// Clears the strikes of a request that a target has executed without crashing, and logs it.
+pub(crate) fn clear_strikes(state: &mut State, fingerprint: u64, out: &mut Vec<Effect>) {
+    if !once::clear_strikes(&mut state.once, &state.settings.once, fingerprint) {
+        return;
+    }
+    let line = LogLine::new(Level::Info, "strikes-cleared").with("fingerprint", fingerprint);
+    out.push(Effect::Log(line));
+    count(out, Counter::StrikesCleared);
 }
 
-/// Clears the strikes of a request that a target has executed without crashing.
-pub(crate) fn clear_strikes(state: &mut State, fingerprint: u64) {
-    once::clear_strikes(&mut state.once, &state.settings.once, fingerprint);
+fn count(out: &mut Vec<Effect>, counter: Counter) {
+    out.push(Effect::Count {
+        counter,
+        amount_count: 1,
+    });
 }
 
 /// Returns whether a request is quarantined; without a service, for any service of its front.
