--- a/crates/tier/src/tests.rs
+++ b/crates/tier/src/tests.rs
@@ -1,11 +1,13 @@
 //! Tests of the whole reducer.
 
 mod configuration_series;
+mod crashing_request;
 mod exhaustive_schedules;
 mod fan_out;
 mod fixture;
 mod freshness;
 mod gateway;
+mod gateway_fleet;
 mod membership;
 mod network;
 mod note_acceptance;
--- /dev/null
+++ b/crates/tier/src/tests/crashing_request.rs
@@ -0,0 +1,175 @@
+//! A request that crashes its targets and is sent again at any instance.
+
+use std::{collections::HashSet, time::Duration};
+
+use rstest::rstest;
+
+use super::gateway_fleet::{
+    Behaviour, CRASHING_PATH, Ending, Fleet, Size, crashing_arrivals, cut_instance, fleet,
+    pause_instance, random_instance, restart_instance, run_for, send_request,
+};
+
+/// Time after the third crash from which on repetitions are limited, and time without disturbance
+/// after which an instance is held to it.
+const CONTACT: Duration = Duration::from_secs(4);
+/// Repetitions allowed after that.
+const REPETITIONS_MAX_COUNT: usize = 3;
+
+const ONE_SERVICE: Size = Size {
+    instances_count: 6,
+    services_count: 1,
+    targets_count: 13,
+    attempts_max_count: 2,
+};
+const TWENTY_SERVICES: Size = Size {
+    instances_count: 6,
+    services_count: 20,
+    targets_count: 2,
+    attempts_max_count: 2,
+};
+
+/// Sends the crashing request `count` times at random instances, `gap` apart.
+fn repeat_crashing_request(fleet: &mut Fleet, count: usize, gap: Duration) {
+    for _ in 0..count {
+        let index = random_instance(fleet);
+        send_request(fleet, index, CRASHING_PATH);
+        run_for(fleet, gap);
+    }
+}
+
+/// Sends harmless requests at random instances, 10 ms apart, and the crashing one every `gap`.
+fn mix_requests(fleet: &mut Fleet, duration: Duration, gap: Duration) {
+    let end = fleet.now + duration;
+    let mut number = 0_u64;
+    let mut next = fleet.now;
+    while fleet.now < end {
+        if fleet.now >= next {
+            let index = random_instance(fleet);
+            send_request(fleet, index, CRASHING_PATH);
+            next += gap;
+        }
+        number += 1;
+        let index = random_instance(fleet);
+        send_request(fleet, index, &format!("/harmless/{number}"));
+        run_for(fleet, Duration::from_millis(10));
+    }
+}
+
+/// Returns the number of requests that reached targets later than [`CONTACT`] after the third
+/// crash, from instances undisturbed for [`CONTACT`].
+fn late_repetitions_count(fleet: &Fleet) -> usize {
+    let Some(&(third_at, _)) = fleet.crashes.get(2) else {
+        return 0;
+    };
+    let late = crashing_arrivals(fleet).filter(|arrival| {
+        let disturbed_at = fleet.instances[arrival.instance].disturbed_at;
+        arrival.at > third_at + CONTACT && arrival.at > disturbed_at + CONTACT
+    });
+    let requests: HashSet<&str> = late.map(|arrival| &*arrival.request_id).collect();
+    requests.len()
+}
+
+#[rstest]
+fn strikes_of_different_instances_add_up(
+    #[values(1, 3, 6, 9, 20)] instances_count: usize,
+    #[values(1, 2)] attempts_max_count: u32,
+    #[values(100, 400, 2_500)] gap_ms: u64,
+) {
+    let size = Size {
+        instances_count,
+        attempts_max_count,
+        ..ONE_SERVICE
+    };
+    let mut fleet = fleet(size, 1);
+    repeat_crashing_request(&mut fleet, 40, Duration::from_millis(gap_ms));
+    assert_eq!(fleet.crashes.len(), 3);
+}
+
+#[rstest]
+#[case::one_service_crashes(19)]
+#[case::half_of_the_services_crash(10)]
+#[case::every_service_crashes(0)]
+fn replies_of_other_services_do_not_clear_strikes(#[case] immune_services_count: usize) {
+    let mut fleet = fleet(TWENTY_SERVICES, 1);
+    fleet.behaviour.immune_services_count = immune_services_count;
+    repeat_crashing_request(&mut fleet, 40, Duration::from_millis(700));
+    let late_count = late_repetitions_count(&fleet);
+    assert!(late_count <= REPETITIONS_MAX_COUNT, "{late_count}");
+}
+
+#[rstest]
+fn every_way_to_end_is_a_strike(
+    #[values(Ending::MidReply, Ending::Silent)] ending: Ending,
+    #[values(ONE_SERVICE, TWENTY_SERVICES)] size: Size,
+    #[values(10, 300, 1_000)] crash_after_ms: u64,
+    #[values(300, 3_000)] gap_ms: u64,
+) {
+    let mut fleet = fleet(size, 1);
+    fleet.behaviour = Behaviour {
+        ending,
+        crash_after: Duration::from_millis(crash_after_ms),
+        ..Behaviour::default()
+    };
+    repeat_crashing_request(&mut fleet, 40, Duration::from_millis(gap_ms));
+    let late_count = late_repetitions_count(&fleet);
+    assert!(late_count <= REPETITIONS_MAX_COUNT, "{late_count}");
+}
+
+#[rstest]
+fn strikes_spread_while_harmless_requests_lose_their_connections(
+    #[values(ONE_SERVICE, TWENTY_SERVICES)] size: Size,
+    #[values(0.02, 0.2)] lost_ratio: f64,
+    #[values(250, 6_000)] gap_ms: u64,
+) {
+    let mut fleet = fleet(size, 1);
+    fleet.behaviour.lost_ratio = lost_ratio;
+    let gap = Duration::from_millis(gap_ms);
+    mix_requests(&mut fleet, 8 * gap + Duration::from_secs(6), gap);
+    let late_count = late_repetitions_count(&fleet);
+    assert!(late_count <= REPETITIONS_MAX_COUNT, "{late_count}");
+    assert!(fleet.crashes.len() >= 3);
+}
+
+#[rstest]
+fn instances_that_restart_learn_the_quarantine(#[values(1, 2, 3)] seed: u64) {
+    let mut fleet = fleet(ONE_SERVICE, seed);
+    fleet.behaviour.lost_ratio = 0.1;
+    mix_requests(
+        &mut fleet,
+        Duration::from_secs(4),
+        Duration::from_millis(400),
+    );
+    for index in 0..fleet.instances.len() {
+        restart_instance(&mut fleet, index);
+        mix_requests(&mut fleet, CONTACT, Duration::from_millis(400));
+    }
+    let late_count = late_repetitions_count(&fleet);
+    assert!(late_count <= REPETITIONS_MAX_COUNT, "{late_count}");
+}
+
+#[rstest]
+fn instances_without_contact_repeat_little(#[values(1, 2, 3)] cut_count: u32) {
+    let mut fleet = fleet(ONE_SERVICE, 1);
+    for partition in 1..=cut_count {
+        cut_instance(&mut fleet, partition as usize, partition);
+    }
+    run_for(&mut fleet, CONTACT + CONTACT);
+    repeat_crashing_request(&mut fleet, 60, Duration::from_millis(400));
+    let late_count = late_repetitions_count(&fleet);
+    assert!(late_count <= REPETITIONS_MAX_COUNT, "{late_count}");
+}
+
+#[rstest]
+fn instances_that_pause_and_restart_repeat_little(#[values(1, 2, 3, 4)] seed: u64) {
+    let mut fleet = fleet(ONE_SERVICE, seed);
+    for round in 0..12 {
+        let index = random_instance(&mut fleet);
+        match round % 2 {
+            0 => pause_instance(&mut fleet, index, Duration::from_secs(2)),
+            _ => restart_instance(&mut fleet, index),
+        }
+        repeat_crashing_request(&mut fleet, 4, Duration::from_millis(600));
+    }
+    let late_count = late_repetitions_count(&fleet);
+    assert!(late_count <= REPETITIONS_MAX_COUNT, "{late_count}");
+}
--- /dev/null
+++ b/crates/tier/src/tests/gateway_fleet.rs
@@ -0,0 +1,599 @@
+//! Simulated fleet of gateways in front of targets, which a request can crash.
+
+use std::{
+    borrow::Cow,
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use model::{
+    AttemptCall, AttemptKey, AttemptReply, CallFailure, CallerKey, Configuration, Destination,
+    Effect, Event, FrontEntry, HttpRequest, HttpResponse, Message, Registration, ReplyStatus,
+    ServiceEntry, StoreArea, StoreRead, StoreRecord, Timer,
+};
+use rand::{RngExt, SeedableRng, seq::IndexedRandom};
+use rand_chacha::ChaCha8Rng;
+use slotmap::KeyData;
+
+use super::fixture::settings;
+use crate::{State, new_state, reduce};
+
+/// Path of the request that crashes its targets.
+pub(crate) const CRASHING_PATH: &str = "/crash";
+pub(crate) const HOST: &str = "parts.example";
+
+const FIRST_PEER_PORT: u16 = 40_000;
+const FIRST_TARGET_PORT: u16 = 20_000;
+const SEEDS_MAX_COUNT: usize = 3;
+const ZONES: [&str; 3] = ["north", "south", "west"];
+/// Time from an attempt's start to its arrival, and from a reply to its receipt.
+const TARGET_DELAY: Duration = Duration::from_millis(1);
+const PEER_DELAY_MAX: Duration = Duration::from_millis(3);
+const STORE_DELAY: Duration = Duration::from_millis(4);
+/// Time after its crash at which a target is back under another identifier.
+const RESTART_DELAY: Duration = Duration::from_secs(3);
+/// Time after which the store drops the registration of a target that no longer renews it.
+const LAPSE_DELAY: Duration = Duration::from_millis(3_600);
+
+/// How a target ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Ending {
+    /// Its connections are closed.
+    Reset,
+    /// Its connections are closed after the first bytes of the reply.
+    MidReply,
+    /// Its connections fall silent and it accepts no others.
+    Silent,
+}
+
+/// Behaviour of the targets.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Behaviour {
+    pub(crate) ending: Ending,
+    /// Time from the start of the execution of the crashing request to the crash.
+    pub(crate) crash_after: Duration,
+    /// Execution time of every other request.
+    pub(crate) work: Duration,
+    /// Ratio of other requests whose connection is closed without a reply.
+    pub(crate) lost_ratio: f64,
+    /// Services whose targets execute the crashing request without a crash.
+    pub(crate) immune_services_count: usize,
+}
+
+impl Default for Behaviour {
+    fn default() -> Behaviour {
+        Behaviour {
+            ending: Ending::Reset,
+            crash_after: Duration::from_millis(10),
+            work: Duration::from_millis(5),
+            lost_ratio: 0.0,
+            immune_services_count: 0,
+        }
+    }
+}
+
+pub(crate) struct Instance {
+    pub(crate) state: State,
+    pub(crate) is_up: bool,
+    /// Instances with different values cannot reach each other.
+    pub(crate) partition: u32,
+    pub(crate) paused_until: Option<Instant>,
+    /// When it was last started, paused or cut off.
+    pub(crate) disturbed_at: Instant,
+    run: u64,
+    watches: Vec<StoreRead>,
+}
+
+pub(crate) struct Target {
+    pub(crate) service: String,
+    pub(crate) is_up: bool,
+    run: u64,
+    running: Vec<(usize, AttemptKey)>,
+}
+
+/// A request that reached a target.
+#[derive(Clone, Debug)]
+pub(crate) struct Arrival {
+    pub(crate) at: Instant,
+    pub(crate) instance: usize,
+    pub(crate) path: String,
+    pub(crate) request_id: String,
+}
+
+enum Scheduled {
+    Start,
+    Request(CallerKey, HttpRequest),
+    Timer(Timer),
+    Message(Message),
+    PeerUnreachable(SocketAddr),
+    Store(StoreRead, Vec<StoreRecord>, u64),
+    Arrive(AttemptCall),
+    Reply(AttemptKey, ReplyStatus),
+    Fail(AttemptKey, CallFailure),
+    Crash(usize, u64),
+    Lapse(usize, u64),
+    Restart(usize),
+}
+
+pub(crate) struct Fleet {
+    pub(crate) instances: Vec<Instance>,
+    pub(crate) targets: Vec<Target>,
+    pub(crate) behaviour: Behaviour,
+    pub(crate) now: Instant,
+    pub(crate) arrivals: Vec<Arrival>,
+    /// Time and target of every crash.
+    pub(crate) crashes: Vec<(Instant, usize)>,
+    pub(crate) responses: HashMap<CallerKey, HttpResponse>,
+    pub(crate) rng: ChaCha8Rng,
+    services_count: usize,
+    attempts_max_count: u32,
+    history: Vec<(u64, StoreRecord)>,
+    queue: BTreeMap<(Instant, u64), (usize, u64, Scheduled)>,
+    queued_count: u64,
+    requests_count: u64,
+}
+
+/// Size of a fleet and its targets.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Size {
+    pub(crate) instances_count: usize,
+    /// Number of services; with more than one, the front gathers from all of them.
+    pub(crate) services_count: usize,
+    /// Number of targets of each service.
+    pub(crate) targets_count: usize,
+    /// Number of targets that a part of a request may be sent to.
+    pub(crate) attempts_max_count: u32,
+}
+
+/// Returns a fleet whose instances know their configuration and each other.
+pub(crate) fn fleet(size: Size, seed: u64) -> Fleet {
+    let Size {
+        instances_count,
+        services_count,
+        targets_count,
+        attempts_max_count,
+    } = size;
+    let now = Instant::now();
+    let instances = (0..instances_count).map(|index| Instance {
+        state: instance_state(instances_count, index, 1, seed),
+        is_up: true,
+        partition: 0,
+        paused_until: None,
+        disturbed_at: now,
+        run: 1,
+        watches: Vec::new(),
+    });
+    let targets = (0..services_count * targets_count).map(|index| Target {
+        service: service_name(index % services_count),
+        is_up: true,
+        run: 1,
+        running: Vec::new(),
+    });
+    let mut fleet = Fleet {
+        instances: instances.collect(),
+        targets: targets.collect(),
+        behaviour: Behaviour::default(),
+        now,
+        arrivals: Vec::new(),
+        crashes: Vec::new(),
+        responses: HashMap::new(),
+        rng: ChaCha8Rng::seed_from_u64(seed),
+        services_count,
+        attempts_max_count,
+        history: Vec::new(),
+        queue: BTreeMap::new(),
+        queued_count: 0,
+        requests_count: 0,
+    };
+    for index in 0..fleet.targets.len() {
+        publish(&mut fleet, registration(index, 1));
+    }
+    for index in 0..instances_count {
+        schedule(&mut fleet, Duration::ZERO, index, Scheduled::Start);
+    }
+    run_for(&mut fleet, Duration::from_secs(6));
+    fleet
+}
+
+/// Starts an instance anew, with nothing remembered.
+pub(crate) fn restart_instance(fleet: &mut Fleet, index: usize) {
+    let run = fleet.instances[index].run + 1;
+    let seed = fleet.rng.random();
+    let state = instance_state(fleet.instances.len(), index, run, seed);
+    let instance = &mut fleet.instances[index];
+    instance.state = state;
+    instance.run = run;
+    instance.is_up = true;
+    instance.disturbed_at = fleet.now;
+    instance.watches.clear();
+    for target in &mut fleet.targets {
+        target.running.retain(|(owner, _)| *owner != index);
+    }
+    schedule(fleet, Duration::ZERO, index, Scheduled::Start);
+}
+
+/// Suspends an instance; its events are delivered at the end.
+pub(crate) fn pause_instance(fleet: &mut Fleet, index: usize, duration: Duration) {
+    let until = fleet.now + duration;
+    fleet.instances[index].paused_until = Some(until);
+    fleet.instances[index].disturbed_at = until;
+}
+
+/// Moves an instance to a partition.
+pub(crate) fn cut_instance(fleet: &mut Fleet, index: usize, partition: u32) {
+    fleet.instances[index].partition = partition;
+    fleet.instances[index].disturbed_at = fleet.now;
+}
+
+/// Sends a caller's request to an instance.
+pub(crate) fn send_request(fleet: &mut Fleet, index: usize, path: &str) -> CallerKey {
+    fleet.requests_count += 1;
+    let number = fleet.requests_count;
+    let caller = CallerKey::from(KeyData::from_ffi(number << 32 | number));
+    let request = HttpRequest {
+        request_id: format!("r-{number}"),
+        method: "GET".to_owned(),
+        host: HOST.to_owned(),
+        path: path.to_owned(),
+        timeout: Some(Duration::from_millis(1_200)),
+        ..HttpRequest::default()
+    };
+    let event = Scheduled::Request(caller, request);
+    schedule(fleet, Duration::ZERO, index, event);
+    caller
+}
+
+/// Returns a random running instance.
+pub(crate) fn random_instance(fleet: &mut Fleet) -> usize {
+    let instances = fleet.instances.iter().enumerate();
+    let running = instances.filter(|(_, instance)| instance.is_up);
+    let running: Vec<usize> = running.map(|(index, _)| index).collect();
+    *running
+        .choose(&mut fleet.rng)
+        .expect("an instance is running")
+}
+
+/// Returns the arrivals of the crashing request.
+pub(crate) fn crashing_arrivals(fleet: &Fleet) -> impl Iterator<Item = &Arrival> {
+    let arrivals = fleet.arrivals.iter();
+    arrivals.filter(|arrival| arrival.path == CRASHING_PATH)
+}
+
+/// Runs the fleet for a time.
+pub(crate) fn run_for(fleet: &mut Fleet, duration: Duration) {
+    let end = fleet.now + duration;
+    while let Some(entry) = fleet.queue.first_entry() {
+        let (at, _) = *entry.key();
+        if at > end {
+            break;
+        }
+        let (index, run, event) = entry.remove();
+        fleet.now = fleet.now.max(at);
+        deliver(fleet, index, run, event);
+    }
+    fleet.now = end;
+}
+
+fn instance_state(instances_count: usize, index: usize, run: u64, seed: u64) -> State {
+    let mut settings = settings();
+    settings.instance.zone = ZONES[index % ZONES.len()].to_owned();
+    settings.instance.name = format!("{}-{index}", settings.instance.zone);
+    settings.instance.capacity_millicores = 250;
+    settings.listen.peers = peer_address(index);
+    settings.once.strikes_max_count = 3;
+    let seeds_count = instances_count.min(SEEDS_MAX_COUNT);
+    settings.gateway = Some(settings::Gateway {
+        peers: peer_address(index),
+        seeds: (0..seeds_count).map(peer_address).collect(),
+        retry_ratio: 0.2,
+        retry_constant_count: 52,
+        ..settings::Gateway::default()
+    });
+    new_state(settings, run, seed ^ (run << 16 | index as u64))
+}
+
+fn peer_address(index: usize) -> SocketAddr {
+    let port = FIRST_PEER_PORT + u16::try_from(index).expect("the fleet is small");
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn target_address(index: usize) -> SocketAddr {
+    let port = FIRST_TARGET_PORT + u16::try_from(index).expect("there are few targets");
+    SocketAddr::from(([127, 0, 0, 2], port))
+}
+
+fn target_id(index: usize, run: u64) -> String {
+    format!("i-{index}-{run}")
+}
+
+fn service_name(index: usize) -> String {
+    format!("shard-{index}")
+}
+
+fn registration(index: usize, run: u64) -> impl Fn(&Fleet) -> StoreRecord {
+    move |fleet| StoreRecord::Target {
+        target_id: target_id(index, run),
+        registration: Some(Registration {
+            service: fleet.targets[index].service.clone(),
+            address: target_address(index),
+            zone: ZONES[index % ZONES.len()].to_owned(),
+            slots_count: 4,
+            is_draining: false,
+            cold_for: Duration::ZERO,
+            born_ms: run,
+        }),
+    }
+}
+
+fn configuration(fleet: &Fleet) -> StoreRecord {
+    let services = (0..fleet.services_count).map(service_name);
+    let destination = match fleet.services_count {
+        1 => Destination::Split(vec![(service_name(0), 1.0)]),
+        _ => Destination::Gather {
+            services: services.clone().collect(),
+            records_count: 5,
+            least_ratio: 0.75,
+        },
+    };
+    let services = services.map(|name| ServiceEntry {
+        name,
+        connections_max_count: 100,
+        cold_max_per_s: 10.0,
+    });
+    StoreRecord::Configuration(Configuration {
+        version: 1,
+        fronts: vec![FrontEntry {
+            name: "parts".to_owned(),
+            host: HOST.to_owned(),
+            prefix: "/".to_owned(),
+            is_idempotent: true,
+            timeout: Duration::from_secs(5),
+            goal: Some(Duration::from_millis(200)),
+            rank: 0,
+            attempts_max_count: fleet.attempts_max_count,
+            destination,
+        }],
+        services: services.collect(),
+    })
+}
+
+fn schedule(fleet: &mut Fleet, delay: Duration, index: usize, event: Scheduled) {
+    fleet.queued_count += 1;
+    let run = fleet.instances[index].run;
+    let key = (fleet.now + delay, fleet.queued_count);
+    fleet.queue.insert(key, (index, run, event));
+}
+
+/// Appends a record to the store's history and answers the watches on targets.
+fn publish(fleet: &mut Fleet, record: impl Fn(&Fleet) -> StoreRecord) {
+    let record = record(fleet);
+    let revision = fleet.history.len() as u64 + 1;
+    fleet.history.push((revision, record));
+    for index in 0..fleet.instances.len() {
+        let watches = std::mem::take(&mut fleet.instances[index].watches);
+        for read in watches {
+            read_store(fleet, index, read);
+        }
+    }
+}
+
+fn read_store(fleet: &mut Fleet, index: usize, read: StoreRead) {
+    let revision = fleet.history.len() as u64;
+    let records: Vec<StoreRecord> = match &read {
+        StoreRead::List {
+            area: StoreArea::Operators,
+            ..
+        } => vec![configuration(fleet)],
+        StoreRead::List { .. } => current_registrations(fleet),
+        StoreRead::Watch {
+            area,
+            after_revision,
+            ..
+        } => {
+            let changes = fleet.history.iter();
+            let changes = changes.filter(|(revision, _)| revision > after_revision);
+            let changes: Vec<_> = changes.map(|(_, record)| record.clone()).collect();
+            if *area == StoreArea::Operators || changes.is_empty() {
+                return fleet.instances[index].watches.push(read);
+            }
+            changes
+        }
+    };
+    let event = Scheduled::Store(read, records, revision);
+    schedule(fleet, STORE_DELAY, index, event);
+}
+
+fn current_registrations(fleet: &Fleet) -> Vec<StoreRecord> {
+    let mut current: BTreeMap<String, StoreRecord> = BTreeMap::new();
+    for (_, record) in &fleet.history {
+        match record {
+            StoreRecord::Target { target_id, .. } => {
+                current.insert(target_id.clone(), record.clone());
+            }
+            StoreRecord::TargetRemoved { target_id } => {
+                current.remove(target_id);
+            }
+            _ => {}
+        }
+    }
+    current.into_values().collect()
+}
+
+fn deliver(fleet: &mut Fleet, index: usize, run: u64, event: Scheduled) {
+    match event {
+        Scheduled::Arrive(call) => return arrive(fleet, index, run, &call),
+        Scheduled::Crash(target, target_run) => return crash(fleet, target, target_run),
+        Scheduled::Lapse(target, target_run) => {
+            let target_id = target_id(target, target_run);
+            return publish(fleet, |_| StoreRecord::TargetRemoved {
+                target_id: target_id.clone(),
+            });
+        }
+        Scheduled::Restart(target) => {
+            fleet.targets[target].is_up = true;
+            fleet.targets[target].run += 1;
+            let run = fleet.targets[target].run;
+            return publish(fleet, registration(target, run));
+        }
+        _ => {}
+    }
+    let instance = &fleet.instances[index];
+    let is_stale = instance.run != run && !matches!(event, Scheduled::Message(_));
+    if !instance.is_up || is_stale {
+        return;
+    }
+    if let Some(until) = instance.paused_until.filter(|until| *until > fleet.now) {
+        let delay = until - fleet.now;
+        return schedule(fleet, delay, index, event);
+    }
+    match event {
+        Scheduled::Start => step(fleet, index, Event::Started),
+        Scheduled::Request(caller, request) => {
+            let request = std::sync::Arc::new(request);
+            step(fleet, index, Event::HttpRequest { caller, request });
+        }
+        Scheduled::Timer(timer) => step(fleet, index, Event::Timer(timer)),
+        Scheduled::Message(message) => {
+            let message = Cow::Owned(message);
+            step(fleet, index, Event::Peer { message });
+        }
+        Scheduled::PeerUnreachable(address) => {
+            step(fleet, index, Event::PeerUnreachable { address });
+        }
+        Scheduled::Store(read, records, revision) => {
+            let event = Event::StoreAnswered {
+                read,
+                records: Cow::Owned(records),
+                revision,
+                is_behind: false,
+                next_page: None,
+                published: Bytes::new(),
+            };
+            step(fleet, index, event);
+        }
+        Scheduled::Reply(attempt, status) => {
+            let reply = AttemptReply {
+                status,
+                code: 200,
+                proof: Some("proof"),
+                headers: Cow::Borrowed(&[]),
+                body: Bytes::new(),
+                load: None,
+            };
+            step(fleet, index, Event::AttemptReplied { attempt, reply });
+        }
+        Scheduled::Fail(attempt, failure) => {
+            step(fleet, index, Event::AttemptFailed { attempt, failure });
+        }
+        Scheduled::Arrive(_)
+        | Scheduled::Crash(..)
+        | Scheduled::Lapse(..)
+        | Scheduled::Restart(_) => {}
+    }
+}
+
+fn step(fleet: &mut Fleet, index: usize, event: Event<'_>) {
+    let mut out = Vec::new();
+    let now = fleet.now;
+    reduce(&mut fleet.instances[index].state, now, event, &mut out);
+    for effect in out {
+        run_effect(fleet, index, effect);
+    }
+}
+
+fn run_effect(fleet: &mut Fleet, index: usize, effect: Effect) {
+    match effect {
+        Effect::Send { address, message } => send_message(fleet, index, address, message),
+        Effect::SetTimer { timer, after } => schedule(fleet, after, index, Scheduled::Timer(timer)),
+        Effect::ReadStore(read) => read_store(fleet, index, read),
+        Effect::Attempt(call) => schedule(fleet, TARGET_DELAY, index, Scheduled::Arrive(call)),
+        Effect::DropAttempt { attempt, .. } => {
+            for target in &mut fleet.targets {
+                target
+                    .running
+                    .retain(|&running| running != (index, attempt));
+            }
+        }
+        Effect::Respond { caller, response } => {
+            fleet.responses.insert(caller, *response);
+        }
+        _ => {}
+    }
+}
+
+fn send_message(fleet: &mut Fleet, from: usize, address: SocketAddr, message: Message) {
+    let to = usize::from(address.port() - FIRST_PEER_PORT);
+    if !fleet.instances[to].is_up {
+        let event = Scheduled::PeerUnreachable(address);
+        return schedule(fleet, PEER_DELAY_MAX, from, event);
+    }
+    if fleet.instances[to].partition == fleet.instances[from].partition {
+        let delay = PEER_DELAY_MAX.mul_f64(fleet.rng.random_range(0.3..1.0));
+        schedule(fleet, delay, to, Scheduled::Message(message));
+    }
+}
+
+fn arrive(fleet: &mut Fleet, index: usize, run: u64, call: &AttemptCall) {
+    if fleet.instances[index].run != run {
+        return;
+    }
+    let target = usize::from(call.address.port() - FIRST_TARGET_PORT);
+    let behaviour = fleet.behaviour;
+    let attempt = call.attempt;
+    if !fleet.targets[target].is_up {
+        if behaviour.ending != Ending::Silent {
+            let event = Scheduled::Fail(attempt, CallFailure::ConnectRefused);
+            schedule(fleet, TARGET_DELAY, index, event);
+        }
+        return;
+    }
+    if *call.target_id != *target_id(target, fleet.targets[target].run) {
+        let event = Scheduled::Reply(attempt, ReplyStatus::Misdirected);
+        return schedule(fleet, TARGET_DELAY, index, event);
+    }
+    fleet.arrivals.push(Arrival {
+        at: fleet.now,
+        instance: index,
+        path: call.request.path.clone(),
+        request_id: call.request.request_id.clone(),
+    });
+    fleet.targets[target].running.push((index, attempt));
+    let is_immune = target % fleet.services_count < behaviour.immune_services_count;
+    if call.request.path == CRASHING_PATH && !is_immune {
+        let run = fleet.targets[target].run;
+        let event = Scheduled::Crash(target, run);
+        return schedule(fleet, behaviour.crash_after, index, event);
+    }
+    let event = match fleet.rng.random_bool(behaviour.lost_ratio) {
+        true => Scheduled::Fail(attempt, CallFailure::ConnectionLost),
+        false => Scheduled::Reply(attempt, ReplyStatus::Done),
+    };
+    schedule(fleet, behaviour.work + TARGET_DELAY, index, event);
+}
+
+/// Ends a target, unless it has restarted meanwhile.
+fn crash(fleet: &mut Fleet, target: usize, run: u64) {
+    if !fleet.targets[target].is_up || fleet.targets[target].run != run {
+        return;
+    }
+    fleet.crashes.push((fleet.now, target));
+    fleet.targets[target].is_up = false;
+    let running = std::mem::take(&mut fleet.targets[target].running);
+    for (index, attempt) in running {
+        let failure = match fleet.behaviour.ending {
+            Ending::Reset => CallFailure::ConnectionLost,
+            Ending::MidReply => CallFailure::Truncated,
+            Ending::Silent => continue,
+        };
+        schedule(
+            fleet,
+            TARGET_DELAY,
+            index,
+            Scheduled::Fail(attempt, failure),
+        );
+    }
+    schedule(fleet, LAPSE_DELAY, 0, Scheduled::Lapse(target, run));
+    schedule(fleet, RESTART_DELAY, 0, Scheduled::Restart(target));
+}
