Merge strikes as a set instead of replacing one count by another

Callers saw: a request that crashes its targets went on to be run, by more targets the more instances there were.

Cause: an entry held one number. A number from another instance replaced the known one only if it reached the limit or its expiry was 10 s later, so "2" never replaced "1" at the gateway's limit of 3, and two strikes that two instances saw never became two. The query tier's limit of 2 hid it. The class: a sum over instances merged like a newest value.

Now each strike has a number of its own and the interval from the call to the loss; entries are merged as sets, and what counts is the longest sequence of strikes of which each call was sent after the previous target had ended. One crash therefore counts once, however many copies were in flight and whoever saw it. Of two times of one strike the earlier is kept, since transit only delays. The old number is still sent and read, so instances of both versions understand each other's quarantine. Changed entries go out by number of strikes, so a flood of single ones delays no others.

--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -234,6 +234,7 @@
         exchange: key,
         part_index,
         front,
+        service: exchange.parts[part_index].service,
         target,
         is_extra,
         sent_at: now,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -199,6 +199,8 @@
     pub part_index: usize,
     /// The front, by which latencies are kept.
     pub front: FrontKey,
+    /// The service of the part.
+    pub service: ServiceKey,
     /// The target.
     pub target: TargetKey,
     /// Whether it is an extra call, which counts against the retry budget.
--- a/crates/model/src/message.rs
+++ b/crates/model/src/message.rs
@@ -51,15 +51,35 @@
 }
 
 /// Strikes against one request, as exchanged between instances.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct QuarantineUpdate {
-    /// Hash of the request's front, service and body.
+    /// Hash of the request's content.
     pub fingerprint: u64,
-    /// Connections lost while the request was executing; 0 after it was cleared.
+    /// Strikes that count according to the sender; all that a sender of an earlier version states.
     pub strikes_count: u32,
+    /// Whether the sender refuses the request.
+    pub is_quarantined: bool,
     /// Time until the entry expires.
     pub remaining: Duration,
+    /// The strikes known to the sender; empty if it refuses the request.
+    pub strikes: Vec<StrikeUpdate>,
+}
+
+/// One strike, as exchanged between instances.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct StrikeUpdate {
+    /// Unique number of the strike.
+    pub id: u64,
+    /// Hash of the service whose target ended.
+    pub service: u64,
+    /// Time since the call was sent to the target.
+    pub sent_age: Duration,
+    /// Time since the target is known to have ended.
+    pub lost_age: Duration,
+    /// Whether the service has executed the request since.
+    pub is_cleared: bool,
 }
 
 /// Gossip message that instances send each other periodically.
--- a/crates/once/src/quarantine.rs
+++ b/crates/once/src/quarantine.rs
@@ -1,117 +1,177 @@
 //! Quarantine of requests that crash the targets that execute them.
 //!
-//! A connection that is lost while a call executes is a strike against the call's fingerprint. One
-//! crash counts as one strike, however many copies of the request were in flight: a loss counts
-//! only if its call was sent after the previous strike became known. A complete reply to the same
-//! request shows that a target can execute it and clears its strikes, so that a frequent request is
-//! not quarantined for unrelated crashes. A request whose strikes reach the limit in the settings
-//! is quarantined until its entry expires.
+//! A target that ends while it executes a request is a strike against the request's fingerprint.
+//! Every instance records the strikes that it observes; the strikes of all instances are merged as
+//! a set, so neither the order nor the repetition of messages matters.
+//!
+//! Strikes count one after another: two of them count as two only if the later call was sent after
+//! the earlier target had ended. One crash is thus one strike, however many copies of the request
+//! were in flight and however many instances observed it.
+//!
+//! A complete reply shows that a target of the service can execute the request and clears the
+//! strikes of that service, so that a frequent request is not quarantined for unrelated crashes. A
+//! request whose strikes reach the limit in the settings is quarantined until its entry expires.
 
 use std::time::{Duration, Instant};
 
-use model::QuarantineUpdate;
+use model::{QuarantineUpdate, StrikeUpdate};
 use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
 
-use crate::OnceState;
+use crate::{OnceState, Owner};
 
 /// Upper bound of the entries; beyond it the one with the fewest strikes is evicted, and among
 /// those the one that expires first.
 const ENTRIES_MAX_COUNT: usize = 1024;
-
-/// Two entries of one fingerprint whose expiry times differ by at most this much are taken to
-/// describe the same strike: each relay of an entry delays its expiry by the digest's transit time.
-const SAME_STRIKE_TOLERANCE: Duration = Duration::from_secs(10);
+/// Upper bound of the strikes in an entry, as a multiple of the limit at which it is quarantined;
+/// the surplus holds cleared strikes and strikes that overlap others.
+const STRIKES_PER_LIMIT_COUNT: usize = 3;
+/// Difference of expiry times up to which an update is not news: each relay of an entry delays its
+/// expiry by the digest's transit time.
+const EXPIRY_TOLERANCE: Duration = Duration::from_secs(10);
+/// Number of strikes from which on an entry is sent again and again, so that instances that were
+/// restarted or cut off learn it.
+const REPEATED_STRIKES_MIN_COUNT: u32 = 2;
 
 /// Strikes against one fingerprint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize)]
 pub struct QuarantineEntry {
-    /// Strikes since the last clearance; 0 after a complete reply has cleared the request.
+    /// Known strikes, including cleared ones, by the time at which the target ended.
+    pub strikes: Vec<Strike>,
+    /// Number of strikes that count: the longest sequence of strikes that are not cleared and of
+    /// which each call was sent after the target of the previous one had ended.
     pub strikes_count: u32,
-    /// When the last strike became known to this instance.
-    #[serde(skip)]
-    pub last_strike_at: Instant,
+    /// Whether the strikes have reached the limit; never reset.
+    pub is_quarantined: bool,
     /// When the entry is removed.
     #[serde(skip)]
     pub expires_at: Instant,
     /// Whether the entry has changed since it was last sent to other instances.
     #[serde(rename = "is_news")]
     pub is_dirty: bool,
+    /// Whether the entry has been sent to other instances, or received from them.
+    pub is_shared: bool,
 }
 
-/// Adds a strike for a connection that was lost while a target executed a call, unless the call was
-/// sent before the last strike that has not been cleared. Returns the fingerprint's strikes.
+/// A target that ended while it executed the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
+pub struct Strike {
+    /// Unique number, assigned by the instance that observed it.
+    pub id: u64,
+    /// Hash of the target's service.
+    pub service: u64,
+    /// When the call was sent to the target.
+    #[serde(skip)]
+    pub sent_at: Instant,
+    /// By when the target had ended.
+    #[serde(skip)]
+    pub lost_at: Instant,
+    /// Whether the service has executed the request since.
+    pub is_cleared: bool,
+}
+
+/// A strike to be recorded.
+#[derive(Clone, Copy, Debug)]
+pub struct ObservedStrike<'a> {
+    /// Fingerprint of the request.
+    pub fingerprint: u64,
+    /// Service of the target.
+    pub service: &'a str,
+    /// When the call was sent to the target.
+    pub sent_at: Instant,
+    /// By when the target had ended.
+    pub lost_at: Instant,
+}
+
+/// Records a strike and returns the number of strikes that count against its fingerprint.
 pub fn add_strike(
     once: &mut OnceState,
     settings: &settings::Once,
     now: Instant,
-    fingerprint: u64,
-    sent_at: Instant,
+    observed: &ObservedStrike<'_>,
 ) -> u32 {
     remove_expired(once, now);
-    let expires_at = now + settings.quarantine_duration;
-    let Some(entry) = once.quarantine_entries.get_mut(&fingerprint) else {
-        insert(once, fingerprint, 1, now, expires_at);
-        return 1;
+    once.observed_strikes_count += 1;
+    let strike = Strike {
+        id: strike_id(&once.owner, once.observed_strikes_count),
+        service: service_hash(observed.service),
+        sent_at: observed.sent_at,
+        lost_at: observed.lost_at,
+        is_cleared: false,
     };
-    let is_cleared = entry.strikes_count == 0;
-    if !is_cleared && sent_at < entry.last_strike_at {
-        return entry.strikes_count;
-    }
-    entry.strikes_count += 1;
-    entry.last_strike_at = now;
+    let expires_at = now + settings.quarantine_duration;
+    let entry = entry_mut(once, observed.fingerprint, expires_at);
+    insert_strike(entry, settings, strike);
     entry.expires_at = expires_at;
     entry.is_dirty = true;
+    recount(entry, settings);
     entry.strikes_count
 }
 
-/// Clears the strikes of a request that a target has replied to, unless it is quarantined; returns
-/// whether there were any.
+/// Clears the strikes of a request at a service that has replied to it; returns whether there were
+/// any.
 ///
-/// The entry stays with 0 strikes as a tombstone, so that an older update from another instance
-/// does not restore them.
-pub fn clear_strikes(once: &mut OnceState, settings: &settings::Once, fingerprint: u64) -> bool {
+/// Cleared strikes stay in the entry, so that an older update does not restore them. A quarantine
+/// is not lifted.
+pub fn clear_strikes(
+    once: &mut OnceState,
+    settings: &settings::Once,
+    fingerprint: u64,
+    service: &str,
+) -> bool {
     let Some(entry) = once.quarantine_entries.get_mut(&fingerprint) else {
         return false;
     };
-    let has_clearable_strikes = (1..settings.strikes_max_count).contains(&entry.strikes_count);
-    if has_clearable_strikes {
-        entry.strikes_count = 0;
-        entry.is_dirty = true;
+    let service = service_hash(service);
+    let strikes = entry.strikes.iter_mut();
+    let strikes = strikes.filter(|strike| strike.service == service && !strike.is_cleared);
+    let cleared_count = strikes.map(|strike| strike.is_cleared = true).count();
+    if cleared_count == 0 {
+        return false;
+    }
+    entry.is_dirty = true;
+    recount(entry, settings);
+    let is_of_use = entry.is_quarantined || entry.strikes.iter().any(|strike| !strike.is_cleared);
+    if !is_of_use && !entry.is_shared {
+        once.quarantine_entries.remove(&fingerprint);
     }
-    has_clearable_strikes
+    true
 }
 
 /// Returns whether a request must be refused because its strikes have reached the limit.
-pub fn is_quarantined(
-    once: &OnceState,
-    settings: &settings::Once,
-    now: Instant,
-    fingerprint: u64,
-) -> bool {
+pub fn is_quarantined(once: &OnceState, now: Instant, fingerprint: u64) -> bool {
     once.quarantine_entries
         .get(&fingerprint)
-        .is_some_and(|entry| {
-            entry.strikes_count >= settings.strikes_max_count && now < entry.expires_at
-        })
+        .is_some_and(|entry| entry.is_quarantined && now < entry.expires_at)
 }
 
-/// Returns up to `max_count` updates for a digest: unsent changes first, then by latest expiry.
+/// Returns the updates for a digest: up to `changed_max_count` entries that have changed, most
+/// strikes and latest expiry first, and up to `repeated_max_count` others in turn.
 pub fn quarantine_updates(
     once: &OnceState,
     now: Instant,
-    max_count: usize,
+    changed_max_count: usize,
+    repeated_max_count: usize,
 ) -> Vec<QuarantineUpdate> {
-    let unexpired = once
-        .quarantine_entries
-        .iter()
-        .filter(|(_, entry)| now < entry.expires_at);
-    let mut unexpired: Vec<_> = unexpired.collect();
-    unexpired.sort_by_key(|(_, entry)| (!entry.is_dirty, std::cmp::Reverse(entry.expires_at)));
-    unexpired.truncate(max_count);
-    let updates = unexpired
-        .into_iter()
-        .filter_map(|(&fingerprint, _)| quarantine_update(once, now, fingerprint));
+    let unexpired = || {
+        let entries = once.quarantine_entries.iter();
+        entries.filter(move |(_, entry)| now < entry.expires_at)
+    };
+    let changed = unexpired().filter(|(_, entry)| entry.is_dirty);
+    let mut changed: Vec<_> = changed.collect();
+    changed.sort_by_key(|(_, entry)| std::cmp::Reverse((rank(entry), entry.expires_at)));
+    changed.truncate(changed_max_count);
+    let repeated = unexpired().filter(|(_, entry)| {
+        !entry.is_dirty && (entry.is_quarantined || rank(entry) >= REPEATED_STRIKES_MIN_COUNT)
+    });
+    let mut repeated: Vec<_> = repeated.collect();
+    let last_repeated = once.last_repeated_fingerprint;
+    repeated.sort_by_key(|(fingerprint, _)| (**fingerprint <= last_repeated, **fingerprint));
+    repeated.truncate(repeated_max_count);
+    let chosen = changed.into_iter().chain(repeated);
+    let updates = chosen.filter_map(|(&fingerprint, _)| quarantine_update(once, now, fingerprint));
     updates.collect()
 }
 
@@ -122,19 +182,34 @@
     fingerprint: u64,
 ) -> Option<QuarantineUpdate> {
     let entry = once.quarantine_entries.get(&fingerprint)?;
+    // The receiver of a quarantine does not count.
+    let strikes = entry.strikes.iter().filter(|_| !entry.is_quarantined);
+    let strikes = strikes.map(|strike| StrikeUpdate {
+        id: strike.id,
+        service: strike.service,
+        sent_age: now.saturating_duration_since(strike.sent_at),
+        lost_age: now.saturating_duration_since(strike.lost_at),
+        is_cleared: strike.is_cleared,
+    });
     Some(QuarantineUpdate {
         fingerprint,
         strikes_count: entry.strikes_count,
+        is_quarantined: entry.is_quarantined,
         remaining: entry.expires_at.saturating_duration_since(now),
+        strikes: strikes.collect(),
     })
 }
 
 /// Marks entries as sent to other instances.
 pub fn mark_quarantine_sent(once: &mut OnceState, updates: &[QuarantineUpdate]) {
     for update in updates {
-        if let Some(entry) = once.quarantine_entries.get_mut(&update.fingerprint) {
-            entry.is_dirty = false;
+        let Some(entry) = once.quarantine_entries.get_mut(&update.fingerprint) else {
+            continue;
+        };
+        if !std::mem::replace(&mut entry.is_dirty, false) {
+            once.last_repeated_fingerprint = update.fingerprint;
         }
+        entry.is_shared = true;
     }
 }
 
@@ -147,72 +222,139 @@
 ) {
     remove_expired(once, now);
     for update in updates {
+        let is_quarantined =
+            update.is_quarantined || update.strikes_count >= settings.strikes_max_count;
+        if update.strikes.is_empty() && !is_quarantined {
+            continue;
+        }
         let remaining = update.remaining.min(settings.quarantine_duration);
         let expires_at = now + remaining;
-        let Some(known) = once.quarantine_entries.get_mut(&update.fingerprint) else {
-            insert(
-                once,
-                update.fingerprint,
-                update.strikes_count,
-                now,
-                expires_at,
-            );
-            continue;
-        };
-        if supersedes(known, settings, update.strikes_count, expires_at) {
-            known.strikes_count = update.strikes_count;
-            known.last_strike_at = now;
-            known.expires_at = expires_at;
-            known.is_dirty = true;
+        let entry = entry_mut(once, update.fingerprint, expires_at);
+        entry.is_shared = true;
+        let was_quarantined = entry.is_quarantined;
+        let mut is_changed = false;
+        for received in &update.strikes {
+            is_changed |= merge_strike(entry, settings, now, received);
         }
+        entry.is_quarantined |= is_quarantined;
+        recount(entry, settings);
+        is_changed |= was_quarantined != entry.is_quarantined;
+        is_changed |= expires_at > entry.expires_at + EXPIRY_TOLERANCE;
+        entry.expires_at = entry.expires_at.max(expires_at);
+        entry.is_dirty |= is_changed;
     }
 }
 
-/// Returns whether a received entry replaces the known entry of the same fingerprint.
+/// Merges one strike; returns whether it changed the entry.
 ///
-/// An entry whose strikes have reached the limit replaces one whose strikes have not, and never the
-/// reverse. Otherwise the entry with the later strike wins; of two entries about the same strike
-/// the cleared one wins.
-fn supersedes(
-    known: &QuarantineEntry,
+/// Of two times of the same strike the earlier one is kept: messages in transit make strikes appear
+/// later than they were, and by different times, which could let strikes overlap that did not.
+fn merge_strike(
+    entry: &mut QuarantineEntry,
     settings: &settings::Once,
-    strikes_count: u32,
-    expires_at: Instant,
+    now: Instant,
+    received: &StrikeUpdate,
 ) -> bool {
-    let limit = settings.strikes_max_count;
-    let (was_quarantined, is_quarantined) = (known.strikes_count >= limit, strikes_count >= limit);
-    if was_quarantined != is_quarantined {
-        return is_quarantined;
-    }
-    if expires_at > known.expires_at + SAME_STRIKE_TOLERANCE {
+    let at = |age: Duration| now.checked_sub(age).unwrap_or(now);
+    let mut strike = Strike {
+        id: received.id,
+        service: received.service,
+        sent_at: at(received.sent_age),
+        lost_at: at(received.lost_age),
+        is_cleared: received.is_cleared,
+    };
+    let known = entry.strikes.iter().position(|known| known.id == strike.id);
+    let Some(index) = known else {
+        return insert_strike(entry, settings, strike);
+    };
+    let known = entry.strikes.remove(index);
+    strike.sent_at = strike.sent_at.min(known.sent_at);
+    strike.lost_at = strike.lost_at.min(known.lost_at);
+    strike.is_cleared |= known.is_cleared;
+    insert_strike(entry, settings, strike);
+    strike.is_cleared != known.is_cleared
+}
+
+/// Inserts a strike in its order; returns whether it was kept.
+fn insert_strike(entry: &mut QuarantineEntry, settings: &settings::Once, strike: Strike) -> bool {
+    let index = entry.strikes.partition_point(|known| {
+        (known.lost_at, known.sent_at) <= (strike.lost_at, strike.sent_at)
+    });
+    entry.strikes.insert(index, strike);
+    let strikes_max_count = settings.strikes_max_count as usize * STRIKES_PER_LIMIT_COUNT;
+    if entry.strikes.len() <= strikes_max_count {
         return true;
     }
-    let is_same_strike = expires_at + SAME_STRIKE_TOLERANCE >= known.expires_at;
-    is_same_strike && strikes_count == 0 && known.strikes_count > 0
+    let dropped = superfluous_strike_index(&entry.strikes);
+    entry.strikes.remove(dropped).id != strike.id
 }
 
-fn insert(
-    once: &mut OnceState,
-    fingerprint: u64,
-    strikes_count: u32,
-    now: Instant,
-    expires_at: Instant,
-) {
-    if once.quarantine_entries.len() >= ENTRIES_MAX_COUNT {
-        let victim = once
-            .quarantine_entries
+/// Returns the index of the strike to drop from a full entry: a cleared one, or else the last one
+/// that overlaps an earlier one.
+fn superfluous_strike_index(strikes: &[Strike]) -> usize {
+    if let Some(index) = strikes.iter().position(|strike| strike.is_cleared) {
+        return index;
+    }
+    let pairs = strikes.windows(2);
+    let overlapping = pairs
+        .enumerate()
+        .rfind(|(_, pair)| pair[1].sent_at < pair[0].lost_at);
+    overlapping.map_or(strikes.len() - 1, |(index, _)| index + 1)
+}
+
+/// Updates the number of strikes that count, and starts the quarantine if they reach the limit.
+fn recount(entry: &mut QuarantineEntry, settings: &settings::Once) {
+    let mut count = 0;
+    let mut last_lost_at: Option<Instant> = None;
+    // Taking the earliest end first yields the longest sequence of disjoint intervals.
+    for strike in entry.strikes.iter().filter(|strike| !strike.is_cleared) {
+        if last_lost_at.is_none_or(|at| strike.sent_at >= at) {
+            last_lost_at = Some(strike.lost_at);
+            count += 1;
+        }
+    }
+    entry.strikes_count = count;
+    entry.is_quarantined |= count >= settings.strikes_max_count;
+}
+
+/// Returns the number of strikes by which entries are ordered; a quarantined entry comes first.
+fn rank(entry: &QuarantineEntry) -> u32 {
+    match entry.is_quarantined {
+        true => u32::MAX,
+        false => entry.strikes_count,
+    }
+}
+
+/// Returns the entry of a fingerprint; a new one if there is none, in place of the least important
+/// one if the table is full.
+fn entry_mut(once: &mut OnceState, fingerprint: u64, expires_at: Instant) -> &mut QuarantineEntry {
+    let entries = &mut once.quarantine_entries;
+    if !entries.contains_key(&fingerprint) && entries.len() >= ENTRIES_MAX_COUNT {
+        let victim = entries
             .iter()
-            .min_by_key(|(_, entry)| (entry.strikes_count, entry.expires_at));
-        let Some((&victim, _)) = victim else { return };
-        once.quarantine_entries.remove(&victim);
+            .min_by_key(|(_, entry)| (rank(entry), entry.expires_at));
+        if let Some((&victim, _)) = victim {
+            entries.remove(&victim);
+        }
     }
-    let entry = QuarantineEntry {
-        strikes_count,
-        last_strike_at: now,
-        expires_at,
-        is_dirty: true,
-    };
-    once.quarantine_entries.insert(fingerprint, entry);
+    entries
+        .entry(fingerprint)
+        .or_insert_with(|| QuarantineEntry {
+            strikes: Vec::new(),
+            strikes_count: 0,
+            is_quarantined: false,
+            expires_at,
+            is_dirty: false,
+            is_shared: false,
+        })
+}
+
+fn strike_id(owner: &Owner, number: u64) -> u64 {
+    xxh3_64(format!("{}/{}/{number}", owner.address, owner.incarnation).as_bytes())
+}
+
+fn service_hash(service: &str) -> u64 {
+    xxh3_64(service.as_bytes())
 }
 
 fn remove_expired(once: &mut OnceState, now: Instant) {
--- a/crates/once/src/state.rs
+++ b/crates/once/src/state.rs
@@ -43,6 +43,10 @@
     /// Requests that crashed targets or may have done so, by fingerprint.
     #[serde(rename = "suspects")]
     pub quarantine_entries: BTreeMap<u64, QuarantineEntry>,
+    /// Strikes that this process has observed, for their numbers.
+    pub observed_strikes_count: u64,
+    /// Fingerprint of the unchanged entry that was last sent again in a digest.
+    pub last_repeated_fingerprint: u64,
     /// Strikes broadcast to all instances since the last tick, for the limit per tick.
     #[serde(rename = "announced_count")]
     pub announced_strikes_count: u32,
@@ -108,6 +112,8 @@
         waiters: SlotMap::with_key(),
         late_calls: BTreeMap::new(),
         quarantine_entries: BTreeMap::new(),
+        observed_strikes_count: 0,
+        last_repeated_fingerprint: 0,
         announced_strikes_count: 0,
     }
 }
--- a/crates/tier/src/gateway.rs
+++ b/crates/tier/src/gateway.rs
@@ -87,7 +87,7 @@
     if let Some(fingerprint) = fingerprint
         && reply.status == ReplyStatus::Done
     {
-        quarantine::clear_strikes(state, fingerprint, out);
+        quarantine::clear_strikes(state, fingerprint, "", out);
     }
     let is_quarantined =
         fingerprint.is_some_and(|f| quarantine::is_fingerprint_quarantined(state, now, f));
@@ -127,13 +127,11 @@
     let exchange = gateway.exchanges.get(attempt.exchange);
     let request = exchange.map(|exchange| exchange.request.clone());
     let target = gateway.catalog.targets.get(attempt.target);
-    let service = target.and_then(|target| gateway.catalog.services.get(target.service));
-    let service = service.map(|service| service.name.clone());
     let target = target.map(|target| target.id.clone());
     let strike = Strike {
         fingerprint: attempt.fingerprint,
         request_id: request.as_ref().map_or("", |request| &request.request_id),
-        service: service.as_deref().unwrap_or_default(),
+        service: "",
         target: target.as_deref().unwrap_or_default(),
         sent_at: attempt.sent_at,
     };
--- a/crates/tier/src/late_call.rs
+++ b/crates/tier/src/late_call.rs
@@ -47,7 +47,7 @@
         return;
     };
     if reply.status.is_executed() {
-        quarantine::clear_strikes(state, late.fingerprint, out);
+        quarantine::clear_strikes(state, late.fingerprint, &late.service, out);
     }
     let mut evidence = Evidence::default();
     evidence.record_reply(reply.status);
--- a/crates/tier/src/quarantine.rs
+++ b/crates/tier/src/quarantine.rs
@@ -17,8 +17,10 @@
 const TARGETS_LOST_PER_SHARD_MAX_COUNT: usize = 2;
 /// Strikes announced immediately to every instance between two ticks.
 const ANNOUNCEMENTS_PER_TICK_MAX_COUNT: u32 = 4;
-/// Quarantine updates in one digest; bounds the digest's size.
-const UPDATES_PER_DIGEST_MAX_COUNT: usize = 4;
+/// Changed quarantine entries in one digest; bounds the digest's size.
+const CHANGED_PER_DIGEST_MAX_COUNT: usize = 4;
+/// Unchanged quarantine entries that one digest repeats.
+const REPEATED_PER_DIGEST_MAX_COUNT: usize = 0;
 
 /// Handles a complete reply: if the target executed the request without crashing, the request's
 /// strikes are cleared.
@@ -35,7 +37,10 @@
         return;
     };
     let fingerprint = call_fingerprint(state, &call);
-    clear_strikes(state, fingerprint, out);
+    let service = state.queries.queries[call.query].shards[call.shard_index]
+        .name
+        .clone();
+    clear_strikes(state, fingerprint, &service, out);
 }
 
 /// Handles the loss of a target that may have been executing a call.
@@ -103,8 +108,13 @@
     let fingerprint = strike.fingerprint;
     let was_quarantined = is_fingerprint_quarantined(state, now, fingerprint);
     let settings = &state.settings.once;
-    let strikes_count =
-        once::add_strike(&mut state.once, settings, now, fingerprint, strike.sent_at);
+    let observed = once::ObservedStrike {
+        fingerprint,
+        service: strike.service,
+        sent_at: strike.sent_at,
+        lost_at: now,
+    };
+    let strikes_count = once::add_strike(&mut state.once, settings, now, &observed);
     let took = now.saturating_duration_since(strike.sent_at);
     let line = LogLine::new(Level::Info, "strike-recorded")
         .with("request_id", strike.request_id)
@@ -145,7 +155,12 @@
 
 /// Returns the quarantine updates to include in a digest.
 pub(crate) fn digest_updates(state: &State, now: Instant) -> Vec<QuarantineUpdate> {
-    once::quarantine_updates(&state.once, now, UPDATES_PER_DIGEST_MAX_COUNT)
+    once::quarantine_updates(
+        &state.once,
+        now,
+        CHANGED_PER_DIGEST_MAX_COUNT,
+        REPEATED_PER_DIGEST_MAX_COUNT,
+    )
 }
 
 /// Marks updates as sent with this tick's digests and resets the announcement limit.
@@ -178,12 +193,19 @@
     }
 }
 
-/// Clears the strikes of a request that a target has executed without crashing, and logs it.
-pub(crate) fn clear_strikes(state: &mut State, fingerprint: u64, out: &mut Vec<Effect>) {
-    if !once::clear_strikes(&mut state.once, &state.settings.once, fingerprint) {
+/// Clears the strikes of a request at a service that has executed it without crashing, and logs it.
+pub(crate) fn clear_strikes(
+    state: &mut State,
+    fingerprint: u64,
+    service: &str,
+    out: &mut Vec<Effect>,
+) {
+    if !once::clear_strikes(&mut state.once, &state.settings.once, fingerprint, service) {
         return;
     }
-    let line = LogLine::new(Level::Info, "strikes-cleared").with("fingerprint", fingerprint);
+    let line = LogLine::new(Level::Info, "strikes-cleared")
+        .with("fingerprint", fingerprint)
+        .with("service", service);
     out.push(Effect::Log(line));
     count(out, Counter::StrikesCleared);
 }
@@ -251,7 +273,7 @@
         let note = state.fleet.note.as_ref();
         note.is_some_and(|note| note.fleet.released_fingerprints.contains(&fingerprint))
     };
-    once::is_quarantined(&state.once, &state.settings.once, now, fingerprint) && !is_released()
+    once::is_quarantined(&state.once, now, fingerprint) && !is_released()
 }
 
 /// Returns a call that is not cancelled and whose query still runs.
--- a/crates/wire/src/decode.rs
+++ b/crates/wire/src/decode.rs
@@ -6,7 +6,7 @@
 use model::{
     Answer, Coverage, Digest, ForwardedRequest, Header, HttpRequest, InstanceId, MemberRow,
     MemberState, MergedAnswer, Message, Missing, Outcome, Priority, QuarantineUpdate,
-    RelayedRequest, ShardResult, StoreArea, StoreChanges, variant_from_name,
+    RelayedRequest, ShardResult, StoreArea, StoreChanges, StrikeUpdate, variant_from_name,
 };
 use prost::Message as _;
 use serde::Deserialize;
@@ -155,7 +155,19 @@
     QuarantineUpdate {
         fingerprint: row.fingerprint,
         strikes_count: row.strikes_count,
+        is_quarantined: row.is_quarantined,
         remaining: Duration::from_millis(row.remaining_ms),
+        strikes: row.strikes.into_iter().map(decode_strike).collect(),
+    }
+}
+
+fn decode_strike(strike: generated::Strike) -> StrikeUpdate {
+    StrikeUpdate {
+        id: strike.id,
+        service: strike.service,
+        sent_age: Duration::from_millis(strike.sent_age_ms),
+        lost_age: Duration::from_millis(strike.lost_age_ms),
+        is_cleared: strike.is_cleared,
     }
 }
 
--- a/crates/wire/src/encode.rs
+++ b/crates/wire/src/encode.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use model::{
     Answer, Digest, ForwardedRequest, MemberRow, MemberState, Message, Outcome, Priority,
-    QuarantineUpdate, RelayedRequest, StoreArea, StoreChanges, variant_name,
+    QuarantineUpdate, RelayedRequest, StoreArea, StoreChanges, StrikeUpdate, variant_name,
 };
 use prost::Message as _;
 
@@ -142,6 +142,18 @@
         fingerprint: row.fingerprint,
         strikes_count: row.strikes_count,
         remaining_ms: to_ms(row.remaining),
+        strikes: row.strikes.iter().map(encode_strike).collect(),
+        is_quarantined: row.is_quarantined,
+    }
+}
+
+fn encode_strike(strike: &StrikeUpdate) -> generated::Strike {
+    generated::Strike {
+        id: strike.id,
+        service: strike.service,
+        sent_age_ms: to_ms(strike.sent_age),
+        lost_age_ms: to_ms(strike.lost_age),
+        is_cleared: strike.is_cleared,
     }
 }
 
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -52,7 +52,7 @@
     #[prost(uint32, tag = "7")]
     pub capacity_millicores: u32,
 }
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Quarantine {
     #[prost(fixed64, tag = "1")]
     pub fingerprint: u64,
@@ -60,6 +60,23 @@
     pub strikes_count: u32,
     #[prost(uint64, tag = "3")]
     pub remaining_ms: u64,
+    #[prost(message, repeated, tag = "4")]
+    pub strikes: ::prost::alloc::vec::Vec<Strike>,
+    #[prost(bool, tag = "5")]
+    pub is_quarantined: bool,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Strike {
+    #[prost(fixed64, tag = "1")]
+    pub id: u64,
+    #[prost(fixed64, tag = "2")]
+    pub service: u64,
+    #[prost(uint64, tag = "3")]
+    pub sent_age_ms: u64,
+    #[prost(uint64, tag = "4")]
+    pub lost_age_ms: u64,
+    #[prost(bool, tag = "5")]
+    pub is_cleared: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Digest {
--- a/crates/wire/src/tests.rs
+++ b/crates/wire/src/tests.rs
@@ -6,7 +6,8 @@
 use model::{
     Answer, Coverage, Digest, ForwardedRequest, Header, HttpRequest, InstanceId, MemberRow,
     MemberState, MergedAnswer, Message, Missing, MissingReason, NotRunReason, Outcome, Priority,
-    QuarantineUpdate, RelayedRequest, ShardResult, StoreArea, StoreChanges, UnknownReason,
+    QuarantineUpdate, RelayedRequest, ShardResult, StoreArea, StoreChanges, StrikeUpdate,
+    UnknownReason,
 };
 use proptest::{collection::vec, option, prelude::*, sample::select, test_runner::RngSeed};
 
@@ -181,11 +182,34 @@
 }
 
 fn any_quarantine() -> impl Strategy<Value = QuarantineUpdate> {
-    (any::<u64>(), any::<u32>(), any_duration()).prop_map(
-        |(fingerprint, strikes_count, remaining)| QuarantineUpdate {
-            fingerprint,
-            strikes_count,
-            remaining,
+    let strikes = vec(any_strike(), 0..3);
+    (
+        any::<u64>(),
+        any::<u32>(),
+        any::<bool>(),
+        any_duration(),
+        strikes,
+    )
+        .prop_map(
+            |(fingerprint, strikes_count, is_quarantined, remaining, strikes)| QuarantineUpdate {
+                fingerprint,
+                strikes_count,
+                is_quarantined,
+                remaining,
+                strikes,
+            },
+        )
+}
+
+fn any_strike() -> impl Strategy<Value = StrikeUpdate> {
+    let ages = (any_duration(), any_duration());
+    (any::<u64>(), any::<u64>(), ages, any::<bool>()).prop_map(
+        |(id, service, (sent_age, lost_age), is_cleared)| StrikeUpdate {
+            id,
+            service,
+            sent_age,
+            lost_age,
+            is_cleared,
         },
     )
 }
