Clear strikes at the gateway only for the service that replied

Cause: the gateway's fingerprint is that of the whole request, and every complete reply cleared it. The parts of healthy services thus cleared the strikes of the others. The query tier has the service in its fingerprint. The class: evidence about one thing taken for evidence about another.

Now a strike names its service, and a reply clears the strikes of that service only. The fingerprint stays that of the whole request, so strikes of all its services count together.

--- a/crates/tier/src/gateway.rs
+++ b/crates/tier/src/gateway.rs
@@ -87,7 +87,9 @@
     if let Some(fingerprint) = fingerprint
         && reply.status == ReplyStatus::Done
     {
-        quarantine::clear_strikes(state, fingerprint, "", out);
+        let service = attempt_service(state, key);
+        let service = service.as_deref().unwrap_or_default();
+        quarantine::clear_strikes(state, fingerprint, service, out);
     }
     let is_quarantined =
         fingerprint.is_some_and(|f| quarantine::is_fingerprint_quarantined(state, now, f));
@@ -128,10 +130,11 @@
     let request = exchange.map(|exchange| exchange.request.clone());
     let target = gateway.catalog.targets.get(attempt.target);
     let target = target.map(|target| target.id.clone());
+    let service = attempt_service(state, key);
     let strike = Strike {
         fingerprint: attempt.fingerprint,
         request_id: request.as_ref().map_or("", |request| &request.request_id),
-        service: "",
+        service: service.as_deref().unwrap_or_default(),
         target: target.as_deref().unwrap_or_default(),
         sent_at: attempt.sent_at,
     };
@@ -352,6 +355,14 @@
     }
 }
 
+/// Returns the service that an attempt was sent to, unless it is no longer known.
+fn attempt_service(state: &State, key: AttemptKey) -> Option<Arc<str>> {
+    let gateway = state.gateway.as_ref()?;
+    let service = gateway.attempts.get(key)?.service;
+    let service = gateway.catalog.services.get(service)?;
+    Some(service.name.clone())
+}
+
 fn attempt_fingerprint(state: &State, key: AttemptKey) -> Option<u64> {
     if state.once.quarantine_entries.is_empty() {
         return None;
