Repeat quarantines in digests so that restarted instances learn them

Callers saw: an instance that had been restarted ran a request that the rest of the fleet refused.

Cause: a digest carried the four entries that were newest or had just changed. An instance that starts later is not told about the others: the test finds 0 of 12 quarantines known 4 s after a restart, at 6 and at 40 instances.

Now each digest also repeats two unchanged entries that are quarantined or one strike short of it, in turn.

Test, which failed before: a_new_instance_learns_every_quarantine_within_the_contact_time.

--- a/crates/tier/src/quarantine.rs
+++ b/crates/tier/src/quarantine.rs
@@ -20,7 +20,7 @@
 /// Changed quarantine entries in one digest; bounds the digest's size.
 const CHANGED_PER_DIGEST_MAX_COUNT: usize = 4;
 /// Unchanged quarantine entries that one digest repeats.
-const REPEATED_PER_DIGEST_MAX_COUNT: usize = 0;
+const REPEATED_PER_DIGEST_MAX_COUNT: usize = 2;
 
 /// Handles a complete reply: if the target executed the request without crashing, the request's
 /// strikes are cleared.
--- a/crates/tier/src/tests/crashing_request.rs
+++ b/crates/tier/src/tests/crashing_request.rs
@@ -147,6 +147,37 @@
     assert!(late_count <= REPETITIONS_MAX_COUNT, "{late_count}");
 }
 
+#[rstest]
+fn a_new_instance_learns_every_quarantine_within_the_contact_time(
+    #[values(6, 40)] instances_count: usize,
+) {
+    let size = Size {
+        instances_count,
+        ..ONE_SERVICE
+    };
+    let mut fleet = fleet(size, 1);
+    for number in 0..12 {
+        for _ in 0..4 {
+            let index = random_instance(&mut fleet);
+            send_request(&mut fleet, index, &format!("{CRASHING_PATH}/{number}"));
+            run_for(&mut fleet, Duration::from_millis(400));
+        }
+    }
+    run_for(&mut fleet, CONTACT);
+    let quarantined_count = |fleet: &Fleet, index: usize| {
+        let entries = fleet.instances[index]
+            .state
+            .once
+            .quarantine_entries
+            .values();
+        entries.filter(|entry| entry.is_quarantined).count()
+    };
+    assert_eq!(quarantined_count(&fleet, 1), 12);
+    restart_instance(&mut fleet, 0);
+    run_for(&mut fleet, CONTACT);
+    assert_eq!(quarantined_count(&fleet, 0), 12);
+}
+
 #[rstest]
 fn instances_without_contact_repeat_little(#[values(1, 2, 3)] cut_count: u32) {
     let mut fleet = fleet(ONE_SERVICE, 1);
--- a/crates/tier/src/tests/gateway_fleet.rs
+++ b/crates/tier/src/tests/gateway_fleet.rs
@@ -20,7 +20,7 @@
 use super::fixture::settings;
 use crate::{State, new_state, reduce};
 
-/// Path of the request that crashes its targets.
+/// Path of the request that crashes its targets, and prefix of others that do.
 pub(crate) const CRASHING_PATH: &str = "/crash";
 pub(crate) const HOST: &str = "parts.example";
 
@@ -258,7 +258,7 @@
 /// Returns the arrivals of the crashing request.
 pub(crate) fn crashing_arrivals(fleet: &Fleet) -> impl Iterator<Item = &Arrival> {
     let arrivals = fleet.arrivals.iter();
-    arrivals.filter(|arrival| arrival.path == CRASHING_PATH)
+    arrivals.filter(|arrival| arrival.path.starts_with(CRASHING_PATH))
 }
 
 /// Runs the fleet for a time.
@@ -561,7 +561,7 @@
     });
     fleet.targets[target].running.push((index, attempt));
     let is_immune = target % fleet.services_count < behaviour.immune_services_count;
-    if call.request.path == CRASHING_PATH && !is_immune {
+    if call.request.path.starts_with(CRASHING_PATH) && !is_immune {
         let run = fleet.targets[target].run;
         let event = Scheduled::Crash(target, run);
         return schedule(fleet, behaviour.crash_after, index, event);
