Count a target that ends within its reply as a strike

Callers saw: a request whose targets end after the first bytes of the reply was run again without end; 4 to 37 of 40 repetitions reached targets later than 4 s after the third crash.

Cause: the gateway counted only connections lost before the first byte. The query tier counts both.

Now every failure of an attempt that may have reached its target is a strike.

Test: the 12 cases of every_way_to_end_is_a_strike with targets that end within a reply failed before and pass now.

--- a/crates/tier/src/gateway.rs
+++ b/crates/tier/src/gateway.rs
@@ -106,7 +106,7 @@
     failure: CallFailure,
     out: &mut Vec<Effect>,
 ) {
-    if failure == CallFailure::ConnectionLost {
+    if failure.may_have_reached_target() {
         record_attempt_strike(state, now, key, out);
     }
     let gateway = state.gateway.as_ref();
