Learn from the store that a target ended under a request in silence

Cause: a strike needed a connection that fails while its attempt is known. An attempt that is no longer needed is dropped after 250 ms, and a target that loses its power closes no connection. The class: absence of evidence, because the observer stopped looking.

Now dropped attempts without a reply are remembered for 10 s. Once the store shows that a target has been replaced, or that its registration is gone, and nothing has been heard from it for 800 ms, each of them and each attempt still in flight there is a strike, dated at its sending. An execution of the same request by the service in between shows that it was not the cause.

--- a/crates/gateway/src/completion.rs
+++ b/crates/gateway/src/completion.rs
@@ -14,6 +14,7 @@
     respond::{finish_if_decided, finish_with_reply},
     send::{Denial, SendOutcome, mark_missing, try_send},
     timer::arm_timer,
+    unresolved,
 };
 
 /// Handles a complete reply of a target.
@@ -29,6 +30,9 @@
         return;
     };
     record_reply(gateway, now, &attempt, reply, out);
+    if reply.status == ReplyStatus::Done {
+        unresolved::absolve(gateway, attempt.fingerprint, attempt.service);
+    }
     if attempt.abandoned_since.is_none() {
         on_reply(gateway, now, &attempt, reply, is_quarantined, out);
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod state;
 mod tick;
 mod timer;
+mod unresolved;
 
 #[cfg(test)]
 mod tests;
@@ -51,3 +52,4 @@
 };
 pub use tick::{Fleet, on_pause, remove_targets, set_fleet, tick};
 pub use timer::on_exchange_timer;
+pub use unresolved::{UnresolvedAttempt, take_unresolved};
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -241,6 +241,8 @@
         late_at: now + late_after,
         is_silence_noted: false,
         abandoned_since: None,
+        is_superseded: false,
+        is_strike: false,
         is_idempotent: exchange.is_idempotent,
         fingerprint: exchange.fingerprint,
     });
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -18,7 +18,9 @@
 use serde::Serialize;
 use slotmap::{SecondaryMap, SlotMap};
 
-use crate::{budget::RetryBudget, health::Health, latency::LatencyEstimate};
+use crate::{
+    budget::RetryBudget, health::Health, latency::LatencyEstimate, unresolved::UnresolvedAttempt,
+};
 
 /// State of the gateway; serialised for the state dump.
 #[derive(Clone, Debug)]
@@ -34,6 +36,8 @@
     pub exchanges: SlotMap<ExchangeKey, Exchange>,
     /// Requests to targets that are in flight, including abandoned ones.
     pub attempts: SlotMap<AttemptKey, Attempt>,
+    /// Dropped attempts without a reply, oldest first, in case their target turns out to have ended.
+    pub unresolved: VecDeque<UnresolvedAttempt>,
     /// Health of targets as observed by this instance.
     pub health: SecondaryMap<TargetKey, Health>,
     /// Retry budget of each service.
@@ -216,6 +220,10 @@
     /// Since when its reply is no longer needed.
     #[serde(skip)]
     pub abandoned_since: Option<Instant>,
+    /// Whether the service has executed the same request since.
+    pub is_superseded: bool,
+    /// Whether the end of its target is already recorded as a strike.
+    pub is_strike: bool,
     /// Whether the request may be executed more than once.
     pub is_idempotent: bool,
     /// Hash of the request's content, see [`fingerprint`].
@@ -230,6 +238,7 @@
         sync: catalog::new_sync_state(),
         exchanges: SlotMap::with_key(),
         attempts: SlotMap::with_key(),
+        unresolved: VecDeque::new(),
         health: SecondaryMap::new(),
         retry_budgets: SecondaryMap::new(),
         front_stats: SecondaryMap::new(),
--- a/crates/gateway/src/tick.rs
+++ b/crates/gateway/src/tick.rs
@@ -10,7 +10,7 @@
 use crate::{
     Gateway, completion,
     completion::{send_queued_parts, target_log_line},
-    health, isolation,
+    health, isolation, unresolved,
 };
 
 /// Time that an abandoned attempt has to end before its connection is closed.
@@ -44,8 +44,9 @@
     let overdue: Vec<AttemptKey> = overdue.map(|(key, _)| key).collect();
     record_silent_targets(gateway, now, out);
     for key in overdue {
-        drop_attempt(gateway, key, out);
+        drop_attempt(gateway, now, key, out);
     }
+    unresolved::expire(gateway, now);
     isolation::update(gateway, now, out);
     let expired = catalog::remove_expired_targets(&mut gateway.catalog, now);
     remove_targets(gateway, &expired, out);
@@ -116,13 +117,14 @@
     }
 }
 
-fn drop_attempt(gateway: &mut Gateway, key: AttemptKey, out: &mut Vec<Effect>) {
+fn drop_attempt(gateway: &mut Gateway, now: Instant, key: AttemptKey, out: &mut Vec<Effect>) {
     let Some(attempt) = gateway.attempts.remove(key) else {
         return;
     };
     if let Some(health) = gateway.health.get_mut(attempt.target) {
         health.in_flight.retain(|&attempt| attempt != key);
     }
+    unresolved::remember(gateway, now, &attempt);
     out.push(Effect::DropAttempt {
         attempt: key,
         target: attempt.target,
--- a/crates/tier/src/gateway.rs
+++ b/crates/tier/src/gateway.rs
@@ -12,7 +12,7 @@
 use model::{
     AttemptKey, AttemptReply, CallFailure, CallerKey, Counter, Effect, ExchangeKey, HttpRequest,
     Level, LogLine, Message, NotRunReason, RelayedRequest, ReplyStatus, StoreArea, StoreChanges,
-    StoreFailure, StoreRead, variant_name,
+    StoreFailure, StoreRead, TargetKey, variant_name,
 };
 
 use crate::{State, quarantine, quarantine::Strike, shutdown};
@@ -31,6 +31,10 @@
 /// Catalog changes per store answer that are logged individually; the rest is logged as a count.
 const CHANGES_LOGGED_MAX_COUNT: usize = 16;
 
+/// Time between a request and the end of its target that is assumed if the end was silent. Longer
+/// than it takes to send all parts of a query, and shorter than until a hedge or a repetition.
+const SILENT_END_DELAY: Duration = Duration::from_millis(10);
+
 /// Time without a message from any other zone after which this instance may be cut off: four ticks,
 /// each of which sends a digest to the zone heard from least recently.
 const CUT_OFF_AFTER: Duration = Duration::from_millis(800);
@@ -123,7 +127,8 @@
     let Some(gateway) = &state.gateway else {
         return;
     };
-    let Some(attempt) = gateway.attempts.get(key) else {
+    let attempt = gateway.attempts.get(key);
+    let Some(attempt) = attempt.filter(|attempt| !attempt.is_strike) else {
         return;
     };
     let exchange = gateway.exchanges.get(attempt.exchange);
@@ -137,10 +142,39 @@
         service: service.as_deref().unwrap_or_default(),
         target: target.as_deref().unwrap_or_default(),
         sent_at: attempt.sent_at,
+        lost_at: now,
     };
     quarantine::record_strike(state, now, &strike, out);
 }
 
+/// Records a strike for each attempt that a target has left without a reply, now that the store
+/// shows that it has ended.
+fn record_late_strikes(state: &mut State, now: Instant, target: TargetKey, out: &mut Vec<Effect>) {
+    let Some(gateway) = &mut state.gateway else {
+        return;
+    };
+    let unresolved = gateway::take_unresolved(gateway, now, target);
+    let id = gateway.catalog.targets.get(target);
+    let id = id.map_or_else(|| Arc::from(""), |target| target.id.clone());
+    for attempt in unresolved {
+        let services = state
+            .gateway
+            .as_ref()
+            .map(|gateway| &gateway.catalog.services);
+        let service = services.and_then(|services| services.get(attempt.service));
+        let service = service.map_or_else(|| Arc::from(""), |service| service.name.clone());
+        let strike = Strike {
+            fingerprint: attempt.fingerprint,
+            request_id: "",
+            service: &service,
+            target: &id,
+            sent_at: attempt.sent_at,
+            lost_at: attempt.sent_at + SILENT_END_DELAY,
+        };
+        quarantine::record_strike(state, now, &strike, out);
+    }
+}
+
 /// Ends the exchange of a caller that has disconnected.
 pub(crate) fn on_caller_gone(
     state: &mut State,
@@ -199,7 +233,10 @@
     let was_known = gateway::is_known(gateway);
     let sync = &mut gateway.sync;
     let changes = catalog::on_store_answer(sync, &mut gateway.catalog, now, answer, out);
-    process_changes(gateway, &changes, out);
+    process_changes(state, now, &changes, out);
+    let Some(gateway) = &state.gateway else {
+        return;
+    };
     if !was_known && gateway::is_known(gateway) {
         let line = LogLine::new(Level::Info, "catalog-known")
             .with("version", gateway.catalog.version)
@@ -219,7 +256,7 @@
         return;
     };
     let changes = catalog::on_shared_changes(&mut gateway.sync, &mut gateway.catalog, now, shared);
-    process_changes(gateway, &changes, out);
+    process_changes(state, now, &changes, out);
 }
 
 /// Sends a watch answer to the other instances of the zone if this instance is their reader.
@@ -386,16 +423,28 @@
     quarantine::is_fingerprint_quarantined(state, now, fingerprint)
 }
 
-/// Logs catalog changes and drops the state of replaced targets.
-fn process_changes(gateway: &mut Gateway, changes: &[Change], out: &mut Vec<Effect>) {
-    log_changes(gateway, changes, out);
+/// Logs catalog changes, records strikes for targets that have ended, and drops the state of
+/// replaced targets.
+fn process_changes(state: &mut State, now: Instant, changes: &[Change], out: &mut Vec<Effect>) {
+    if let Some(gateway) = &state.gateway {
+        log_changes(gateway, changes, out);
+    }
     for change in changes {
-        if let Change::TargetStarted {
-            replaced: Some(replaced),
-            ..
-        } = change
-        {
-            gateway::remove_targets(gateway, &[*replaced], out);
+        match *change {
+            Change::TargetStarted {
+                replaced: Some(replaced),
+                ..
+            } => {
+                record_late_strikes(state, now, replaced, out);
+                if let Some(gateway) = &mut state.gateway {
+                    gateway::remove_targets(gateway, &[replaced], out);
+                }
+            }
+            Change::TargetLeaving {
+                target,
+                is_registration_missing: true,
+            } => record_late_strikes(state, now, target, out),
+            _ => {}
         }
     }
 }
--- a/crates/tier/src/late_call.rs
+++ b/crates/tier/src/late_call.rs
@@ -78,6 +78,7 @@
             service: &late.service,
             target: "",
             sent_at: late.sent_at,
+            lost_at: now,
         };
         quarantine::record_strike(state, now, &strike, out);
     }
--- a/crates/tier/src/quarantine.rs
+++ b/crates/tier/src/quarantine.rs
@@ -71,6 +71,7 @@
         service: &service,
         target: &target,
         sent_at: call.sent_at,
+        lost_at: now,
     };
     record_strike(state, now, &strike, out);
     let is_quarantined = is_fingerprint_quarantined(state, now, fingerprint);
@@ -96,6 +97,8 @@
     pub target: &'a str,
     /// When the request was sent to the target.
     pub sent_at: Instant,
+    /// By when the target had ended.
+    pub lost_at: Instant,
 }
 
 /// Records, logs and announces a strike, and logs the start of a quarantine.
@@ -112,7 +115,7 @@
         fingerprint,
         service: strike.service,
         sent_at: strike.sent_at,
-        lost_at: now,
+        lost_at: strike.lost_at,
     };
     let strikes_count = once::add_strike(&mut state.once, settings, now, &observed);
     let took = now.saturating_duration_since(strike.sent_at);
--- a/crates/tier/src/tests/crashing_request.rs
+++ b/crates/tier/src/tests/crashing_request.rs
@@ -5,8 +5,8 @@
 use rstest::rstest;
 
 use super::gateway_fleet::{
-    Behaviour, CRASHING_PATH, Ending, Fleet, Size, crashing_arrivals, cut_instance, fleet,
-    pause_instance, random_instance, restart_instance, run_for, send_request,
+    Behaviour, CRASHING_PATH, Ending, Fleet, Size, crash_targets, crashing_arrivals, cut_instance,
+    fleet, leave, pause_instance, random_instance, restart_instance, run_for, send_request,
 };
 
 /// Time after the third crash from which on repetitions are limited, and time without disturbance
@@ -115,6 +115,48 @@
     assert!(late_count <= REPETITIONS_MAX_COUNT, "{late_count}");
 }
 
+#[rstest]
+fn a_target_that_ends_after_its_caller_has_left_is_a_strike(
+    #[values(Ending::Reset, Ending::Silent)] ending: Ending,
+    #[values(ONE_SERVICE, TWENTY_SERVICES)] size: Size,
+) {
+    let mut fleet = fleet(size, 1);
+    fleet.behaviour.ending = ending;
+    fleet.behaviour.crash_after = Duration::from_millis(700);
+    for _ in 0..30 {
+        let index = random_instance(&mut fleet);
+        let caller = send_request(&mut fleet, index, CRASHING_PATH);
+        run_for(&mut fleet, Duration::from_millis(60));
+        leave(&mut fleet, index, caller);
+        run_for(&mut fleet, Duration::from_millis(1_500));
+    }
+    let late_count = late_repetitions_count(&fleet);
+    assert!(late_count <= REPETITIONS_MAX_COUNT, "{late_count}");
+}
+
+#[rstest]
+fn a_popular_request_is_not_quarantined_when_many_targets_end_at_once(
+    #[values(Ending::Reset, Ending::MidReply, Ending::Silent)] ending: Ending,
+    #[values(ONE_SERVICE, TWENTY_SERVICES)] size: Size,
+) {
+    let mut fleet = fleet(size, 1);
+    fleet.behaviour.ending = ending;
+    for round in 0..900 {
+        let index = random_instance(&mut fleet);
+        send_request(&mut fleet, index, "/popular");
+        run_for(&mut fleet, Duration::from_millis(7));
+        if round % 300 == 100 {
+            let targets_count = fleet.targets.len();
+            let lost = (0..targets_count).filter(|target| target % 3 == round / 300);
+            crash_targets(&mut fleet, lost);
+        }
+    }
+    for instance in &fleet.instances {
+        let mut entries = instance.state.once.quarantine_entries.values();
+        assert!(!entries.any(|entry| entry.is_quarantined));
+    }
+}
+
 #[rstest]
 fn strikes_spread_while_harmless_requests_lose_their_connections(
     #[values(ONE_SERVICE, TWENTY_SERVICES)] size: Size,
--- a/crates/tier/src/tests/gateway_fleet.rs
+++ b/crates/tier/src/tests/gateway_fleet.rs
@@ -105,6 +105,7 @@
 enum Scheduled {
     Start,
     Request(CallerKey, HttpRequest),
+    Leave(CallerKey),
     Timer(Timer),
     Message(Message),
     PeerUnreachable(SocketAddr),
@@ -245,6 +246,19 @@
     caller
 }
 
+/// Ends some targets at once, whatever they execute.
+pub(crate) fn crash_targets(fleet: &mut Fleet, targets: impl Iterator<Item = usize>) {
+    for target in targets {
+        let run = fleet.targets[target].run;
+        crash(fleet, target, run);
+    }
+}
+
+/// Lets a caller leave before its answer.
+pub(crate) fn leave(fleet: &mut Fleet, index: usize, caller: CallerKey) {
+    schedule(fleet, Duration::ZERO, index, Scheduled::Leave(caller));
+}
+
 /// Returns a random running instance.
 pub(crate) fn random_instance(fleet: &mut Fleet) -> usize {
     let instances = fleet.instances.iter().enumerate();
@@ -454,6 +468,7 @@
             let request = std::sync::Arc::new(request);
             step(fleet, index, Event::HttpRequest { caller, request });
         }
+        Scheduled::Leave(caller) => step(fleet, index, Event::CallerGone { caller }),
         Scheduled::Timer(timer) => step(fleet, index, Event::Timer(timer)),
         Scheduled::Message(message) => {
             let message = Cow::Owned(message);
