Send nothing more for a request once it is quarantined

Callers saw: a request that the fleet already refused was still sent to a further target, by a hedge or from the queue of an exchange in progress.

Cause: the quarantine was looked up when a request arrived and when an attempt failed, not where attempts are sent. The class: a decision checked at some of its uses.

Now the start of a quarantine, counted here or learned, marks the exchanges of the request, and every way to send an attempt looks at the mark. The flag that reply and failure handlers were passed is gone. A part taken back from a relay that may not be sent again is missing at once instead of keeping its caller until the deadline.

Test, which failed before (1 hedge sent): an_exchange_in_progress_sends_no_hedge_once_its_request_is_quarantined.

--- a/crates/gateway/src/completion.rs
+++ b/crates/gateway/src/completion.rs
@@ -23,7 +23,6 @@
     now: Instant,
     key: AttemptKey,
     reply: &AttemptReply<'_>,
-    is_quarantined: bool,
     out: &mut Vec<Effect>,
 ) {
     let Some(attempt) = remove_attempt(gateway, key, out) else {
@@ -34,7 +33,7 @@
         unresolved::absolve(gateway, attempt.fingerprint, attempt.service);
     }
     if attempt.abandoned_since.is_none() {
-        on_reply(gateway, now, &attempt, reply, is_quarantined, out);
+        on_reply(gateway, now, &attempt, reply, out);
     }
     send_queued_parts(gateway, now, out);
 }
@@ -45,7 +44,6 @@
     now: Instant,
     key: AttemptKey,
     failure: CallFailure,
-    is_quarantined: bool,
     out: &mut Vec<Effect>,
 ) {
     let Some(attempt) = remove_attempt(gateway, key, out) else {
@@ -53,11 +51,20 @@
     };
     record_failure(gateway, now, &attempt, failure, out);
     if attempt.abandoned_since.is_none() {
-        on_failure(gateway, now, &attempt, failure, is_quarantined, out);
+        on_failure(gateway, now, &attempt, failure, out);
     }
     send_queued_parts(gateway, now, out);
 }
 
+/// Stops sending a request that is quarantined, in all exchanges in progress. Attempts in flight
+/// may still be answered.
+pub fn on_quarantined(gateway: &mut Gateway, fingerprint: u64) {
+    let exchanges = gateway.exchanges.values_mut();
+    for exchange in exchanges.filter(|exchange| exchange.fingerprint == fingerprint) {
+        exchange.is_quarantined = true;
+    }
+}
+
 /// Cancels the exchange of a caller that has disconnected.
 ///
 /// Attempts that are not idempotent are left to run to their end at the target.
@@ -220,7 +227,6 @@
     now: Instant,
     attempt: &Attempt,
     reply: &AttemptReply<'_>,
-    is_quarantined: bool,
     out: &mut Vec<Effect>,
 ) {
     let (key, part_index) = (attempt.exchange, attempt.part_index);
@@ -239,7 +245,7 @@
                 exchange.failure = Some(proxied_reply(reply));
             }
             let may_have_run = !status.is_confirmed_unexecuted();
-            let denial = retry_denial(exchange.is_idempotent, may_have_run, is_quarantined);
+            let denial = retry_denial(exchange.is_idempotent, may_have_run);
             retry(gateway, now, key, part_index, denial, out);
         }
     }
@@ -271,7 +277,6 @@
     now: Instant,
     attempt: &Attempt,
     failure: CallFailure,
-    is_quarantined: bool,
     out: &mut Vec<Effect>,
 ) {
     let (key, part_index) = (attempt.exchange, attempt.part_index);
@@ -283,7 +288,7 @@
     if !may_have_run {
         exchange.parts[part_index].sent_count -= 1;
     }
-    let denial = retry_denial(exchange.is_idempotent, may_have_run, is_quarantined);
+    let denial = retry_denial(exchange.is_idempotent, may_have_run);
     retry(gateway, now, key, part_index, denial, out);
     if !finish_if_decided(gateway, now, key, out) {
         arm_timer(gateway, now, key, out);
@@ -312,13 +317,10 @@
     mark_missing(gateway, key, part_index);
 }
 
-/// Returns the reason not to send a request again that holds regardless of budget and targets, if
-/// there is one.
-fn retry_denial(is_idempotent: bool, may_have_run: bool, is_quarantined: bool) -> Option<Denial> {
-    if may_have_run && !is_idempotent {
-        return Some(Denial::NotIdempotent);
-    }
-    is_quarantined.then_some(Denial::Quarantined)
+/// Returns the reason not to send a request again that follows from the failure alone, if there is
+/// one.
+fn retry_denial(is_idempotent: bool, may_have_run: bool) -> Option<Denial> {
+    (may_have_run && !is_idempotent).then_some(Denial::NotIdempotent)
 }
 
 fn log_denied_retry(
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,7 +36,7 @@
 mod tests;
 
 pub use budget::{RetryBudget, allows_extra_call};
-pub use completion::{on_attempt_failure, on_attempt_reply, on_caller_gone};
+pub use completion::{on_attempt_failure, on_attempt_reply, on_caller_gone, on_quarantined};
 pub use health::{Health, is_in_backoff};
 pub use latency::LatencyEstimate;
 pub use merge::greatest_records;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -154,6 +154,7 @@
         front: front_key,
         version: gateway.catalog.version,
         is_idempotent: front.is_idempotent,
+        is_quarantined: false,
         attempts_max_count: front.attempts_max_count,
         records_count,
         parts_min_count,
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -27,7 +27,7 @@
 /// is likely to miss the goal.
 const SLOW_GOAL_RATIO: f64 = 0.5;
 
-/// Sends every part of an exchange to its first target.
+/// Sends every part of an exchange to its first target, unless the request is quarantined.
 ///
 /// An answer can do without the parts above the minimum. The timeout of at most that many slow
 /// attempts, slowest first, ends at the goal instead of the deadline. An overloaded target then
@@ -41,6 +41,10 @@
 ) {
     let front = gateway.exchanges[key].front;
     let parts_count = gateway.exchanges[key].parts.len();
+    if gateway.exchanges[key].is_quarantined {
+        (0..parts_count).for_each(|part_index| mark_missing(gateway, key, part_index));
+        return;
+    }
     let choices: Vec<Choice> = (0..parts_count)
         .map(|index| {
             let service = gateway.exchanges[key].parts[index].service;
@@ -106,9 +110,9 @@
     out: &mut Vec<Effect>,
 ) {
     match try_send(gateway, now, key, part_index, None, out) {
-        SendOutcome::Sent | SendOutcome::Denied(_) => {}
+        SendOutcome::Sent => {}
         SendOutcome::Busy => gateway.queued_parts.push_back((key, part_index)),
-        SendOutcome::NoTarget => mark_missing(gateway, key, part_index),
+        SendOutcome::Denied(_) | SendOutcome::NoTarget => mark_missing(gateway, key, part_index),
     }
 }
 
@@ -165,6 +169,9 @@
     if !matches!(part.state, PartState::Pending) {
         return SendOutcome::Denied(Denial::Decided);
     }
+    if exchange.is_quarantined {
+        return SendOutcome::Denied(Denial::Quarantined);
+    }
     let is_extra = part.sent_count > 0;
     if part.sent_count >= exchange.attempts_max_count {
         return SendOutcome::Denied(Denial::AttemptLimit);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -107,6 +107,8 @@
     pub version: u64,
     /// Whether a request may be executed more than once.
     pub is_idempotent: bool,
+    /// Whether the request is quarantined: nothing more is sent for it.
+    pub is_quarantined: bool,
     /// Maximum number of targets that each part may be sent to.
     pub attempts_max_count: u32,
     /// Maximum number of records in a merged answer; `None` unless the front gathers.
--- a/crates/gateway/src/tests/fixture.rs
+++ b/crates/gateway/src/tests/fixture.rs
@@ -314,7 +314,7 @@
             Event::End(attempt, _) if self.dropped_attempts.contains(&attempt) => {}
             Event::End(attempt, CallResult::Done(body)) => {
                 let reply = reply(ReplyStatus::Done, 200, body);
-                on_attempt_reply(gateway, now, attempt, &reply, false, &mut out);
+                on_attempt_reply(gateway, now, attempt, &reply, &mut out);
             }
             Event::End(attempt, CallResult::Status(status)) => {
                 let code = if status == ReplyStatus::Failed {
@@ -323,10 +323,10 @@
                     503
                 };
                 let reply = reply(status, code, Vec::new());
-                on_attempt_reply(gateway, now, attempt, &reply, false, &mut out);
+                on_attempt_reply(gateway, now, attempt, &reply, &mut out);
             }
             Event::End(attempt, CallResult::Failure(failure)) => {
-                on_attempt_failure(gateway, now, attempt, failure, false, &mut out);
+                on_attempt_failure(gateway, now, attempt, failure, &mut out);
             }
             Event::End(_, CallResult::NoReply) => {}
         }
--- a/crates/tier/src/gateway.rs
+++ b/crates/tier/src/gateway.rs
@@ -95,10 +95,8 @@
         let service = service.as_deref().unwrap_or_default();
         quarantine::clear_strikes(state, fingerprint, service, out);
     }
-    let is_quarantined =
-        fingerprint.is_some_and(|f| quarantine::is_fingerprint_quarantined(state, now, f));
     if let Some(gateway) = &mut state.gateway {
-        gateway::on_attempt_reply(gateway, now, key, reply, is_quarantined, out);
+        gateway::on_attempt_reply(gateway, now, key, reply, out);
     }
 }
 
@@ -113,13 +111,8 @@
     if failure.may_have_reached_target() {
         record_attempt_strike(state, now, key, out);
     }
-    let gateway = state.gateway.as_ref();
-    let attempt = gateway.and_then(|gateway| gateway.attempts.get(key));
-    let is_quarantined = attempt.is_some_and(|attempt| {
-        quarantine::is_fingerprint_quarantined(state, now, attempt.fingerprint)
-    });
     if let Some(gateway) = &mut state.gateway {
-        gateway::on_attempt_failure(gateway, now, key, failure, is_quarantined, out);
+        gateway::on_attempt_failure(gateway, now, key, failure, out);
     }
 }
 
--- a/crates/tier/src/quarantine.rs
+++ b/crates/tier/src/quarantine.rs
@@ -139,6 +139,7 @@
         .with("fingerprint", fingerprint)
         .with("strikes_count", u64::from(strikes_count));
     out.push(Effect::Log(line));
+    stop_exchanges(state, fingerprint);
 }
 
 /// Announces a strike to every instance immediately, because a caller that retries at other
@@ -192,6 +193,7 @@
                 .with("fingerprint", fingerprint)
                 .with("from", from);
             out.push(Effect::Log(line));
+            stop_exchanges(state, fingerprint);
         }
     }
 }
@@ -213,6 +215,13 @@
     count(out, Counter::StrikesCleared);
 }
 
+/// Stops the gateway's exchanges of a request that has just been quarantined.
+fn stop_exchanges(state: &mut State, fingerprint: u64) {
+    if let Some(gateway) = &mut state.gateway {
+        gateway::on_quarantined(gateway, fingerprint);
+    }
+}
+
 fn count(out: &mut Vec<Effect>, counter: Counter) {
     out.push(Effect::Count {
         counter,
--- a/crates/tier/src/tests/gateway.rs
+++ b/crates/tier/src/tests/gateway.rs
@@ -10,8 +10,8 @@
 use model::{
     AttemptCall, AttemptReply, CallFailure, CallerKey, Configuration, Destination, Digest, Effect,
     Event, FrontEntry, HttpRequest, HttpResponse, InstanceId, MemberRow, MemberState, Message,
-    NotRunReason, Outcome, Registration, ReplyStatus, ServiceEntry, StoreArea, StoreFailure,
-    StoreRead, StoreRecord, Timer,
+    NotRunReason, Outcome, QuarantineUpdate, Registration, ReplyStatus, ServiceEntry, StoreArea,
+    StoreFailure, StoreRead, StoreRecord, Timer,
 };
 use rstest::rstest;
 use slotmap::KeyData;
@@ -234,6 +234,47 @@
     assert_eq!(attempts(&fixture.out).len(), 1);
 }
 
+#[rstest]
+#[case::unknown_to_others(false, 1)]
+#[case::quarantined_by_another_instance(true, 0)]
+fn an_exchange_in_progress_sends_no_hedge_once_its_request_is_quarantined(
+    #[case] is_quarantined: bool,
+    #[case] hedges_count: usize,
+) {
+    let mut fixture = gateway_fixture();
+    // Other requests earn the retry budget.
+    for number in 2..5 {
+        send_request(&mut fixture, number, "/harmless");
+    }
+    send_request(&mut fixture, 1, "/crashes");
+    let gateway = fixture.state.gateway.as_ref().expect("a gateway runs");
+    let mut exchanges = gateway.exchanges.iter();
+    let exchange = exchanges.find(|(_, exchange)| exchange.request.path == "/crashes");
+    let (key, exchange) = exchange.expect("it is in progress");
+    let fingerprint = exchange.fingerprint;
+    if is_quarantined {
+        let Message::Digest(mut digest) = digest_of("far", "far-1", 250) else {
+            panic!("a digest");
+        };
+        digest.quarantine = vec![QuarantineUpdate {
+            fingerprint,
+            strikes_count: 3,
+            is_quarantined: true,
+            remaining: Duration::from_secs(600),
+            strikes: Vec::new(),
+        }];
+        let message = Cow::Owned(Message::Digest(digest));
+        feed(&mut fixture, Event::Peer { message });
+    }
+    let mut hedges = Vec::new();
+    for _ in 0..20 {
+        fixture.now += Duration::from_millis(10);
+        feed(&mut fixture, Event::Timer(Timer::Exchange(key)));
+        hedges.extend(attempts(&fixture.out));
+    }
+    assert_eq!(hedges.len(), hedges_count);
+}
+
 #[test]
 fn a_successful_reply_clears_the_strikes() {
     let mut fixture = gateway_fixture();
