Refuse requests with strikes on instances cut off from most of the fleet

Callers saw: with two or three instances cut off from the others but not from callers and targets, 4 to 9 repetitions of a crashing request reached targets later than 4 s after the third crash.

Cause: a sum over all instances was compared with the whole limit by instances that could not know the sum. Each of them had to see three targets end by itself.

Now an instance that is in contact with less than half of the instances that it knows, or has heard none for 2 s, refuses a request that arrives with any strike. What it has accepted is still retried, and a success clears the strikes. Instances that leave are not counted; one that is gone counts for ten minutes, because a crash and a cut look the same.

--- a/crates/fleet/src/share.rs
+++ b/crates/fleet/src/share.rs
@@ -1,6 +1,10 @@
 //! Views of the membership: the instance's share of the targets' connections, and its zone.
 
-use std::{collections::BTreeSet, net::SocketAddr, time::Instant};
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use model::MemberState;
 
@@ -73,6 +77,36 @@
     others.filter_map(|member| member.heard_at).max()
 }
 
+/// Time without a message from any other instance after which this one is out of contact.
+const OUT_OF_CONTACT_AFTER: Duration = Duration::from_secs(2);
+/// Time for which an instance that is gone still counts as one that may be running elsewhere: as
+/// long as a quarantine lasts by default.
+const GONE_COUNTED: Duration = Duration::from_secs(600);
+
+/// Returns whether this instance is in contact with less than half of the instances, so that most
+/// of what the fleet observes does not reach it.
+///
+/// Whether the others are cut off or have crashed cannot be told apart; those that leave do not
+/// count.
+pub fn is_in_minority(fleet: &FleetState, now: Instant) -> bool {
+    let members = fleet.members.values();
+    let counted = members.filter(|member| match member.row.state {
+        MemberState::Alive | MemberState::Suspected => true,
+        MemberState::Gone => now < member.since + GONE_COUNTED,
+        MemberState::Leaving => false,
+    });
+    let (mut others_count, mut alive_count) = (0, 0);
+    let mut last_heard_at: Option<Instant> = None;
+    for member in counted {
+        others_count += 1;
+        alive_count += usize::from(member.row.state == MemberState::Alive);
+        last_heard_at = last_heard_at.max(member.heard_at);
+    }
+    let is_silent = last_heard_at.is_some_and(|at| now >= at + OUT_OF_CONTACT_AFTER);
+    let is_any_known = others_count > 0 && last_heard_at.is_some();
+    is_any_known && (is_silent || 2 * (alive_count + 1) < others_count + 1)
+}
+
 fn alive_in_zone(fleet: &FleetState) -> impl Iterator<Item = &Member> {
     let members = fleet.members.values();
     members.filter(|member| member.row.state == MemberState::Alive && member.row.zone == fleet.zone)
--- a/crates/once/src/quarantine.rs
+++ b/crates/once/src/quarantine.rs
@@ -147,6 +147,13 @@
         .is_some_and(|entry| entry.is_quarantined && now < entry.expires_at)
 }
 
+/// Returns whether any strike counts against a request.
+pub fn has_strikes(once: &OnceState, now: Instant, fingerprint: u64) -> bool {
+    once.quarantine_entries
+        .get(&fingerprint)
+        .is_some_and(|entry| entry.strikes_count > 0 && now < entry.expires_at)
+}
+
 /// Returns the updates for a digest: up to `changed_max_count` entries that have changed, most
 /// strikes and latest expiry first, and up to `repeated_max_count` others in turn.
 pub fn quarantine_updates(
--- a/crates/tier/src/gateway.rs
+++ b/crates/tier/src/gateway.rs
@@ -413,7 +413,7 @@
         return false;
     };
     let fingerprint = gateway::fingerprint(&catalog.fronts[front].name, request);
-    quarantine::is_fingerprint_quarantined(state, now, fingerprint)
+    quarantine::is_refused_on_arrival(state, now, fingerprint)
 }
 
 /// Logs catalog changes, records strikes for targets that have ended, and drops the state of
--- a/crates/tier/src/quarantine.rs
+++ b/crates/tier/src/quarantine.rs
@@ -288,6 +288,17 @@
     once::is_quarantined(&state.once, now, fingerprint) && !is_released()
 }
 
+/// Returns whether a request that arrives is refused: it is quarantined, or has strikes while this
+/// instance is in contact with less than half of the fleet.
+///
+/// Strikes that the others observe do not reach such an instance, and each of them could add up to
+/// the limit by itself. What it has accepted is still sent again, since a success clears strikes.
+pub(crate) fn is_refused_on_arrival(state: &State, now: Instant, fingerprint: u64) -> bool {
+    is_fingerprint_quarantined(state, now, fingerprint)
+        || (once::has_strikes(&state.once, now, fingerprint)
+            && fleet::is_in_minority(&state.fleet, now))
+}
+
 /// Returns a call that is not cancelled and whose query still runs.
 fn running_call(state: &State, call: CallKey) -> Option<Call> {
     let call = *state.queries.calls.get(call)?;
--- a/crates/tier/src/tests/crashing_request.rs
+++ b/crates/tier/src/tests/crashing_request.rs
@@ -221,13 +221,21 @@
 }
 
 #[rstest]
-fn instances_without_contact_repeat_little(#[values(1, 2, 3)] cut_count: u32) {
-    let mut fleet = fleet(ONE_SERVICE, 1);
+fn instances_without_contact_repeat_little(
+    #[values(1, 2, 3)] cut_count: u32,
+    #[values(1, 2)] attempts_max_count: u32,
+    #[values(400, 1_500)] gap_ms: u64,
+) {
+    let size = Size {
+        attempts_max_count,
+        ..ONE_SERVICE
+    };
+    let mut fleet = fleet(size, 1);
     for partition in 1..=cut_count {
         cut_instance(&mut fleet, partition as usize, partition);
     }
-    run_for(&mut fleet, CONTACT + CONTACT);
-    repeat_crashing_request(&mut fleet, 60, Duration::from_millis(400));
+    run_for(&mut fleet, CONTACT);
+    repeat_crashing_request(&mut fleet, 60, Duration::from_millis(gap_ms));
     let late_count = late_repetitions_count(&fleet);
     assert!(late_count <= REPETITIONS_MAX_COUNT, "{late_count}");
 }
