Count strikes by host and path, not by the name of the front

Callers saw: with a configuration that renames the front, or adds one with a longer prefix, between repetitions, a crashing request starts from no strikes; 19 targets ended in ten repetitions.

Cause: the gateway's fingerprint held the front's name, which the configuration may change while the request stays the same.

Now it holds host, path and body. During an upgrade, instances of both versions use different fingerprints and know only the strikes of their own version.

Test, which failed before (19 crashes, 3 expected): strikes_count_across_a_renamed_front.

--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -150,7 +150,7 @@
         requester: new.requester,
         relay: None,
         request: request.clone(),
-        fingerprint: fingerprint(&front.name, request),
+        fingerprint: fingerprint(request),
         front: front_key,
         version: gateway.catalog.version,
         is_idempotent: front.is_idempotent,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -260,7 +260,8 @@
     gateway.catalog.version > 0 && gateway.sync.targets.is_known
 }
 
-/// Returns a hash of a request's front, path and body: equal for all callers and repetitions.
-pub fn fingerprint(front: &str, request: &HttpRequest) -> u64 {
-    once::fingerprint(front, Some(&request.path), &request.body)
+/// Returns a hash of a request's host, path and body: equal for all callers, repetitions and
+/// configurations.
+pub fn fingerprint(request: &HttpRequest) -> u64 {
+    once::fingerprint(&request.host, Some(&request.path), &request.body)
 }
--- a/crates/tier/src/gateway.rs
+++ b/crates/tier/src/gateway.rs
@@ -405,14 +405,7 @@
     if state.once.quarantine_entries.is_empty() {
         return false;
     }
-    let Some(gateway) = &state.gateway else {
-        return false;
-    };
-    let catalog = &gateway.catalog;
-    let Some(front) = catalog::find_front(catalog, &request.host, &request.path) else {
-        return false;
-    };
-    let fingerprint = gateway::fingerprint(&catalog.fronts[front].name, request);
+    let fingerprint = gateway::fingerprint(request);
     quarantine::is_refused_on_arrival(state, now, fingerprint)
 }
 
--- a/crates/tier/src/tests/gateway.rs
+++ b/crates/tier/src/tests/gateway.rs
@@ -234,6 +234,42 @@
     assert_eq!(attempts(&fixture.out).len(), 1);
 }
 
+#[test]
+fn strikes_count_across_a_renamed_front() {
+    let mut fixture = gateway_fixture();
+    let mut crashes_count = 0;
+    for number in 1..=10 {
+        let StoreRecord::Configuration(mut renamed) = configuration() else {
+            panic!("a configuration");
+        };
+        renamed.version += number;
+        renamed.fronts[0].name = format!("orders-{number}");
+        let event = Event::StoreAnswered {
+            read: StoreRead::Watch {
+                area: StoreArea::Operators,
+                after_revision: 10,
+                wait: Duration::from_secs(1),
+            },
+            records: Cow::Owned(vec![StoreRecord::Configuration(renamed)]),
+            revision: 10 + number,
+            is_behind: false,
+            next_page: None,
+            published: Bytes::new(),
+        };
+        feed(&mut fixture, event);
+        fixture.now += Duration::from_millis(100);
+        send_request(&mut fixture, number, "/crashes");
+        while let Some(call) = attempts(&fixture.out).pop() {
+            fixture.now += Duration::from_millis(20);
+            crashes_count += 1;
+            let failure = CallFailure::ConnectionLost;
+            let attempt = call.attempt;
+            feed(&mut fixture, Event::AttemptFailed { attempt, failure });
+        }
+    }
+    assert_eq!(crashes_count, 3);
+}
+
 #[rstest]
 #[case::unknown_to_others(false, 1)]
 #[case::quarantined_by_another_instance(true, 0)]
