Decode the rate limit that a target names, and log its changes

Now a reply's statements about its target are one type, TargetReport, with the load and the limit. The state dump shows the limit with the target's health, and target-rate-limit is logged when it changes. A reply without a limit lifts it, unless its attempt was sent before the limit was stated. Target selection does not look at it yet.

--- a/crates/balsamd/src/gateway_messages.rs
+++ b/crates/balsamd/src/gateway_messages.rs
@@ -81,7 +81,7 @@
                     proof: reply.proof.as_deref(),
                     headers: Cow::Borrowed(&reply.headers),
                     body: reply.body.clone(),
-                    load: reply.load,
+                    report: reply.report,
                 },
             },
             &Err(failure) => Event::AttemptFailed { attempt, failure },
--- a/crates/gateway/src/completion.rs
+++ b/crates/gateway/src/completion.rs
@@ -10,7 +10,7 @@
 use crate::{
     Attempt, Gateway, PartState,
     budget::ExtraCall,
-    health, latency, relay,
+    health, latency, rate_limit, relay,
     respond::{finish_if_decided, finish_with_reply},
     send::{Denial, SendOutcome, mark_missing, try_send},
     timer::arm_timer,
@@ -155,9 +155,15 @@
         return;
     };
     health.last_reply_at = Some(now);
-    if let Some(load) = reply.load {
+    if let Some(load) = reply.report.load {
         health.load = Some((load, now));
     }
+    if reply.status != ReplyStatus::Misdirected {
+        rate_limit::on_report(gateway, now, attempt, reply.report.rate_limit_per_s, out);
+    }
+    let Some(health) = gateway.health.get_mut(attempt.target) else {
+        return;
+    };
     match reply.status {
         ReplyStatus::Done => {
             health::record_success(health);
--- a/crates/gateway/src/health.rs
+++ b/crates/gateway/src/health.rs
@@ -9,7 +9,7 @@
 use serde::Serialize;
 use slotmap::SecondaryMap;
 
-use crate::latency::LatencyEstimate;
+use crate::{latency::LatencyEstimate, rate_limit::RateLimit};
 
 /// Weight of an attempt in the moving average of failures; about the last five attempts count.
 const FAILURE_WEIGHT: f64 = 0.2;
@@ -48,6 +48,8 @@
     /// Last load report and when it arrived.
     #[serde(skip)]
     pub load: Option<(SlotLoad, Instant)>,
+    /// Rate limit that it names, if any.
+    pub rate_limit: Option<RateLimit>,
     /// Times of the recent requests to it during its cold start, oldest first.
     #[serde(skip)]
     pub cold_requests_at: VecDeque<Instant>,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod isolation;
 mod latency;
 mod merge;
+mod rate_limit;
 mod relay;
 mod request;
 mod respond;
@@ -40,6 +41,7 @@
 pub use health::{Health, is_in_backoff};
 pub use latency::LatencyEstimate;
 pub use merge::greatest_records;
+pub use rate_limit::RateLimit;
 pub use relay::{
     on_relay_accepted, on_relay_answer, on_relay_cancel, on_relay_request, on_relay_unreachable,
 };
--- a/crates/gateway/src/tests/fixture.rs
+++ b/crates/gateway/src/tests/fixture.rs
@@ -10,7 +10,7 @@
 use model::{
     AttemptCall, AttemptKey, AttemptReply, CallFailure, CallerKey, Configuration, Destination,
     Effect, FrontEntry, HttpRequest, HttpResponse, Message, Registration, ReplyStatus,
-    ServiceEntry, SlotLoad, StoreRecord, Timer,
+    ServiceEntry, SlotLoad, StoreRecord, TargetReport, Timer,
 };
 use slotmap::SlotMap;
 
@@ -341,11 +341,14 @@
         proof: Some("proof"),
         headers: Vec::new().into(),
         body: Bytes::from(body),
-        load: Some(SlotLoad {
-            running_count: 1,
-            waiting_count: 0,
-            slots_count: 2,
-        }),
+        report: TargetReport {
+            load: Some(SlotLoad {
+                running_count: 1,
+                waiting_count: 0,
+                slots_count: 2,
+            }),
+            rate_limit_per_s: None,
+        },
     }
 }
 
--- a/crates/model/src/event.rs
+++ b/crates/model/src/event.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     AttemptKey, CallKey, CallerKey, Header, HttpRequest, LoadReport, Message, RequestView,
-    SlotLoad, Snapshot, StoreArea, StoreFailure, StoreRead, StoreRecord, TargetKey, Timer,
+    Snapshot, StoreArea, StoreFailure, StoreRead, StoreRecord, TargetKey, TargetReport, Timer,
 };
 
 /// Status of a call or an attempt, as the target reports it.
@@ -84,8 +84,8 @@
     pub headers: Cow<'a, [Header]>,
     /// The complete body.
     pub body: Bytes,
-    /// Load of the target, if the reply reports it.
-    pub load: Option<SlotLoad>,
+    /// What the target states about itself.
+    pub report: TargetReport,
 }
 
 /// How a call or an attempt ended without a complete reply.
--- a/crates/model/src/http.rs
+++ b/crates/model/src/http.rs
@@ -49,6 +49,17 @@
     pub slots_count: u32,
 }
 
+/// What a target states about itself in a reply.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct TargetReport {
+    /// Its load.
+    pub load: Option<SlotLoad>,
+    /// Requests per second that it takes from all instances together; `None` if it names no limit.
+    /// Finite and not negative.
+    pub rate_limit_per_s: Option<f64>,
+}
+
 /// One request to one target.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -29,7 +29,9 @@
 pub use answer::{Answer, Coverage, Missing, MissingReason, ShardResult};
 pub use effect::{Counter, Effect, PlatformRead, TargetCall, Timing};
 pub use event::{AttemptReply, CallFailure, Event, PlatformFailure, ReplyStatus, ReplyView};
-pub use http::{AttemptCall, Header, HttpRequest, HttpResponse, ProxiedReply, SlotLoad};
+pub use http::{
+    AttemptCall, Header, HttpRequest, HttpResponse, ProxiedReply, SlotLoad, TargetReport,
+};
 pub use key::{
     AttemptKey, CallKey, CallerKey, ExchangeKey, FrontKey, QueryKey, ServiceKey, TargetKey,
     WaitKey, ZoneKey,
--- a/crates/tier/src/tests/gateway.rs
+++ b/crates/tier/src/tests/gateway.rs
@@ -11,7 +11,7 @@
     AttemptCall, AttemptReply, CallFailure, CallerKey, Configuration, Destination, Digest, Effect,
     Event, FrontEntry, HttpRequest, HttpResponse, InstanceId, MemberRow, MemberState, Message,
     NotRunReason, Outcome, QuarantineUpdate, Registration, ReplyStatus, ServiceEntry, StoreArea,
-    StoreFailure, StoreRead, StoreRecord, Timer,
+    StoreFailure, StoreRead, StoreRecord, TargetReport, Timer,
 };
 use rstest::rstest;
 use slotmap::KeyData;
@@ -330,7 +330,7 @@
                 proof: Some("proof"),
                 headers: Cow::Borrowed(&[]),
                 body: Bytes::new(),
-                load: None,
+                report: TargetReport::default(),
             };
             feed(&mut fixture, Event::AttemptReplied { attempt, reply });
         }
--- a/crates/tier/src/tests/gateway_fleet.rs
+++ b/crates/tier/src/tests/gateway_fleet.rs
@@ -11,7 +11,7 @@
 use model::{
     AttemptCall, AttemptKey, AttemptReply, CallFailure, CallerKey, Configuration, Destination,
     Effect, Event, FrontEntry, HttpRequest, HttpResponse, Message, Registration, ReplyStatus,
-    ServiceEntry, StoreArea, StoreRead, StoreRecord, Timer,
+    ServiceEntry, StoreArea, StoreRead, StoreRecord, TargetReport, Timer,
 };
 use rand::{RngExt, SeedableRng, seq::IndexedRandom};
 use rand_chacha::ChaCha8Rng;
@@ -495,7 +495,7 @@
                 proof: Some("proof"),
                 headers: Cow::Borrowed(&[]),
                 body: Bytes::new(),
-                load: None,
+                report: TargetReport::default(),
             };
             step(fleet, index, Event::AttemptReplied { attempt, reply });
         }
