--- a/crates/balsamd/src/callers.rs
+++ b/crates/balsamd/src/callers.rs
@@ -360,7 +360,8 @@
             | NotRunReason::NoTarget
             | NotRunReason::Declined
             | NotRunReason::Leaving
-            | NotRunReason::CutOff => StatusCode::SERVICE_UNAVAILABLE,
+            | NotRunReason::CutOff
+            | NotRunReason::RateLimited => StatusCode::SERVICE_UNAVAILABLE,
         },
     }
 }
--- a/crates/model/src/outcome.rs
+++ b/crates/model/src/outcome.rs
@@ -49,6 +49,8 @@
     Leaving,
     /// the instance is cut off from too many targets
     CutOff,
+    /// the targets take no more requests per second at present
+    RateLimited,
 }
 
 /// Why it is unknown whether a request ran.
--- a/crates/tier/src/tests.rs
+++ b/crates/tier/src/tests.rs
@@ -9,6 +9,7 @@
 mod gateway;
 mod gateway_fleet;
 mod membership;
+mod named_rate_limit;
 mod network;
 mod note_acceptance;
 mod once;
--- a/crates/tier/src/tests/gateway_fleet.rs
+++ b/crates/tier/src/tests/gateway_fleet.rs
@@ -89,6 +89,8 @@
 pub(crate) struct Target {
     pub(crate) service: String,
     pub(crate) is_up: bool,
+    /// Rate limit that it names in its replies.
+    pub(crate) rate_limit_per_s: Option<f64>,
     run: u64,
     running: Vec<(usize, AttemptKey)>,
 }
@@ -98,6 +100,7 @@
 pub(crate) struct Arrival {
     pub(crate) at: Instant,
     pub(crate) instance: usize,
+    pub(crate) target: usize,
     pub(crate) path: String,
     pub(crate) request_id: String,
 }
@@ -111,7 +114,7 @@
     PeerUnreachable(SocketAddr),
     Store(StoreRead, Vec<StoreRecord>, u64),
     Arrive(AttemptCall),
-    Reply(AttemptKey, ReplyStatus),
+    Reply(AttemptKey, ReplyStatus, Option<f64>),
     Fail(AttemptKey, CallFailure),
     Crash(usize, u64),
     Lapse(usize, u64),
@@ -169,6 +172,7 @@
     let targets = (0..services_count * targets_count).map(|index| Target {
         service: service_name(index % services_count),
         is_up: true,
+        rate_limit_per_s: None,
         run: 1,
         running: Vec::new(),
     });
@@ -488,14 +492,17 @@
             };
             step(fleet, index, event);
         }
-        Scheduled::Reply(attempt, status) => {
+        Scheduled::Reply(attempt, status, rate_limit_per_s) => {
             let reply = AttemptReply {
                 status,
                 code: 200,
                 proof: Some("proof"),
                 headers: Cow::Borrowed(&[]),
                 body: Bytes::new(),
-                report: TargetReport::default(),
+                report: TargetReport {
+                    load: None,
+                    rate_limit_per_s,
+                },
             };
             step(fleet, index, Event::AttemptReplied { attempt, reply });
         }
@@ -565,12 +572,13 @@
         return;
     }
     if *call.target_id != *target_id(target, fleet.targets[target].run) {
-        let event = Scheduled::Reply(attempt, ReplyStatus::Misdirected);
+        let event = Scheduled::Reply(attempt, ReplyStatus::Misdirected, None);
         return schedule(fleet, TARGET_DELAY, index, event);
     }
     fleet.arrivals.push(Arrival {
         at: fleet.now,
         instance: index,
+        target,
         path: call.request.path.clone(),
         request_id: call.request.request_id.clone(),
     });
@@ -583,7 +591,10 @@
     }
     let event = match fleet.rng.random_bool(behaviour.lost_ratio) {
         true => Scheduled::Fail(attempt, CallFailure::ConnectionLost),
-        false => Scheduled::Reply(attempt, ReplyStatus::Done),
+        false => {
+            let rate_limit_per_s = fleet.targets[target].rate_limit_per_s;
+            Scheduled::Reply(attempt, ReplyStatus::Done, rate_limit_per_s)
+        }
     };
     schedule(fleet, behaviour.work + TARGET_DELAY, index, event);
 }
