Keep to the rate limits that targets name, over all instances

Targets saw: 194 to 396 requests in 4 s where limits of 0 to 22 a second allow 5 to 137.

Cause: nothing read the limit, and a limit that holds for all instances needs a share for each.

Now each instance divides a limit by the capacities of the instances that it knows and keeps a token bucket for its share. Instances whose share of that is less than one request cannot each keep one: a hash of target and instance, the same everywhere, selects as many of them as their common share has, and the others send nothing to that target. One that does not know how many share takes a sixteenth; one in a minority goes on counting those it takes to be gone. Limits and their end are told in digests, so instances that send nothing learn them; what a target said last counts.

Beyond the limit another target of the service gets the call. Without one, the part is missing at once; a query that would be left with too few parts is refused before any call, and so is a request of one part, with the time after which a token is there.

--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -2,7 +2,7 @@
 
 use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr, time::Instant};
 
-use model::{Digest, MemberRow, MemberState, QuarantineUpdate};
+use model::{Digest, MemberRow, MemberState, Observations};
 use rand::{RngExt, seq::IteratorRandom};
 use rand_chacha::ChaCha8Rng;
 use settings::Settings;
@@ -136,7 +136,7 @@
     fleet: &mut FleetState,
     now: Instant,
     recipient: &Recipient,
-    quarantine: &[QuarantineUpdate],
+    observations: &Observations,
 ) -> Digest {
     let mut sequence = 0;
     if recipient.wants_reply {
@@ -150,7 +150,7 @@
         };
         fleet.probes.insert(sequence, probe);
     }
-    let mut digest = build(fleet, now, &recipient.name, quarantine);
+    let mut digest = build(fleet, now, &recipient.name, observations);
     digest.sequence = sequence;
     digest.wants_reply = recipient.wants_reply;
     digest
@@ -163,9 +163,9 @@
     fleet: &mut FleetState,
     now: Instant,
     request: &Digest,
-    quarantine: &[QuarantineUpdate],
+    observations: &Observations,
 ) -> Digest {
-    let mut digest = build(fleet, now, &request.from.id.name, quarantine);
+    let mut digest = build(fleet, now, &request.from.id.name, observations);
     if request.wants_reply {
         digest.sequence = request.sequence;
     }
@@ -176,7 +176,7 @@
     fleet: &mut FleetState,
     now: Instant,
     recipient: &str,
-    quarantine: &[QuarantineUpdate],
+    observations: &Observations,
 ) -> Digest {
     Digest {
         from: member::own_row(fleet),
@@ -185,7 +185,7 @@
         revision: fleet.revision(),
         freshness_age: freshness::freshness_age(fleet, now),
         members: select_rows(fleet, recipient),
-        quarantine: quarantine.to_vec(),
+        observations: observations.clone(),
     }
 }
 
--- a/crates/fleet/src/gossip.rs
+++ b/crates/fleet/src/gossip.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use model::{Counter, Digest, Effect, Message, QuarantineUpdate, Revision};
+use model::{Counter, Digest, Effect, Message, Observations, Revision};
 use settings::Settings;
 
 use crate::{
@@ -18,7 +18,7 @@
     fleet: &mut FleetState,
     settings: &Settings,
     now: Instant,
-    quarantine: &[QuarantineUpdate],
+    observations: &Observations,
     out: &mut Vec<Effect>,
 ) {
     fleet.ticks_count += 1;
@@ -33,7 +33,7 @@
     recipients.extend(retries);
     recipients.extend(digest::select_seed(fleet, settings));
     for recipient in recipients {
-        let digest = digest::build_outgoing(fleet, now, &recipient, quarantine);
+        let digest = digest::build_outgoing(fleet, now, &recipient, observations);
         send(recipient.address, Message::Digest(digest), out);
     }
     platform_reads::start_due_reads(fleet, settings, now, out);
@@ -46,11 +46,11 @@
         .map(|_| u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
 }
 
-/// Sends a digest with urgent quarantine entries to all present members.
-pub fn broadcast_quarantine(
+/// Sends a digest with urgent observations to all present members.
+pub fn broadcast_observations(
     fleet: &mut FleetState,
     now: Instant,
-    quarantine: &[QuarantineUpdate],
+    observations: &Observations,
     out: &mut Vec<Effect>,
 ) {
     let present = fleet.members.values().filter(|member| member.is_present());
@@ -62,7 +62,7 @@
     });
     let recipients: Vec<Recipient> = recipients.collect();
     for recipient in recipients {
-        let digest = digest::build_outgoing(fleet, now, &recipient, quarantine);
+        let digest = digest::build_outgoing(fleet, now, &recipient, observations);
         send(recipient.address, Message::Digest(digest), out);
     }
 }
@@ -76,7 +76,7 @@
 ) {
     for mut recipient in digest::select_recipients(fleet, &settings.fleet, now) {
         recipient.wants_reply = false;
-        let digest = digest::build_outgoing(fleet, now, &recipient, &[]);
+        let digest = digest::build_outgoing(fleet, now, &recipient, &Observations::default());
         send(recipient.address, Message::Digest(digest), out);
     }
 }
@@ -87,7 +87,7 @@
     settings: &Settings,
     now: Instant,
     digest: &Digest,
-    quarantine: &[QuarantineUpdate],
+    observations: &Observations,
     out: &mut Vec<Effect>,
 ) {
     if digest.from.id.name == fleet.id.name {
@@ -107,7 +107,7 @@
     }
     // A sender with an older revision gets a reply even if it did not request one.
     if digest.wants_reply || digest.revision < fleet.revision() {
-        let reply = digest::build_reply(fleet, now, digest, quarantine);
+        let reply = digest::build_reply(fleet, now, digest, observations);
         send(digest.from.address, Message::Digest(reply), out);
     }
     join::try_complete(fleet, &settings.fleet, now, out);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -29,7 +29,7 @@
 
 pub use accept::{on_note_request, on_peer_note, on_published_note};
 pub use freshness::{freshness_age, on_pause, zones_allowed_when_stale};
-pub use gossip::{broadcast_quarantine, on_digest, tick};
+pub use gossip::{broadcast_observations, on_digest, tick};
 pub use instance_list::on_instance_list;
 pub use join::is_joined;
 pub use member::{is_superseded_by, knows_address, merge_row, own_row};
@@ -38,8 +38,8 @@
 };
 pub use readers::is_reader;
 pub use share::{
-    capacity_ratio, connection_holder_rank, connection_holders_count, is_in_minority,
-    larger_in_zone, other_zones_last_contact_at, zone_peer_addresses,
+    capacity_ratio, capacity_shares, connection_holder_rank, connection_holders_count,
+    is_in_minority, larger_in_zone, other_zones_last_contact_at, zone_peer_addresses,
 };
 pub use state::{
     FleetState, FreshnessSource, JoinState, Member, PlatformReadState, Probe, new_state,
--- a/crates/fleet/src/share.rs
+++ b/crates/fleet/src/share.rs
@@ -7,6 +7,7 @@
 };
 
 use model::MemberState;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{FleetState, Member};
 
@@ -38,19 +39,45 @@
 
 /// Returns this instance's share of the CPU capacity of all instances that may hold connections.
 pub fn capacity_ratio(fleet: &FleetState) -> f64 {
-    let stated = |millicores: u32| match millicores {
-        0 => f64::from(DEFAULT_CAPACITY_MILLICORES),
-        stated => f64::from(stated),
-    };
-    let own = stated(fleet.capacity_millicores);
+    let own = stated_millicores(fleet.capacity_millicores);
     let members = fleet.members.values();
     let others = members.filter(|member| member.is_present() || member.is_listed);
     let others: f64 = others
-        .map(|member| stated(member.row.capacity_millicores))
+        .map(|member| stated_millicores(member.row.capacity_millicores))
         .sum();
     own / (own + others)
 }
 
+fn stated_millicores(millicores: u32) -> f64 {
+    match millicores {
+        0 => f64::from(DEFAULT_CAPACITY_MILLICORES),
+        stated => f64::from(stated),
+    }
+}
+
+/// Returns a hash of the name and the share of the CPU capacity of each instance, this one first,
+/// that may send requests to targets.
+///
+/// An instance in a minority may be cut off from the others, so it also counts those that it takes
+/// to be gone: its share does not grow.
+pub fn capacity_shares(fleet: &FleetState, now: Instant) -> Vec<(u64, f64)> {
+    let is_in_minority = is_in_minority(fleet, now);
+    let members = fleet.members.values().filter(|member| {
+        let may_be_cut_off = is_in_minority && now < member.since + GONE_COUNTED;
+        member.is_present() || member.is_listed || may_be_cut_off
+    });
+    let others = members.map(|member| (&member.row.id.name, member.row.capacity_millicores));
+    let own = (&fleet.id.name, fleet.capacity_millicores);
+    let all = std::iter::once(own).chain(others);
+    let all: Vec<(u64, f64)> = all
+        .map(|(name, millicores)| (xxh3_64(name.as_bytes()), stated_millicores(millicores)))
+        .collect();
+    let sum: f64 = all.iter().map(|(_, millicores)| millicores).sum();
+    all.into_iter()
+        .map(|(hash, millicores)| (hash, millicores / sum))
+        .collect()
+}
+
 /// Returns the peer addresses of the instances that are alive in this instance's zone and whose CPU
 /// capacity is at least `factor` times its own; empty if it has no configured capacity.
 pub fn larger_in_zone(fleet: &FleetState, factor: u32) -> Vec<SocketAddr> {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,8 +11,8 @@
 //! - every exchange is answered exactly once, unless its caller disconnects;
 //! - a request that is not idempotent is sent again only if the last target has not executed it;
 //! - a part is sent to at most as many targets as its front allows;
-//! - extra calls, requests to targets in cold start, and connections stay within this instance's
-//!   share of the limits that all instances have in common;
+//! - extra calls, requests to targets in cold start or with a rate limit, and connections stay
+//!   within this instance's share of the limits that all instances have in common;
 //! - a merged answer contains only complete replies of services that a single version of the
 //!   configuration names, at most one per service, and counts the other services as missing.
 
@@ -41,7 +41,10 @@
 pub use health::{Health, is_in_backoff};
 pub use latency::LatencyEstimate;
 pub use merge::greatest_records;
-pub use rate_limit::RateLimit;
+pub use rate_limit::{
+    RateLimit, ShareHolder, ShareHolders, mark_rate_limits_sent, merge_rate_limits,
+    rate_limit_updates,
+};
 pub use relay::{
     on_relay_accepted, on_relay_answer, on_relay_cancel, on_relay_request, on_relay_unreachable,
 };
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -155,6 +155,7 @@
         version: gateway.catalog.version,
         is_idempotent: front.is_idempotent,
         is_quarantined: false,
+        is_rate_limited: false,
         attempts_max_count: front.attempts_max_count,
         records_count,
         parts_min_count,
--- a/crates/gateway/src/respond.rs
+++ b/crates/gateway/src/respond.rs
@@ -15,7 +15,7 @@
     Exchange, Gateway, PartState,
     completion::{abandon_attempts, elapsed_ms},
     merge::greatest_records,
-    relay,
+    rate_limit, relay,
 };
 
 /// Range of the random `Retry-After` of refusals; the jitter keeps callers from retrying at once.
@@ -23,6 +23,8 @@
 /// Range of `Retry-After` if no target is usable: the backoff of a target is at least 250 ms.
 const NO_TARGET_RETRY_AFTER_RANGE: [Duration; 2] =
     [Duration::from_millis(250), Duration::from_millis(500)];
+/// Maximum factor by which the time until a rate limit permits a request is extended.
+const RATE_LIMITED_JITTER_MAX: f64 = 2.0;
 /// Maximum number of missing services in a log line.
 const MISSING_LOGGED_MAX_COUNT: usize = 4;
 
@@ -125,8 +127,13 @@
                 ("failure-passed", HttpResponse::Proxied(reply))
             }
             _ => {
-                let outcome = outcome(&exchange, now);
-                ("ended", outcome_response(gateway, outcome))
+                let response = match outcome(&exchange, now) {
+                    Outcome::NotRun(NotRunReason::RateLimited) => {
+                        rate_limited_response(gateway, now, &exchange)
+                    }
+                    outcome => outcome_response(gateway, outcome),
+                };
+                ("ended", response)
             }
         },
     };
@@ -163,6 +170,8 @@
     if is_unsent && exchange.answered_count == 0 {
         let reason = if now >= exchange.deadline {
             NotRunReason::Overloaded
+        } else if exchange.is_rate_limited {
+            NotRunReason::RateLimited
         } else {
             NotRunReason::NoTarget
         };
@@ -205,6 +214,19 @@
     }
 }
 
+/// Refuses a request with the time after which this instance may send all its parts. The jitter
+/// spreads the callers over the time in which as many requests again are permitted.
+fn rate_limited_response(gateway: &mut Gateway, now: Instant, exchange: &Exchange) -> HttpResponse {
+    let parts = exchange.parts.iter();
+    let waits = parts.filter_map(|part| rate_limit::token_wait(gateway, now, part.service));
+    let wait = waits.max().unwrap_or_default().max(RETRY_AFTER_RANGE[0]);
+    let jitter = gateway.rng.random_range(1.0..RATE_LIMITED_JITTER_MAX);
+    HttpResponse::Local {
+        outcome: Outcome::NotRun(NotRunReason::RateLimited),
+        retry_after: Some(wait.mul_f64(jitter)),
+    }
+}
+
 /// Sends a response to the caller or to the peer that relayed the query.
 pub(crate) fn respond(requester: Requester, response: HttpResponse, out: &mut Vec<Effect>) {
     match requester {
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -6,7 +6,7 @@
 use model::{FrontKey, ServiceKey, TargetKey};
 use rand::RngExt;
 
-use crate::{Gateway, Health, budget, health};
+use crate::{Gateway, Health, budget, health, rate_limit};
 
 /// Expected latency on a front that has not had a reply yet.
 const DEFAULT_LATENCY_MS: f64 = 50.0;
@@ -39,6 +39,9 @@
     },
     /// At least one target is usable, but this instance has reached its connection limit at each.
     Busy,
+    /// At least one target is usable, but this instance has used up its share of the rate limit of
+    /// each.
+    RateLimited,
     /// No target is usable.
     NoTarget,
 }
@@ -57,7 +60,7 @@
     let connections_max_count =
         budget::connections_max_count(entry.connections_max_count, gateway.share_ratio);
     let mut rng = gateway.rng.clone();
-    let mut is_busy = false;
+    let (mut is_busy, mut is_rate_limited) = (false, false);
     let mut best: Option<(f64, TargetKey)> = None;
     for &target in entry
         .targets
@@ -74,6 +77,10 @@
         if health.is_some_and(|health| health.is_replaced) {
             continue;
         }
+        if !health.is_none_or(|health| rate_limit::has_token(health, now)) {
+            is_rate_limited = true;
+            continue;
+        }
         let in_flight_count = health.map_or(0, |health| health.in_flight.len());
         if in_flight_count >= connections_max_count {
             is_busy = true;
@@ -93,6 +100,7 @@
             expected_ms,
         },
         None if is_busy => Choice::Busy,
+        None if is_rate_limited => Choice::RateLimited,
         None => Choice::NoTarget,
     }
 }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -6,10 +6,11 @@
 use serde::Serialize;
 
 use crate::{
-    Attempt, Choice, Gateway, budget,
+    Attempt, Choice, Exchange, Gateway, budget,
     budget::ExtraCall,
     choose_target, health, latency,
     latency::LatencyEstimate,
+    rate_limit,
     state::{Part, PartState},
 };
 use catalog::Eligibility;
@@ -51,6 +52,11 @@
             choose_target(gateway, now, front, service, &[])
         })
         .collect();
+    if is_too_limited(&gateway.exchanges[key], &choices) {
+        gateway.exchanges[key].is_rate_limited = true;
+        (0..parts_count).for_each(|part_index| mark_missing(gateway, key, part_index));
+        return;
+    }
     let exchange = &gateway.exchanges[key];
     let deadline = exchange.deadline;
     let goal_at = exchange.goal_at.unwrap_or(deadline);
@@ -78,11 +84,28 @@
                 start_attempt(gateway, now, key, new, out);
             }
             Choice::Busy => gateway.queued_parts.push_back((key, part_index)),
+            Choice::RateLimited => {
+                gateway.exchanges[key].is_rate_limited = true;
+                mark_missing(gateway, key, part_index);
+            }
             Choice::NoTarget => mark_missing(gateway, key, part_index),
         }
     }
 }
 
+/// Returns whether rate limits leave a query too few parts for an answer, so that its other parts
+/// would be executed for nothing.
+fn is_too_limited(exchange: &Exchange, choices: &[Choice]) -> bool {
+    let limited = choices
+        .iter()
+        .filter(|&&choice| choice == Choice::RateLimited);
+    let limited_count = limited.count();
+    let possible = choices
+        .iter()
+        .filter(|choice| matches!(choice, Choice::Target { .. } | Choice::Busy));
+    limited_count > 0 && possible.count() < exchange.parts_min_count as usize
+}
+
 /// Returns the indices of at most `max_count` parts whose expected latency exceeds the threshold,
 /// slowest first.
 fn slowest_parts(choices: &[Choice], threshold_ms: f64, max_count: usize) -> Vec<usize> {
@@ -133,6 +156,8 @@
     NotIdempotent,
     /// The request is quarantined because it is suspected of crashing its targets.
     Quarantined,
+    /// This instance's share of the rate limits of the other targets is used up.
+    RateLimited,
     /// No other target is usable.
     NoTarget,
 }
@@ -184,6 +209,10 @@
     let target = match choose_target(gateway, now, front, service, &tried) {
         Choice::Target { target, .. } => target,
         Choice::Busy => return SendOutcome::Busy,
+        Choice::RateLimited => {
+            gateway.exchanges[key].is_rate_limited = true;
+            return SendOutcome::Denied(Denial::RateLimited);
+        }
         Choice::NoTarget => return SendOutcome::NoTarget,
     };
     let new = NewAttempt {
@@ -267,6 +296,7 @@
     if let Some(health) = gateway.health.entry(target) {
         let health = health.or_default();
         health.in_flight.push(attempt);
+        rate_limit::take_token(health, now);
         if is_cold {
             health::record_cold_request(health, now);
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -19,7 +19,8 @@
 use slotmap::{SecondaryMap, SlotMap};
 
 use crate::{
-    budget::RetryBudget, health::Health, latency::LatencyEstimate, unresolved::UnresolvedAttempt,
+    budget::RetryBudget, health::Health, latency::LatencyEstimate, rate_limit::ShareHolders,
+    unresolved::UnresolvedAttempt,
 };
 
 /// State of the gateway; serialised for the state dump.
@@ -52,6 +53,11 @@
     /// This instance's share of the limits that all instances have in common; `None` until another
     /// instance has been heard from or the wait for one is over.
     pub share_ratio: Option<f64>,
+    /// The instances that share the rate limits of targets.
+    pub share_holders: ShareHolders,
+    /// Ticks whose digests have been sent; selects the rate limits that the next ones repeat.
+    #[serde(skip)]
+    pub digests_count: usize,
     /// Whether this instance has lost contact with the instances of all other zones.
     pub is_cut_off: bool,
     /// Whether this instance is cut off and reaches too few targets to serve a front in use. Once
@@ -109,6 +115,8 @@
     pub is_idempotent: bool,
     /// Whether the request is quarantined: nothing more is sent for it.
     pub is_quarantined: bool,
+    /// Whether a part was not sent because of the rate limits of its targets.
+    pub is_rate_limited: bool,
     /// Maximum number of targets that each part may be sent to.
     pub attempts_max_count: u32,
     /// Maximum number of records in a merged answer; `None` unless the front gathers.
@@ -246,6 +254,8 @@
         front_stats: SecondaryMap::new(),
         queued_parts: VecDeque::new(),
         share_ratio: None,
+        share_holders: ShareHolders::default(),
+        digests_count: 0,
         is_cut_off: false,
         is_isolated: false,
         relay_candidates: Vec::new(),
--- a/crates/gateway/src/tick.rs
+++ b/crates/gateway/src/tick.rs
@@ -10,7 +10,9 @@
 use crate::{
     Gateway, completion,
     completion::{send_queued_parts, target_log_line},
-    health, isolation, unresolved,
+    health, isolation, rate_limit,
+    rate_limit::ShareHolders,
+    unresolved,
 };
 
 /// Time that an abandoned attempt has to end before its connection is closed.
@@ -47,6 +49,7 @@
         drop_attempt(gateway, now, key, out);
     }
     unresolved::expire(gateway, now);
+    rate_limit::update_shares(gateway, now);
     isolation::update(gateway, now, out);
     let expired = catalog::remove_expired_targets(&mut gateway.catalog, now);
     remove_targets(gateway, &expired, out);
@@ -75,6 +78,8 @@
 pub struct Fleet {
     /// This instance's share of the limits that all instances have in common, once known.
     pub share_ratio: Option<f64>,
+    /// The instances that share the rate limits of targets.
+    pub share_holders: ShareHolders,
     /// Peer addresses of larger instances of the same zone, which can run queries for this one.
     pub relay_candidates: Vec<SocketAddr>,
     /// Whether this instance has lost contact with the instances of all other zones.
@@ -84,6 +89,7 @@
 /// Updates the data about the other instances.
 pub fn set_fleet(gateway: &mut Gateway, fleet: Fleet) {
     gateway.share_ratio = fleet.share_ratio;
+    gateway.share_holders = fleet.share_holders;
     gateway.relay_candidates = fleet.relay_candidates;
     gateway.is_cut_off = fleet.is_cut_off;
 }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -40,7 +40,7 @@
 pub use log_line::{Level, LogLine, LogValue};
 pub use message::{
     Digest, ForwardedRequest, InstanceId, MemberRow, MemberState, MergedAnswer, Message,
-    QuarantineUpdate, RelayedRequest, StoreChanges, StrikeUpdate,
+    Observations, QuarantineUpdate, RateLimitUpdate, RelayedRequest, StoreChanges, StrikeUpdate,
 };
 pub use outcome::{NotRunReason, Outcome, UnknownReason};
 pub use request::{ExecutionKind, Priority, RequestView, Requester};
--- a/crates/model/src/message.rs
+++ b/crates/model/src/message.rs
@@ -82,6 +82,29 @@
     pub is_cleared: bool,
 }
 
+/// What a target has stated about its rate limit, as exchanged between instances.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct RateLimitUpdate {
+    /// Identifier of the target.
+    pub target_id: String,
+    /// Requests that it takes in 1,000 seconds from all instances together; `None` if it has lifted
+    /// its limit.
+    pub limit_per_1000_s: Option<u64>,
+    /// Time since the target stated it.
+    pub heard_age: Duration,
+}
+
+/// What instances tell each other besides their view of the fleet.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Observations {
+    /// Entries of the quarantine.
+    pub quarantine: Vec<QuarantineUpdate>,
+    /// Rate limits of targets.
+    pub rate_limits: Vec<RateLimitUpdate>,
+}
+
 /// Gossip message that instances send each other periodically.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -98,8 +121,8 @@
     pub freshness_age: Duration,
     /// Membership states that the sender relays in this round.
     pub members: Vec<MemberRow>,
-    /// Quarantine entries that the sender relays in this round.
-    pub quarantine: Vec<QuarantineUpdate>,
+    /// Observations that the sender relays in this round.
+    pub observations: Observations,
 }
 
 /// A request forwarded to its ticket's owner, which alone may run it.
--- a/crates/tier/src/gateway.rs
+++ b/crates/tier/src/gateway.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use catalog::{Change, Role, SharedChanges, StoreAnswer};
 use fleet::FleetState;
-use gateway::Gateway;
+use gateway::{Gateway, ShareHolder, ShareHolders};
 use model::{
     AttemptKey, AttemptReply, CallFailure, CallerKey, Counter, Effect, ExchangeKey, HttpRequest,
     Level, LogLine, Message, NotRunReason, RelayedRequest, ReplyStatus, StoreArea, StoreChanges,
@@ -320,6 +320,7 @@
     let fleet = &state.fleet;
     let is_fleet_size_known = fleet::connection_holders_count(fleet) > 1 || is_discovery_over;
     let share_ratio = is_fleet_size_known.then(|| fleet::capacity_ratio(fleet));
+    let share_holders = share_holders(fleet, now, is_fleet_size_known);
     let relay_candidates = fleet::larger_in_zone(fleet, LARGER_INSTANCE_FACTOR);
     let heard_at = fleet::other_zones_last_contact_at(fleet);
     let role = store_role(fleet);
@@ -341,6 +342,7 @@
     });
     let fleet = gateway::Fleet {
         share_ratio,
+        share_holders,
         relay_candidates,
         is_cut_off: heard_at.is_some_and(|at| now >= at + CUT_OFF_AFTER),
     };
@@ -348,6 +350,18 @@
     gateway::tick(gateway, now, out);
 }
 
+/// Returns the instances that share the rate limits of targets; none while their number is unknown.
+fn share_holders(fleet: &FleetState, now: Instant, is_fleet_size_known: bool) -> ShareHolders {
+    let shares = fleet::capacity_shares(fleet, now);
+    let own_hash = shares[0].0;
+    let holders = shares.into_iter().filter(|_| is_fleet_size_known);
+    let holders = holders.map(|(name_hash, ratio)| ShareHolder { name_hash, ratio });
+    ShareHolders {
+        own_hash,
+        all: holders.collect(),
+    }
+}
+
 /// Returns this instance's role in reading the store, from the instances alive in its zone.
 fn store_role(fleet: &FleetState) -> Role {
     if fleet::zone_peer_addresses(fleet).len() < READER_PEERS_MIN_COUNT {
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -15,6 +15,7 @@
 mod forward;
 mod gateway;
 mod late_call;
+mod observations;
 mod peer;
 mod platform;
 mod quarantine;
--- a/crates/tier/src/peer.rs
+++ b/crates/tier/src/peer.rs
@@ -4,7 +4,7 @@
 
 use model::{Effect, Message};
 
-use crate::{State, forward, gateway, platform, quarantine};
+use crate::{State, forward, gateway, observations, platform};
 
 /// Handles one message.
 pub(crate) fn on_message(
@@ -16,14 +16,14 @@
     match message {
         Message::Digest(digest) => {
             let from = &digest.from.id.name;
-            quarantine::merge_updates(state, now, from, &digest.quarantine, out);
-            let updates = quarantine::digest_updates(state, now);
+            observations::merge(state, now, from, &digest.observations, out);
+            let observations = observations::collect(state, now);
             fleet::on_digest(
                 &mut state.fleet,
                 &state.settings,
                 now,
                 digest,
-                &updates,
+                &observations,
                 out,
             );
             platform::confine_to_allowed_zones(state, now);
--- a/crates/tier/src/quarantine.rs
+++ b/crates/tier/src/quarantine.rs
@@ -6,8 +6,8 @@
 use std::time::Instant;
 
 use model::{
-    CallFailure, CallKey, Counter, Effect, Level, LogLine, QuarantineUpdate, QueryKey, ReplyStatus,
-    RequestView,
+    CallFailure, CallKey, Counter, Effect, Level, LogLine, Observations, QuarantineUpdate,
+    QueryKey, ReplyStatus, RequestView,
 };
 use query::Call;
 
@@ -153,7 +153,11 @@
     }
     state.once.announced_strikes_count += 1;
     if let Some(update) = once::quarantine_update(&state.once, now, fingerprint) {
-        fleet::broadcast_quarantine(&mut state.fleet, now, &[update], out);
+        let observations = Observations {
+            quarantine: vec![update],
+            rate_limits: Vec::new(),
+        };
+        fleet::broadcast_observations(&mut state.fleet, now, &observations, out);
     }
 }
 
--- a/crates/tier/src/tests/gateway.rs
+++ b/crates/tier/src/tests/gateway.rs
@@ -10,8 +10,8 @@
 use model::{
     AttemptCall, AttemptReply, CallFailure, CallerKey, Configuration, Destination, Digest, Effect,
     Event, FrontEntry, HttpRequest, HttpResponse, InstanceId, MemberRow, MemberState, Message,
-    NotRunReason, Outcome, QuarantineUpdate, Registration, ReplyStatus, ServiceEntry, StoreArea,
-    StoreFailure, StoreRead, StoreRecord, TargetReport, Timer,
+    NotRunReason, Observations, Outcome, QuarantineUpdate, Registration, ReplyStatus, ServiceEntry,
+    StoreArea, StoreFailure, StoreRead, StoreRecord, TargetReport, Timer,
 };
 use rstest::rstest;
 use slotmap::KeyData;
@@ -292,7 +292,7 @@
         let Message::Digest(mut digest) = digest_of("far", "far-1", 250) else {
             panic!("a digest");
         };
-        digest.quarantine = vec![QuarantineUpdate {
+        digest.observations.quarantine = vec![QuarantineUpdate {
             fingerprint,
             strikes_count: 3,
             is_quarantined: true,
@@ -380,7 +380,7 @@
         revision: 0,
         freshness_age: Duration::ZERO,
         members: Vec::new(),
-        quarantine: Vec::new(),
+        observations: Observations::default(),
     })
 }
 
--- a/crates/tier/src/tick.rs
+++ b/crates/tier/src/tick.rs
@@ -4,7 +4,7 @@
 
 use model::{Counter, Effect, Level, LogLine, Timer};
 
-use crate::{State, gateway, platform, quarantine, request, shutdown};
+use crate::{State, gateway, observations, platform, request, shutdown};
 
 /// Schedules the first tick.
 pub(crate) fn on_start(state: &mut State, now: Instant, out: &mut Vec<Effect>) {
@@ -18,9 +18,9 @@
 /// Runs all periodic work and schedules the next tick.
 pub(crate) fn on_tick(state: &mut State, now: Instant, out: &mut Vec<Effect>) {
     state.last_tick_at = Some(now);
-    let updates = quarantine::digest_updates(state, now);
-    fleet::tick(&mut state.fleet, &state.settings, now, &updates, out);
-    quarantine::tick(state, &updates);
+    let observations = observations::collect(state, now);
+    fleet::tick(&mut state.fleet, &state.settings, now, &observations, out);
+    observations::tick(state, &observations);
     platform::update_connection_shares(state, out);
     platform::confine_to_allowed_zones(state, now);
     request::tick(state, now, out);
--- a/crates/wire/src/decode.rs
+++ b/crates/wire/src/decode.rs
@@ -5,8 +5,9 @@
 use displaydoc::Display;
 use model::{
     Answer, Coverage, Digest, ForwardedRequest, Header, HttpRequest, InstanceId, MemberRow,
-    MemberState, MergedAnswer, Message, Missing, Outcome, Priority, QuarantineUpdate,
-    RelayedRequest, ShardResult, StoreArea, StoreChanges, StrikeUpdate, variant_from_name,
+    MemberState, MergedAnswer, Message, Missing, Observations, Outcome, Priority, QuarantineUpdate,
+    RateLimitUpdate, RelayedRequest, ShardResult, StoreArea, StoreChanges, StrikeUpdate,
+    variant_from_name,
 };
 use prost::Message as _;
 use serde::Deserialize;
@@ -122,11 +123,18 @@
         revision: digest.revision,
         freshness_age: Duration::from_millis(digest.freshness_age_ms),
         members: members?,
-        quarantine: digest
-            .quarantine
-            .into_iter()
-            .map(decode_quarantine)
-            .collect(),
+        observations: Observations {
+            quarantine: digest
+                .quarantine
+                .into_iter()
+                .map(decode_quarantine)
+                .collect(),
+            rate_limits: digest
+                .rate_limits
+                .into_iter()
+                .map(decode_rate_limit)
+                .collect(),
+        },
     })
 }
 
@@ -161,6 +169,14 @@
     }
 }
 
+fn decode_rate_limit(row: generated::RateLimit) -> RateLimitUpdate {
+    RateLimitUpdate {
+        target_id: row.target_id,
+        limit_per_1000_s: row.limit_per_1000_s,
+        heard_age: Duration::from_millis(row.heard_age_ms),
+    }
+}
+
 fn decode_strike(strike: generated::Strike) -> StrikeUpdate {
     StrikeUpdate {
         id: strike.id,
--- a/crates/wire/src/encode.rs
+++ b/crates/wire/src/encode.rs
@@ -5,7 +5,8 @@
 use bytes::Bytes;
 use model::{
     Answer, Digest, ForwardedRequest, MemberRow, MemberState, Message, Outcome, Priority,
-    QuarantineUpdate, RelayedRequest, StoreArea, StoreChanges, StrikeUpdate, variant_name,
+    QuarantineUpdate, RateLimitUpdate, RelayedRequest, StoreArea, StoreChanges, StrikeUpdate,
+    variant_name,
 };
 use prost::Message as _;
 
@@ -108,6 +109,7 @@
 }
 
 fn encode_digest(digest: &Digest) -> generated::Digest {
+    let observations = &digest.observations;
     generated::Digest {
         from: Some(encode_member(&digest.from)),
         sequence: digest.sequence,
@@ -115,7 +117,16 @@
         revision: digest.revision,
         freshness_age_ms: to_ms(digest.freshness_age),
         members: digest.members.iter().map(encode_member).collect(),
-        quarantine: digest.quarantine.iter().map(encode_quarantine).collect(),
+        quarantine: observations
+            .quarantine
+            .iter()
+            .map(encode_quarantine)
+            .collect(),
+        rate_limits: observations
+            .rate_limits
+            .iter()
+            .map(encode_rate_limit)
+            .collect(),
     }
 }
 
@@ -147,6 +158,14 @@
     }
 }
 
+fn encode_rate_limit(row: &RateLimitUpdate) -> generated::RateLimit {
+    generated::RateLimit {
+        target_id: row.target_id.clone(),
+        limit_per_1000_s: row.limit_per_1000_s,
+        heard_age_ms: to_ms(row.heard_age),
+    }
+}
+
 fn encode_strike(strike: &StrikeUpdate) -> generated::Strike {
     generated::Strike {
         id: strike.id,
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -94,6 +94,17 @@
     pub members: ::prost::alloc::vec::Vec<Member>,
     #[prost(message, repeated, tag = "7")]
     pub quarantine: ::prost::alloc::vec::Vec<Quarantine>,
+    #[prost(message, repeated, tag = "8")]
+    pub rate_limits: ::prost::alloc::vec::Vec<RateLimit>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RateLimit {
+    #[prost(string, tag = "1")]
+    pub target_id: ::prost::alloc::string::String,
+    #[prost(uint64, optional, tag = "2")]
+    pub limit_per_1000_s: ::core::option::Option<u64>,
+    #[prost(uint64, tag = "3")]
+    pub heard_age_ms: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct NoteWanted {
--- a/crates/wire/src/tests.rs
+++ b/crates/wire/src/tests.rs
@@ -5,9 +5,9 @@
 use bytes::Bytes;
 use model::{
     Answer, Coverage, Digest, ForwardedRequest, Header, HttpRequest, InstanceId, MemberRow,
-    MemberState, MergedAnswer, Message, Missing, MissingReason, NotRunReason, Outcome, Priority,
-    QuarantineUpdate, RelayedRequest, ShardResult, StoreArea, StoreChanges, StrikeUpdate,
-    UnknownReason,
+    MemberState, MergedAnswer, Message, Missing, MissingReason, NotRunReason, Observations,
+    Outcome, Priority, QuarantineUpdate, RateLimitUpdate, RelayedRequest, ShardResult, StoreArea,
+    StoreChanges, StrikeUpdate, UnknownReason,
 };
 use proptest::{collection::vec, option, prelude::*, sample::select, test_runner::RngSeed};
 
@@ -201,6 +201,22 @@
         )
 }
 
+fn any_observations() -> impl Strategy<Value = Observations> {
+    let rate_limit = (any::<String>(), any::<Option<u64>>(), any_duration()).prop_map(
+        |(target_id, limit_per_1000_s, heard_age)| RateLimitUpdate {
+            target_id,
+            limit_per_1000_s,
+            heard_age,
+        },
+    );
+    (vec(any_quarantine(), 0..4), vec(rate_limit, 0..4)).prop_map(|(quarantine, rate_limits)| {
+        Observations {
+            quarantine,
+            rate_limits,
+        }
+    })
+}
+
 fn any_strike() -> impl Strategy<Value = StrikeUpdate> {
     let ages = (any_duration(), any_duration());
     (any::<u64>(), any::<u64>(), ages, any::<bool>()).prop_map(
@@ -222,17 +238,19 @@
         any::<u64>(),
         any_duration(),
         vec(any_member(), 0..4),
-        vec(any_quarantine(), 0..4),
+        any_observations(),
     )
         .prop_map(
-            |(from, sequence, wants_reply, revision, freshness_age, members, quarantine)| Digest {
-                from,
-                sequence,
-                wants_reply,
-                revision,
-                freshness_age,
-                members,
-                quarantine,
+            |(from, sequence, wants_reply, revision, freshness_age, members, observations)| {
+                Digest {
+                    from,
+                    sequence,
+                    wants_reply,
+                    revision,
+                    freshness_age,
+                    members,
+                    observations,
+                }
             },
         )
 }
--- a/xtask/src/slopes/peers.rs
+++ b/xtask/src/slopes/peers.rs
@@ -3,7 +3,7 @@
 use std::{borrow::Cow, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use model::{Digest, Event, InstanceId, MemberRow, MemberState, Message};
+use model::{Digest, Event, InstanceId, MemberRow, MemberState, Message, Observations};
 use serde_json::json;
 
 use crate::{
@@ -94,7 +94,7 @@
         revision: 1,
         freshness_age: Duration::from_millis(100),
         members: relayed.map(member_row).collect(),
-        quarantine: Vec::new(),
+        observations: Observations::default(),
     }
 }
 
--- a/xtask/src/spread/targets.rs
+++ b/xtask/src/spread/targets.rs
@@ -29,7 +29,7 @@
 
 /// An event of the simulation.
 enum ScheduledEvent {
-    Event(Event<'static>),
+    Event(Box<Event<'static>>),
     Request,
 }
 
@@ -124,7 +124,7 @@
         let scheduled = entry.remove();
         simulation.now = at;
         match scheduled {
-            ScheduledEvent::Event(event) => reduce_event(simulation, event),
+            ScheduledEvent::Event(event) => reduce_event(simulation, *event),
             ScheduledEvent::Request => send_request(simulation),
         }
         if is_done(simulation) {
@@ -165,7 +165,7 @@
         Effect::SetTimer { timer, after } => schedule(
             simulation,
             after,
-            ScheduledEvent::Event(Event::Timer(timer)),
+            ScheduledEvent::Event(Box::new(Event::Timer(timer))),
         ),
         Effect::ProbeLoad { target, .. } => {
             simulation.probes_count += 1;
@@ -176,7 +176,7 @@
                 let report = warm_load_report();
                 (TARGET_DELAY, Event::Load { target, report })
             };
-            schedule(simulation, after, ScheduledEvent::Event(event));
+            schedule(simulation, after, ScheduledEvent::Event(Box::new(event)));
         }
         Effect::Call(call) => {
             simulation.calls_count += 1;
@@ -198,7 +198,7 @@
                 let call = call.call;
                 (TARGET_DELAY * factor, Event::Reply { call, reply })
             };
-            schedule(simulation, after, ScheduledEvent::Event(event));
+            schedule(simulation, after, ScheduledEvent::Event(Box::new(event)));
         }
         _ => {}
     }
