Quarantine no popular request for strikes whose clearance is under way

A regression of the merged strikes, found by the failure tests of the query tier (a_zone_cut_off_from_targets_elsewhere_uses_its_own_targets: after a cut a popular query was refused for good) and traced: strikes of unrelated losses at several instances met at one of them before the news of their clearance, and the quarantine stuck. An announced strike could even lose its clearance altogether, because its entry was dropped as never sent.

Now a loss is no strike if this instance has seen the service execute the same request in the last 10 s (a table of 4,096 recent executions; a request that crashes its targets has none). A clearance is announced as fast as its strike, and an announced entry is kept. A request at the limit is refused at once, but the quarantine is confirmed, and then lasts, only after 1 s at the limit; news of a clearance lifts it until then.

--- a/crates/once/src/quarantine.rs
+++ b/crates/once/src/quarantine.rs
@@ -9,8 +9,12 @@
 //! were in flight and however many instances observed it.
 //!
 //! A complete reply shows that a target of the service can execute the request and clears the
-//! strikes of that service, so that a frequent request is not quarantined for unrelated crashes. A
-//! request whose strikes reach the limit in the settings is quarantined until its entry expires.
+//! strikes of that service, so that a frequent request is not quarantined for unrelated crashes.
+//! For a while after it, a loss at that service is no strike.
+//!
+//! A request whose strikes reach the limit in the settings is refused. Another instance may know of
+//! a reply that clears them, so the quarantine is confirmed only after the time that such news
+//! takes; from then on it lasts until the entry expires.
 
 use std::time::{Duration, Instant};
 
@@ -29,6 +33,13 @@
 /// Difference of expiry times up to which an update is not news: each relay of an entry delays its
 /// expiry by the digest's transit time.
 const EXPIRY_TOLERANCE: Duration = Duration::from_secs(10);
+/// Time at the limit after which a quarantine is confirmed: longer than the news of a clearance
+/// takes to reach every instance.
+const CONFIRMATION_DELAY: Duration = Duration::from_secs(1);
+/// Time after a complete reply for which a loss at the same service is no strike.
+const EXECUTION_VALIDITY: Duration = Duration::from_secs(10);
+/// Number of recent executions that are remembered; later ones replace them by hash.
+const EXECUTIONS_COUNT: usize = 4096;
 /// Number of strikes from which on an entry is sent again and again, so that instances that were
 /// restarted or cut off learn it.
 const REPEATED_STRIKES_MIN_COUNT: u32 = 2;
@@ -42,7 +53,10 @@
     /// Number of strikes that count: the longest sequence of strikes that are not cleared and of
     /// which each call was sent after the target of the previous one had ended.
     pub strikes_count: u32,
-    /// Whether the strikes have reached the limit; never reset.
+    /// Since when the strikes that count have been at the limit.
+    #[serde(skip)]
+    pub limit_reached_at: Option<Instant>,
+    /// Whether the quarantine is confirmed; never reset.
     pub is_quarantined: bool,
     /// When the entry is removed.
     #[serde(skip)]
@@ -85,7 +99,17 @@
     pub lost_at: Instant,
 }
 
-/// Records a strike and returns the number of strikes that count against its fingerprint.
+/// Remembers that a target of the service has just executed a request.
+pub fn record_execution(once: &mut OnceState, now: Instant, fingerprint: u64, service: &str) {
+    if once.executions.is_empty() {
+        once.executions = vec![None; EXECUTIONS_COUNT];
+    }
+    let key = execution_key(fingerprint, service_hash(service));
+    once.executions[execution_index(key)] = Some((key, now));
+}
+
+/// Records a strike, unless the service has recently executed the request; returns the number of
+/// strikes that count against its fingerprint.
 pub fn add_strike(
     once: &mut OnceState,
     settings: &settings::Once,
@@ -93,10 +117,15 @@
     observed: &ObservedStrike<'_>,
 ) -> u32 {
     remove_expired(once, now);
+    let service = service_hash(observed.service);
+    if is_recently_executed(once, observed.fingerprint, service, observed.sent_at) {
+        let entry = once.quarantine_entries.get(&observed.fingerprint);
+        return entry.map_or(0, |entry| entry.strikes_count);
+    }
     once.observed_strikes_count += 1;
     let strike = Strike {
         id: strike_id(&once.owner, once.observed_strikes_count),
-        service: service_hash(observed.service),
+        service,
         sent_at: observed.sent_at,
         lost_at: observed.lost_at,
         is_cleared: false,
@@ -106,7 +135,7 @@
     insert_strike(entry, settings, strike);
     entry.expires_at = expires_at;
     entry.is_dirty = true;
-    recount(entry, settings);
+    recount(entry, settings, now);
     entry.strikes_count
 }
 
@@ -118,6 +147,7 @@
 pub fn clear_strikes(
     once: &mut OnceState,
     settings: &settings::Once,
+    now: Instant,
     fingerprint: u64,
     service: &str,
 ) -> bool {
@@ -132,7 +162,7 @@
         return false;
     }
     entry.is_dirty = true;
-    recount(entry, settings);
+    recount(entry, settings, now);
     let is_of_use = entry.is_quarantined || entry.strikes.iter().any(|strike| !strike.is_cleared);
     if !is_of_use && !entry.is_shared {
         once.quarantine_entries.remove(&fingerprint);
@@ -144,7 +174,18 @@
 pub fn is_quarantined(once: &OnceState, now: Instant, fingerprint: u64) -> bool {
     once.quarantine_entries
         .get(&fingerprint)
-        .is_some_and(|entry| entry.is_quarantined && now < entry.expires_at)
+        .is_some_and(|entry| is_at_limit(entry) && now < entry.expires_at)
+}
+
+/// Confirms the quarantine of the requests that have been at the limit for long enough.
+pub fn confirm_quarantines(once: &mut OnceState, now: Instant) {
+    for entry in once.quarantine_entries.values_mut() {
+        let is_due = |at: Instant| now >= at + CONFIRMATION_DELAY;
+        if !entry.is_quarantined && entry.limit_reached_at.is_some_and(is_due) {
+            entry.is_quarantined = true;
+            entry.is_dirty = true;
+        }
+    }
 }
 
 /// Returns whether any strike counts against a request.
@@ -170,9 +211,8 @@
     let mut changed: Vec<_> = changed.collect();
     changed.sort_by_key(|(_, entry)| std::cmp::Reverse((rank(entry), entry.expires_at)));
     changed.truncate(changed_max_count);
-    let repeated = unexpired().filter(|(_, entry)| {
-        !entry.is_dirty && (entry.is_quarantined || rank(entry) >= REPEATED_STRIKES_MIN_COUNT)
-    });
+    let repeated = unexpired()
+        .filter(|(_, entry)| !entry.is_dirty && rank(entry) >= REPEATED_STRIKES_MIN_COUNT);
     let mut repeated: Vec<_> = repeated.collect();
     let last_repeated = once.last_repeated_fingerprint;
     repeated.sort_by_key(|(fingerprint, _)| (**fingerprint <= last_repeated, **fingerprint));
@@ -207,6 +247,13 @@
     })
 }
 
+/// Marks an entry as known to other instances, though not yet to all: it is still sent in digests.
+pub fn mark_quarantine_announced(once: &mut OnceState, fingerprint: u64) {
+    if let Some(entry) = once.quarantine_entries.get_mut(&fingerprint) {
+        entry.is_shared = true;
+    }
+}
+
 /// Marks entries as sent to other instances.
 pub fn mark_quarantine_sent(once: &mut OnceState, updates: &[QuarantineUpdate]) {
     for update in updates {
@@ -229,22 +276,28 @@
 ) {
     remove_expired(once, now);
     for update in updates {
-        let is_quarantined =
-            update.is_quarantined || update.strikes_count >= settings.strikes_max_count;
+        // An earlier version states only the count.
+        let is_quarantined = update.is_quarantined
+            || (update.strikes.is_empty() && update.strikes_count >= settings.strikes_max_count);
         if update.strikes.is_empty() && !is_quarantined {
             continue;
         }
+        let strikes: Vec<Strike> = update
+            .strikes
+            .iter()
+            .map(|received| received_strike(once, now, update.fingerprint, received))
+            .collect();
         let remaining = update.remaining.min(settings.quarantine_duration);
         let expires_at = now + remaining;
         let entry = entry_mut(once, update.fingerprint, expires_at);
         entry.is_shared = true;
         let was_quarantined = entry.is_quarantined;
         let mut is_changed = false;
-        for received in &update.strikes {
-            is_changed |= merge_strike(entry, settings, now, received);
+        for strike in strikes {
+            is_changed |= merge_strike(entry, settings, strike);
         }
         entry.is_quarantined |= is_quarantined;
-        recount(entry, settings);
+        recount(entry, settings, now);
         is_changed |= was_quarantined != entry.is_quarantined;
         is_changed |= expires_at > entry.expires_at + EXPIRY_TOLERANCE;
         entry.expires_at = entry.expires_at.max(expires_at);
@@ -259,17 +312,8 @@
 fn merge_strike(
     entry: &mut QuarantineEntry,
     settings: &settings::Once,
-    now: Instant,
-    received: &StrikeUpdate,
+    mut strike: Strike,
 ) -> bool {
-    let at = |age: Duration| now.checked_sub(age).unwrap_or(now);
-    let mut strike = Strike {
-        id: received.id,
-        service: received.service,
-        sent_at: at(received.sent_age),
-        lost_at: at(received.lost_age),
-        is_cleared: received.is_cleared,
-    };
     let known = entry.strikes.iter().position(|known| known.id == strike.id);
     let Some(index) = known else {
         return insert_strike(entry, settings, strike);
@@ -309,8 +353,8 @@
     overlapping.map_or(strikes.len() - 1, |(index, _)| index + 1)
 }
 
-/// Updates the number of strikes that count, and starts the quarantine if they reach the limit.
-fn recount(entry: &mut QuarantineEntry, settings: &settings::Once) {
+/// Updates the number of strikes that count, and since when they have been at the limit.
+fn recount(entry: &mut QuarantineEntry, settings: &settings::Once, now: Instant) {
     let mut count = 0;
     let mut last_lost_at: Option<Instant> = None;
     // Taking the earliest end first yields the longest sequence of disjoint intervals.
@@ -321,12 +365,59 @@
         }
     }
     entry.strikes_count = count;
-    entry.is_quarantined |= count >= settings.strikes_max_count;
+    entry.limit_reached_at = match count >= settings.strikes_max_count {
+        true => entry.limit_reached_at.or(Some(now)),
+        false => None,
+    };
+}
+
+fn is_at_limit(entry: &QuarantineEntry) -> bool {
+    entry.is_quarantined || entry.limit_reached_at.is_some()
+}
+
+/// Returns a received strike; it is cleared if this instance knows of a recent execution.
+fn received_strike(
+    once: &OnceState,
+    now: Instant,
+    fingerprint: u64,
+    received: &StrikeUpdate,
+) -> Strike {
+    let at = |age: Duration| now.checked_sub(age).unwrap_or(now);
+    let sent_at = at(received.sent_age);
+    let is_executed = is_recently_executed(once, fingerprint, received.service, sent_at);
+    Strike {
+        id: received.id,
+        service: received.service,
+        sent_at,
+        lost_at: at(received.lost_age),
+        is_cleared: received.is_cleared || is_executed,
+    }
+}
+
+/// Returns whether the service has executed the request since a short time before `sent_at`.
+fn is_recently_executed(
+    once: &OnceState,
+    fingerprint: u64,
+    service: u64,
+    sent_at: Instant,
+) -> bool {
+    let key = execution_key(fingerprint, service);
+    let execution = once.executions.get(execution_index(key)).copied().flatten();
+    execution.is_some_and(|(known, at)| known == key && sent_at < at + EXECUTION_VALIDITY)
+}
+
+fn execution_key(fingerprint: u64, service: u64) -> u64 {
+    fingerprint ^ service.rotate_left(32)
+}
+
+fn execution_index(key: u64) -> usize {
+    // The remainder is less than the number of slots.
+    (key % EXECUTIONS_COUNT as u64) as usize
 }
 
 /// Returns the number of strikes by which entries are ordered; a quarantined entry comes first.
 fn rank(entry: &QuarantineEntry) -> u32 {
-    match entry.is_quarantined {
+    match is_at_limit(entry) {
         true => u32::MAX,
         false => entry.strikes_count,
     }
@@ -349,6 +440,7 @@
         .or_insert_with(|| QuarantineEntry {
             strikes: Vec::new(),
             strikes_count: 0,
+            limit_reached_at: None,
             is_quarantined: false,
             expires_at,
             is_dirty: false,
--- a/crates/once/src/state.rs
+++ b/crates/once/src/state.rs
@@ -43,6 +43,10 @@
     /// Requests that crashed targets or may have done so, by fingerprint.
     #[serde(rename = "suspects")]
     pub quarantine_entries: BTreeMap<u64, QuarantineEntry>,
+    /// Recent executions: hash of request and service, and when it was executed. Empty until the
+    /// first one.
+    #[serde(skip)]
+    pub executions: Vec<Option<(u64, Instant)>>,
     /// Strikes that this process has observed, for their numbers.
     pub observed_strikes_count: u64,
     /// Fingerprint of the unchanged entry that was last sent again in a digest.
@@ -112,6 +116,7 @@
         waiters: SlotMap::with_key(),
         late_calls: BTreeMap::new(),
         quarantine_entries: BTreeMap::new(),
+        executions: Vec::new(),
         observed_strikes_count: 0,
         last_repeated_fingerprint: 0,
         announced_strikes_count: 0,
--- a/crates/tier/src/gateway.rs
+++ b/crates/tier/src/gateway.rs
@@ -87,13 +87,8 @@
     reply: &AttemptReply<'_>,
     out: &mut Vec<Effect>,
 ) {
-    let fingerprint = attempt_fingerprint(state, key);
-    if let Some(fingerprint) = fingerprint
-        && reply.status == ReplyStatus::Done
-    {
-        let service = attempt_service(state, key);
-        let service = service.as_deref().unwrap_or_default();
-        quarantine::clear_strikes(state, fingerprint, service, out);
+    if reply.status == ReplyStatus::Done {
+        record_execution(state, now, key, out);
     }
     if let Some(gateway) = &mut state.gateway {
         gateway::on_attempt_reply(gateway, now, key, reply, out);
@@ -399,6 +394,21 @@
     }
 }
 
+/// Records that a target has executed the request of an attempt, which clears the strikes of its
+/// service.
+fn record_execution(state: &mut State, now: Instant, key: AttemptKey, out: &mut Vec<Effect>) {
+    let Some(service) = attempt_service(state, key) else {
+        return;
+    };
+    let gateway = state.gateway.as_ref();
+    let Some(attempt) = gateway.and_then(|gateway| gateway.attempts.get(key)) else {
+        return;
+    };
+    let fingerprint = attempt.fingerprint;
+    once::record_execution(&mut state.once, now, fingerprint, &service);
+    quarantine::clear_strikes(state, now, fingerprint, &service, out);
+}
+
 /// Returns the service that an attempt was sent to, unless it is no longer known.
 fn attempt_service(state: &State, key: AttemptKey) -> Option<Arc<str>> {
     let gateway = state.gateway.as_ref()?;
@@ -407,14 +417,6 @@
     Some(service.name.clone())
 }
 
-fn attempt_fingerprint(state: &State, key: AttemptKey) -> Option<u64> {
-    if state.once.quarantine_entries.is_empty() {
-        return None;
-    }
-    let attempt = state.gateway.as_ref()?.attempts.get(key)?;
-    Some(attempt.fingerprint)
-}
-
 fn is_http_request_quarantined(state: &State, now: Instant, request: &HttpRequest) -> bool {
     if state.once.quarantine_entries.is_empty() {
         return false;
--- a/crates/tier/src/late_call.rs
+++ b/crates/tier/src/late_call.rs
@@ -39,6 +39,7 @@
 /// Handles the reply to a late call.
 pub(crate) fn on_reply(
     state: &mut State,
+    now: Instant,
     call: CallKey,
     reply: &ReplyView<'_>,
     out: &mut Vec<Effect>,
@@ -47,7 +48,7 @@
         return;
     };
     if reply.status.is_executed() {
-        quarantine::clear_strikes(state, late.fingerprint, &late.service, out);
+        quarantine::clear_strikes(state, now, late.fingerprint, &late.service, out);
     }
     let mut evidence = Evidence::default();
     evidence.record_reply(reply.status);
--- a/crates/tier/src/observations.rs
+++ b/crates/tier/src/observations.rs
@@ -19,8 +19,8 @@
 }
 
 /// Marks observations as sent with this tick's digests.
-pub(crate) fn tick(state: &mut State, sent: &Observations) {
-    quarantine::tick(state, &sent.quarantine);
+pub(crate) fn tick(state: &mut State, now: Instant, sent: &Observations) {
+    quarantine::tick(state, now, &sent.quarantine);
     if let Some(gateway) = &mut state.gateway {
         gateway::mark_rate_limits_sent(gateway, &sent.rate_limits);
     }
--- a/crates/tier/src/quarantine.rs
+++ b/crates/tier/src/quarantine.rs
@@ -26,6 +26,7 @@
 /// strikes are cleared.
 pub(crate) fn on_reply(
     state: &mut State,
+    now: Instant,
     call: CallKey,
     status: ReplyStatus,
     out: &mut Vec<Effect>,
@@ -40,7 +41,7 @@
     let service = state.queries.queries[call.query].shards[call.shard_index]
         .name
         .clone();
-    clear_strikes(state, fingerprint, &service, out);
+    clear_strikes(state, now, fingerprint, &service, out);
 }
 
 /// Handles the loss of a target that may have been executing a call.
@@ -131,7 +132,7 @@
         .with("strikes_count", u64::from(strikes_count));
     out.push(Effect::Log(line));
     count(out, Counter::Strikes);
-    announce_strike(state, now, fingerprint, out);
+    announce(state, now, fingerprint, out);
     if was_quarantined || !is_fingerprint_quarantined(state, now, fingerprint) {
         return;
     }
@@ -142,12 +143,12 @@
     stop_exchanges(state, fingerprint);
 }
 
-/// Announces a strike to every instance immediately, because a caller that retries at other
-/// instances can be faster than the gossiped digests.
+/// Announces strikes or their clearance to every instance immediately, because a caller that
+/// retries at other instances can be faster than the gossiped digests.
 ///
 /// Announcements are limited per tick, since one crash can strike many requests; the digests carry
-/// the remaining strikes.
-fn announce_strike(state: &mut State, now: Instant, fingerprint: u64, out: &mut Vec<Effect>) {
+/// the rest.
+fn announce(state: &mut State, now: Instant, fingerprint: u64, out: &mut Vec<Effect>) {
     if state.once.announced_strikes_count >= ANNOUNCEMENTS_PER_TICK_MAX_COUNT {
         return;
     }
@@ -158,6 +159,7 @@
             rate_limits: Vec::new(),
         };
         fleet::broadcast_observations(&mut state.fleet, now, &observations, out);
+        once::mark_quarantine_announced(&mut state.once, fingerprint);
     }
 }
 
@@ -171,8 +173,10 @@
     )
 }
 
-/// Marks updates as sent with this tick's digests and resets the announcement limit.
-pub(crate) fn tick(state: &mut State, sent: &[QuarantineUpdate]) {
+/// Marks updates as sent with this tick's digests, resets the announcement limit, and confirms
+/// quarantines.
+pub(crate) fn tick(state: &mut State, now: Instant, sent: &[QuarantineUpdate]) {
+    once::confirm_quarantines(&mut state.once, now);
     state.once.announced_strikes_count = 0;
     once::mark_quarantine_sent(&mut state.once, sent);
 }
@@ -205,11 +209,18 @@
 /// Clears the strikes of a request at a service that has executed it without crashing, and logs it.
 pub(crate) fn clear_strikes(
     state: &mut State,
+    now: Instant,
     fingerprint: u64,
     service: &str,
     out: &mut Vec<Effect>,
 ) {
-    if !once::clear_strikes(&mut state.once, &state.settings.once, fingerprint, service) {
+    if !once::clear_strikes(
+        &mut state.once,
+        &state.settings.once,
+        now,
+        fingerprint,
+        service,
+    ) {
         return;
     }
     let line = LogLine::new(Level::Info, "strikes-cleared")
@@ -217,6 +228,7 @@
         .with("service", service);
     out.push(Effect::Log(line));
     count(out, Counter::StrikesCleared);
+    announce(state, now, fingerprint, out);
 }
 
 /// Stops the gateway's exchanges of a request that has just been quarantined.
--- a/crates/tier/src/reduce.rs
+++ b/crates/tier/src/reduce.rs
@@ -28,8 +28,8 @@
             gateway::on_caller_gone(state, now, caller, out);
         }
         Event::Reply { call, reply } => {
-            late_call::on_reply(state, call, &reply, out);
-            quarantine::on_reply(state, call, reply.status, out);
+            late_call::on_reply(state, now, call, &reply, out);
+            quarantine::on_reply(state, now, call, reply.status, out);
             let finished = query::on_reply(
                 &mut state.queries,
                 &mut state.routes,
--- a/crates/tier/src/tests/crashing_request.rs
+++ b/crates/tier/src/tests/crashing_request.rs
@@ -157,6 +157,24 @@
     }
 }
 
+#[rstest]
+fn a_popular_request_with_lost_replies_is_not_quarantined(
+    #[values(ONE_SERVICE, TWENTY_SERVICES)] size: Size,
+    #[values(1, 2)] seed: u64,
+) {
+    let mut fleet = fleet(size, seed);
+    fleet.behaviour.lost_ratio = 0.02;
+    for _ in 0..1_500 {
+        let index = random_instance(&mut fleet);
+        send_request(&mut fleet, index, "/popular");
+        run_for(&mut fleet, Duration::from_millis(9));
+    }
+    for instance in &fleet.instances {
+        let mut entries = instance.state.once.quarantine_entries.values();
+        assert!(!entries.any(|entry| entry.is_quarantined));
+    }
+}
+
 #[rstest]
 fn strikes_spread_while_harmless_requests_lose_their_connections(
     #[values(ONE_SERVICE, TWENTY_SERVICES)] size: Size,
--- a/crates/tier/src/tick.rs
+++ b/crates/tier/src/tick.rs
@@ -20,7 +20,7 @@
     state.last_tick_at = Some(now);
     let observations = observations::collect(state, now);
     fleet::tick(&mut state.fleet, &state.settings, now, &observations, out);
-    observations::tick(state, &observations);
+    observations::tick(state, now, &observations);
     platform::update_connection_shares(state, out);
     platform::confine_to_allowed_zones(state, now);
     request::tick(state, now, out);
