--- a/crates/gateway/src/respond.rs
+++ b/crates/gateway/src/respond.rs
@@ -287,6 +287,9 @@
         .with("parts_count", exchange.parts.len() as u64)
         .with("missing_count", u64::from(missing_count))
         .with("extra_count", u64::from(exchange.extra_count));
+    if exchange.is_rate_limited {
+        line = line.with("is_rate_limited", 1);
+    }
     if let Some(relay) = &exchange.relay {
         line = line.with("relay", relay.address.to_string().as_str());
     } else if missing_count > 0 {
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -53,7 +53,7 @@
         })
         .collect();
     if is_too_limited(&gateway.exchanges[key], &choices) {
-        gateway.exchanges[key].is_rate_limited = true;
+        record_rate_limited(gateway, key, out);
         (0..parts_count).for_each(|part_index| mark_missing(gateway, key, part_index));
         return;
     }
@@ -85,7 +85,7 @@
             }
             Choice::Busy => gateway.queued_parts.push_back((key, part_index)),
             Choice::RateLimited => {
-                gateway.exchanges[key].is_rate_limited = true;
+                record_rate_limited(gateway, key, out);
                 mark_missing(gateway, key, part_index);
             }
             Choice::NoTarget => mark_missing(gateway, key, part_index),
@@ -93,6 +93,14 @@
     }
 }
 
+fn record_rate_limited(gateway: &mut Gateway, key: ExchangeKey, out: &mut Vec<Effect>) {
+    gateway.exchanges[key].is_rate_limited = true;
+    out.push(Effect::Count {
+        counter: Counter::RateLimitedParts,
+        amount_count: 1,
+    });
+}
+
 /// Returns whether rate limits leave a query too few parts for an answer, so that its other parts
 /// would be executed for nothing.
 fn is_too_limited(exchange: &Exchange, choices: &[Choice]) -> bool {
@@ -210,7 +218,7 @@
         Choice::Target { target, .. } => target,
         Choice::Busy => return SendOutcome::Busy,
         Choice::RateLimited => {
-            gateway.exchanges[key].is_rate_limited = true;
+            record_rate_limited(gateway, key, out);
             return SendOutcome::Denied(Denial::RateLimited);
         }
         Choice::NoTarget => return SendOutcome::NoTarget,
--- a/crates/model/src/effect.rs
+++ b/crates/model/src/effect.rs
@@ -87,6 +87,8 @@
     StrikesCleared,
     /// Requests refused because they are quarantined.
     QuarantineRefusals,
+    /// Parts that were not sent to any target because of the rate limits that targets name.
+    RateLimitedParts,
 }
 
 /// Durations that the shell exports as histograms, named after the variants.
