Give the gateway's strikes a module of their own

What an attempt, the store or an execution says about strikes stood among the gateway's events. Pure moves, but for one thing: a loss that is no strike, because the service has recently executed the request, is neither logged as one nor announced.

--- a/crates/gateway/src/completion.rs
+++ b/crates/gateway/src/completion.rs
@@ -30,7 +30,7 @@
     };
     record_reply(gateway, now, &attempt, reply, out);
     if reply.status == ReplyStatus::Done {
-        unresolved::absolve(gateway, attempt.fingerprint, attempt.service);
+        unresolved::forget_executed(gateway, attempt.fingerprint, attempt.service);
     }
     if attempt.abandoned_since.is_none() {
         on_reply(gateway, now, &attempt, reply, out);
--- a/crates/gateway/src/unresolved.rs
+++ b/crates/gateway/src/unresolved.rs
@@ -57,7 +57,7 @@
 
 /// Handles the successful execution of a request by a service: it shows that the request has not
 /// ended the targets of earlier attempts.
-pub(crate) fn absolve(gateway: &mut Gateway, fingerprint: u64, service: ServiceKey) {
+pub(crate) fn forget_executed(gateway: &mut Gateway, fingerprint: u64, service: ServiceKey) {
     gateway
         .unresolved
         .retain(|attempt| attempt.fingerprint != fingerprint || attempt.service != service);
--- a/crates/once/src/quarantine.rs
+++ b/crates/once/src/quarantine.rs
@@ -108,19 +108,18 @@
     once.executions[execution_index(key)] = Some((key, now));
 }
 
-/// Records a strike, unless the service has recently executed the request; returns the number of
-/// strikes that count against its fingerprint.
+/// Records a strike and returns the number of strikes that count against its fingerprint; `None` if
+/// it is no strike, because the service has recently executed the request.
 pub fn add_strike(
     once: &mut OnceState,
     settings: &settings::Once,
     now: Instant,
     observed: &ObservedStrike<'_>,
-) -> u32 {
+) -> Option<u32> {
     remove_expired(once, now);
     let service = service_hash(observed.service);
     if is_recently_executed(once, observed.fingerprint, service, observed.sent_at) {
-        let entry = once.quarantine_entries.get(&observed.fingerprint);
-        return entry.map_or(0, |entry| entry.strikes_count);
+        return None;
     }
     once.observed_strikes_count += 1;
     let strike = Strike {
@@ -136,7 +135,7 @@
     entry.expires_at = expires_at;
     entry.is_dirty = true;
     recount(entry, settings, now);
-    entry.strikes_count
+    Some(entry.strikes_count)
 }
 
 /// Clears the strikes of a request at a service that has replied to it; returns whether there were
--- a/crates/tier/src/gateway.rs
+++ b/crates/tier/src/gateway.rs
@@ -12,10 +12,10 @@
 use model::{
     AttemptKey, AttemptReply, CallFailure, CallerKey, Counter, Effect, ExchangeKey, HttpRequest,
     Level, LogLine, Message, NotRunReason, RelayedRequest, ReplyStatus, StoreArea, StoreChanges,
-    StoreFailure, StoreRead, TargetKey, variant_name,
+    StoreFailure, StoreRead, variant_name,
 };
 
-use crate::{State, quarantine, quarantine::Strike, shutdown};
+use crate::{State, quarantine, shutdown, strikes};
 
 /// Time since startup after which an instance that has heard of no other assumes that it is the
 /// only one.
@@ -31,10 +31,6 @@
 /// Catalog changes per store answer that are logged individually; the rest is logged as a count.
 const CHANGES_LOGGED_MAX_COUNT: usize = 16;
 
-/// Time between a request and the end of its target that is assumed if the end was silent. Longer
-/// than it takes to send all parts of a query, and shorter than until a hedge or a repetition.
-const SILENT_END_DELAY: Duration = Duration::from_millis(10);
-
 /// Time without a message from any other zone after which this instance may be cut off: four ticks,
 /// each of which sends a digest to the zone heard from least recently.
 const CUT_OFF_AFTER: Duration = Duration::from_millis(800);
@@ -88,7 +84,7 @@
     out: &mut Vec<Effect>,
 ) {
     if reply.status == ReplyStatus::Done {
-        record_execution(state, now, key, out);
+        strikes::record_execution(state, now, key, out);
     }
     if let Some(gateway) = &mut state.gateway {
         gateway::on_attempt_reply(gateway, now, key, reply, out);
@@ -104,65 +100,13 @@
     out: &mut Vec<Effect>,
 ) {
     if failure.may_have_reached_target() {
-        record_attempt_strike(state, now, key, out);
+        strikes::record_lost_attempt(state, now, key, out);
     }
     if let Some(gateway) = &mut state.gateway {
         gateway::on_attempt_failure(gateway, now, key, failure, out);
     }
 }
 
-fn record_attempt_strike(state: &mut State, now: Instant, key: AttemptKey, out: &mut Vec<Effect>) {
-    let Some(gateway) = &state.gateway else {
-        return;
-    };
-    let attempt = gateway.attempts.get(key);
-    let Some(attempt) = attempt.filter(|attempt| !attempt.is_strike) else {
-        return;
-    };
-    let exchange = gateway.exchanges.get(attempt.exchange);
-    let request = exchange.map(|exchange| exchange.request.clone());
-    let target = gateway.catalog.targets.get(attempt.target);
-    let target = target.map(|target| target.id.clone());
-    let service = attempt_service(state, key);
-    let strike = Strike {
-        fingerprint: attempt.fingerprint,
-        request_id: request.as_ref().map_or("", |request| &request.request_id),
-        service: service.as_deref().unwrap_or_default(),
-        target: target.as_deref().unwrap_or_default(),
-        sent_at: attempt.sent_at,
-        lost_at: now,
-    };
-    quarantine::record_strike(state, now, &strike, out);
-}
-
-/// Records a strike for each attempt that a target has left without a reply, now that the store
-/// shows that it has ended.
-fn record_late_strikes(state: &mut State, now: Instant, target: TargetKey, out: &mut Vec<Effect>) {
-    let Some(gateway) = &mut state.gateway else {
-        return;
-    };
-    let unresolved = gateway::take_unresolved(gateway, now, target);
-    let id = gateway.catalog.targets.get(target);
-    let id = id.map_or_else(|| Arc::from(""), |target| target.id.clone());
-    for attempt in unresolved {
-        let services = state
-            .gateway
-            .as_ref()
-            .map(|gateway| &gateway.catalog.services);
-        let service = services.and_then(|services| services.get(attempt.service));
-        let service = service.map_or_else(|| Arc::from(""), |service| service.name.clone());
-        let strike = Strike {
-            fingerprint: attempt.fingerprint,
-            request_id: "",
-            service: &service,
-            target: &id,
-            sent_at: attempt.sent_at,
-            lost_at: attempt.sent_at + SILENT_END_DELAY,
-        };
-        quarantine::record_strike(state, now, &strike, out);
-    }
-}
-
 /// Ends the exchange of a caller that has disconnected.
 pub(crate) fn on_caller_gone(
     state: &mut State,
@@ -394,29 +338,6 @@
     }
 }
 
-/// Records that a target has executed the request of an attempt, which clears the strikes of its
-/// service.
-fn record_execution(state: &mut State, now: Instant, key: AttemptKey, out: &mut Vec<Effect>) {
-    let Some(service) = attempt_service(state, key) else {
-        return;
-    };
-    let gateway = state.gateway.as_ref();
-    let Some(attempt) = gateway.and_then(|gateway| gateway.attempts.get(key)) else {
-        return;
-    };
-    let fingerprint = attempt.fingerprint;
-    once::record_execution(&mut state.once, now, fingerprint, &service);
-    quarantine::clear_strikes(state, now, fingerprint, &service, out);
-}
-
-/// Returns the service that an attempt was sent to, unless it is no longer known.
-fn attempt_service(state: &State, key: AttemptKey) -> Option<Arc<str>> {
-    let gateway = state.gateway.as_ref()?;
-    let service = gateway.attempts.get(key)?.service;
-    let service = gateway.catalog.services.get(service)?;
-    Some(service.name.clone())
-}
-
 fn is_http_request_quarantined(state: &State, now: Instant, request: &HttpRequest) -> bool {
     if state.once.quarantine_entries.is_empty() {
         return false;
@@ -437,7 +358,7 @@
                 replaced: Some(replaced),
                 ..
             } => {
-                record_late_strikes(state, now, replaced, out);
+                strikes::record_ended_target(state, now, replaced, out);
                 if let Some(gateway) = &mut state.gateway {
                     gateway::remove_targets(gateway, &[replaced], out);
                 }
@@ -445,7 +366,7 @@
             Change::TargetLeaving {
                 target,
                 is_registration_missing: true,
-            } => record_late_strikes(state, now, target, out),
+            } => strikes::record_ended_target(state, now, target, out),
             _ => {}
         }
     }
--- a/crates/tier/src/quarantine.rs
+++ b/crates/tier/src/quarantine.rs
@@ -102,7 +102,8 @@
     pub lost_at: Instant,
 }
 
-/// Records, logs and announces a strike, and logs the start of a quarantine.
+/// Records, logs and announces a strike, unless the service has recently executed the request; logs
+/// the start of a quarantine.
 pub(crate) fn record_strike(
     state: &mut State,
     now: Instant,
@@ -118,7 +119,9 @@
         sent_at: strike.sent_at,
         lost_at: strike.lost_at,
     };
-    let strikes_count = once::add_strike(&mut state.once, settings, now, &observed);
+    let Some(strikes_count) = once::add_strike(&mut state.once, settings, now, &observed) else {
+        return;
+    };
     let took = now.saturating_duration_since(strike.sent_at);
     let line = LogLine::new(Level::Info, "strike-recorded")
         .with("request_id", strike.request_id)
