Bound what an exchange reads of a response that never ends

Seven of eight ways were bounded by the head's and the body's limits: lines or one line of a head, informational and stray responses, a body with a length, in chunks, or until the close. The extension of a chunk was not: it is skipped and counted nowhere, so the connection read on until its attempt was dropped.

Now an exchange fails once it has received 32 MiB, twice the largest body.

Test, which failed before for the chunk extension: a_response_without_end_fails_the_exchange.

--- a/crates/balsamd/src/client.rs
+++ b/crates/balsamd/src/client.rs
@@ -24,6 +24,8 @@
 const BUFFER_BYTES: usize = 2 * 1024;
 /// Upper limit of a response body.
 const BODY_MAX_BYTES: usize = 16 * 1024 * 1024;
+/// Upper limit of the bytes received in an exchange: a body with the overhead of small chunks.
+const RECEIVED_MAX_BYTES: usize = 2 * BODY_MAX_BYTES;
 /// Responses skipped before the exchange fails: informational ones, and stray ones such as those to
 /// earlier requests.
 const STRAY_RESPONSES_MAX_COUNT: usize = 2;
@@ -278,7 +280,10 @@
         0 => Err(io::ErrorKind::UnexpectedEof.into()),
         bytes_count => {
             incoming.bytes_count += bytes_count;
-            Ok(())
+            match incoming.bytes_count > RECEIVED_MAX_BYTES {
+                true => Err(io::ErrorKind::InvalidData.into()),
+                false => Ok(()),
+            }
         }
     }
 }
--- a/crates/balsamd/src/client/tests.rs
+++ b/crates/balsamd/src/client/tests.rs
@@ -220,3 +220,53 @@
         assert!(ended.await.is_ok());
     });
 }
+
+/// Starts a peer that reads one request head, writes a beginning and then repeats bytes until the
+/// connection is closed.
+async fn spawn_endless_peer(beginning: &'static [u8], repeated: Vec<u8>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    actix_rt::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        read_head(&mut stream).await;
+        if stream.write_all(beginning).await.is_err() {
+            return;
+        }
+        while stream.write_all(&repeated).await.is_ok() {}
+    });
+    address
+}
+
+#[rstest]
+#[case::head_lines(b"HTTP/1.1 200 OK\r\n", b"x-filler: aaaaaaaa\r\n")]
+#[case::head_line(b"HTTP/1.1 200 OK\r\nx-filler: ", b"aaaaaaaa")]
+#[case::informational_responses(b"", b"HTTP/1.1 103 Early Hints\r\n\r\n")]
+#[case::stray_responses(
+    b"",
+    b"HTTP/1.1 200 OK\r\nrequest-id: r-0\r\ncontent-length: 2\r\n\r\nok"
+)]
+#[case::body_with_length(b"HTTP/1.1 200 OK\r\ncontent-length: 99999999999\r\n\r\n", b"aaaaaaaa")]
+#[case::body_in_chunks(
+    b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+    b"8\r\naaaaaaaa\r\n"
+)]
+#[case::chunk_extension(
+    b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n8;",
+    b"aaaaaaaa"
+)]
+#[case::body_until_close(b"HTTP/1.1 200 OK\r\n\r\n", b"aaaaaaaa")]
+#[actix_rt::test]
+async fn a_response_without_end_fails_the_exchange(
+    #[case] beginning: &'static [u8],
+    #[case] repeated: &[u8],
+) {
+    let address = spawn_endless_peer(beginning, repeated.repeat(512)).await;
+    let result = send_request(address, Bytes::new()).await;
+    assert!(
+        matches!(
+            result,
+            Err(ClientError::Malformed(_) | ClientError::Truncated(_))
+        ),
+        "the exchange must fail"
+    );
+}
