Play random series of troubles around a crashing request

Kinds of ends, delays until the crash, lost replies, services that execute the request, callers that leave, restarts, pauses and cuts of instances, drawn by a seed; at least one instance lives through the run. Eight seeds run with the tests.

--- a/crates/tier/src/tests/crashing_request.rs
+++ b/crates/tier/src/tests/crashing_request.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::HashSet, time::Duration};
 
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 
 use super::gateway_fleet::{
@@ -272,3 +274,54 @@
     let late_count = late_repetitions_count(&fleet);
     assert!(late_count <= REPETITIONS_MAX_COUNT, "{late_count}");
 }
+
+/// Runs a crashing request beside harmless ones through a random series of troubles, and returns
+/// the fleet. Once no instance is left that was running at the first crash, the run ends, because
+/// nobody remembers it.
+fn run_random_troubles(seed: u64) -> Fleet {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let base = [ONE_SERVICE, TWENTY_SERVICES][rng.random_range(0..2)];
+    let size = Size {
+        instances_count: [3, 6, 9][rng.random_range(0..3)],
+        attempts_max_count: rng.random_range(1..=2),
+        ..base
+    };
+    let mut fleet = fleet(size, seed);
+    fleet.behaviour = Behaviour {
+        ending: [Ending::Reset, Ending::MidReply, Ending::Silent][rng.random_range(0..3)],
+        crash_after: Duration::from_millis([5, 80, 400][rng.random_range(0..3)]),
+        lost_ratio: [0.0, 0.02][rng.random_range(0..2)],
+        immune_services_count: [0, size.services_count / 2][rng.random_range(0..2)],
+        ..Behaviour::default()
+    };
+    let gap = Duration::from_millis([150, 500, 1_500, 4_000][rng.random_range(0..4)]);
+    let mut running_since_start: HashSet<usize> = (0..size.instances_count).collect();
+    for _ in 0..10 {
+        let index = random_instance(&mut fleet);
+        match rng.random_range(0..5) {
+            0 if running_since_start.len() > 1 => {
+                running_since_start.remove(&index);
+                restart_instance(&mut fleet, index);
+            }
+            1 => pause_instance(&mut fleet, index, Duration::from_millis(2_500)),
+            2 => cut_instance(&mut fleet, index, 1),
+            3 => (0..size.instances_count).for_each(|index| cut_instance(&mut fleet, index, 0)),
+            _ => {}
+        }
+        if rng.random_bool(0.3) {
+            let index = random_instance(&mut fleet);
+            let caller = send_request(&mut fleet, index, CRASHING_PATH);
+            run_for(&mut fleet, Duration::from_millis(40));
+            leave(&mut fleet, index, caller);
+        }
+        mix_requests(&mut fleet, Duration::from_millis(2_500), gap);
+    }
+    fleet
+}
+
+#[rstest]
+fn any_series_of_troubles_repeats_little(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
+    let fleet = run_random_troubles(seed);
+    let late_count = late_repetitions_count(&fleet);
+    assert!(late_count <= REPETITIONS_MAX_COUNT, "{late_count}");
+}
