Take no reply of another target for a sign of life

Cause: another target's refusal (it is not the one that the request names) counted as a reply of the target that had ended. It had thus been heard from less than 800 ms before its registration lapsed, and its attempts were no strikes.

Now such a refusal is no reply of that target; it shows that the target has ended, so the attempts that it left without a reply are strikes at once.

--- a/crates/gateway/src/completion.rs
+++ b/crates/gateway/src/completion.rs
@@ -154,7 +154,10 @@
     let Some(health) = gateway.health.get_mut(attempt.target) else {
         return;
     };
-    health.last_reply_at = Some(now);
+    // Another target answers at the address of one that has ended.
+    if reply.status != ReplyStatus::Misdirected {
+        health.last_reply_at = Some(now);
+    }
     if let Some(load) = reply.report.load {
         health.load = Some((load, now));
     }
--- a/crates/gateway/src/health.rs
+++ b/crates/gateway/src/health.rs
@@ -33,7 +33,7 @@
     pub in_flight: Vec<AttemptKey>,
     /// Moving average of failed attempts, from 0 to 1.
     pub failures_ratio: f64,
-    /// Arrival of the last reply, whatever its status.
+    /// Arrival of the last reply, whatever its status, except from another target at its address.
     #[serde(skip)]
     pub last_reply_at: Option<Instant>,
     /// Failed connections and silence timeouts since the last successful reply.
--- a/crates/tier/src/gateway.rs
+++ b/crates/tier/src/gateway.rs
@@ -83,8 +83,10 @@
     reply: &AttemptReply<'_>,
     out: &mut Vec<Effect>,
 ) {
-    if reply.status == ReplyStatus::Done {
-        strikes::record_execution(state, now, key, out);
+    match reply.status {
+        ReplyStatus::Done => strikes::record_execution(state, now, key, out),
+        ReplyStatus::Misdirected => strikes::record_replaced_target(state, now, key, out),
+        _ => {}
     }
     if let Some(gateway) = &mut state.gateway {
         gateway::on_attempt_reply(gateway, now, key, reply, out);
--- a/crates/tier/src/strikes.rs
+++ b/crates/tier/src/strikes.rs
@@ -44,8 +44,22 @@
     quarantine::record_strike(state, now, &strike, out);
 }
 
-/// Records a strike for each attempt that a target has left without a reply, now that the store
-/// shows that it has ended.
+/// Records the strikes of a target that has ended, because another one has answered at its address.
+pub(crate) fn record_replaced_target(
+    state: &mut State,
+    now: Instant,
+    key: AttemptKey,
+    out: &mut Vec<Effect>,
+) {
+    let gateway = state.gateway.as_ref();
+    let attempt = gateway.and_then(|gateway| gateway.attempts.get(key));
+    if let Some(target) = attempt.map(|attempt| attempt.target) {
+        record_ended_target(state, now, target, out);
+    }
+}
+
+/// Records a strike for each attempt that a target has left without a reply, now that it is known
+/// to have ended.
 pub(crate) fn record_ended_target(
     state: &mut State,
     now: Instant,
