Let no share of a rate limit grow while instances may be cut off

Cause: the larger side of a cut divided the limit among itself once the others counted as gone, 12 s after the cut, while those went on with their shares; and an instance that was restarted while cut off took itself for the only one after 4 s.

Now everybody counts an instance that is gone without having announced that it leaves, for ten minutes; and one that has heard of no other, though its settings name some, takes the share of one that does not know. Both hold for rate limits only; the other budgets divide as before.

--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -60,7 +60,9 @@
     if member.row.id.incarnation != row.id.incarnation {
         member.heard_at = None;
         member.confirmed_at = None;
+        member.has_left = false;
     }
+    member.has_left |= row.state == MemberState::Leaving;
     if member.row.state != row.state {
         member.since = now;
     }
@@ -108,6 +110,7 @@
         confirmed_at: None,
         relayed_count: 0,
         is_listed: false,
+        has_left: row.state == MemberState::Leaving,
     };
     fleet.members.insert(row.id.name.clone(), member);
 }
--- a/crates/fleet/src/share.rs
+++ b/crates/fleet/src/share.rs
@@ -58,14 +58,13 @@
 /// Returns a hash of the name and the share of the CPU capacity of each instance, this one first,
 /// that may send requests to targets.
 ///
-/// An instance in a minority may be cut off from the others, so it also counts those that it takes
-/// to be gone: its share does not grow.
+/// One that is gone without having left may be cut off and still send requests, so it counts for a
+/// while: shares do not grow.
 pub fn capacity_shares(fleet: &FleetState, now: Instant) -> Vec<(u64, f64)> {
-    let is_in_minority = is_in_minority(fleet, now);
-    let members = fleet.members.values().filter(|member| {
-        let may_be_cut_off = is_in_minority && now < member.since + GONE_COUNTED;
-        member.is_present() || member.is_listed || may_be_cut_off
-    });
+    let members = fleet
+        .members
+        .values()
+        .filter(|member| member.is_present() || member.is_listed || may_be_cut_off(member, now));
     let others = members.map(|member| (&member.row.id.name, member.row.capacity_millicores));
     let own = (&fleet.id.name, fleet.capacity_millicores);
     let all = std::iter::once(own).chain(others);
@@ -119,7 +118,7 @@
     let members = fleet.members.values();
     let counted = members.filter(|member| match member.row.state {
         MemberState::Alive | MemberState::Suspected => true,
-        MemberState::Gone => now < member.since + GONE_COUNTED,
+        MemberState::Gone => may_be_cut_off(member, now),
         MemberState::Leaving => false,
     });
     let (mut others_count, mut alive_count) = (0, 0);
@@ -134,6 +133,11 @@
     is_any_known && (is_silent || 2 * (alive_count + 1) < others_count + 1)
 }
 
+/// Returns whether a gone member may be running and only cut off from this instance.
+fn may_be_cut_off(member: &Member, now: Instant) -> bool {
+    !member.has_left && now < member.since + GONE_COUNTED
+}
+
 fn alive_in_zone(fleet: &FleetState) -> impl Iterator<Item = &Member> {
     let members = fleet.members.values();
     members.filter(|member| member.row.state == MemberState::Alive && member.row.zone == fleet.zone)
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -100,6 +100,8 @@
     pub relayed_count: u32,
     /// Whether the last valid instance list of the platform contains the member.
     pub is_listed: bool,
+    /// Whether this incarnation has announced that it leaves.
+    pub has_left: bool,
 }
 
 /// Digest that requested a reply and has not received it.
--- a/crates/tier/src/gateway.rs
+++ b/crates/tier/src/gateway.rs
@@ -14,6 +14,7 @@
     Level, LogLine, Message, NotRunReason, RelayedRequest, ReplyStatus, StoreArea, StoreChanges,
     StoreFailure, StoreRead, variant_name,
 };
+use settings::Settings;
 
 use crate::{State, quarantine, shutdown, strikes};
 
@@ -261,7 +262,7 @@
     let fleet = &state.fleet;
     let is_fleet_size_known = fleet::connection_holders_count(fleet) > 1 || is_discovery_over;
     let share_ratio = is_fleet_size_known.then(|| fleet::capacity_ratio(fleet));
-    let share_holders = share_holders(fleet, now, is_fleet_size_known);
+    let share_holders = share_holders(state, now);
     let relay_candidates = fleet::larger_in_zone(fleet, LARGER_INSTANCE_FACTOR);
     let heard_at = fleet::other_zones_last_contact_at(fleet);
     let role = store_role(fleet);
@@ -292,10 +293,14 @@
 }
 
 /// Returns the instances that share the rate limits of targets; none while their number is unknown.
-fn share_holders(fleet: &FleetState, now: Instant, is_fleet_size_known: bool) -> ShareHolders {
-    let shares = fleet::capacity_shares(fleet, now);
+///
+/// An instance that has heard of no other since its start cannot tell whether it is alone or cut
+/// off, unless its settings name no other.
+fn share_holders(state: &State, now: Instant) -> ShareHolders {
+    let shares = fleet::capacity_shares(&state.fleet, now);
     let own_hash = shares[0].0;
-    let holders = shares.into_iter().filter(|_| is_fleet_size_known);
+    let is_known = shares.len() > 1 || !has_other_seeds(&state.settings);
+    let holders = shares.into_iter().filter(|_| is_known);
     let holders = holders.map(|(name_hash, ratio)| ShareHolder { name_hash, ratio });
     ShareHolders {
         own_hash,
@@ -303,6 +308,12 @@
     }
 }
 
+fn has_other_seeds(settings: &Settings) -> bool {
+    let gateway = settings.gateway.as_ref();
+    let mut seeds = gateway.iter().flat_map(|gateway| &gateway.seeds);
+    seeds.any(|&seed| seed != settings.listen.peers)
+}
+
 /// Returns this instance's role in reading the store, from the instances alive in its zone.
 fn store_role(fleet: &FleetState) -> Role {
     if fleet::zone_peer_addresses(fleet).len() < READER_PEERS_MIN_COUNT {
--- a/crates/tier/src/tests/crashing_request.rs
+++ b/crates/tier/src/tests/crashing_request.rs
@@ -8,7 +8,8 @@
 
 use super::gateway_fleet::{
     Behaviour, CRASHING_PATH, Ending, Fleet, Size, crash_targets, crashing_arrivals, cut_instance,
-    fleet, leave, pause_instance, random_instance, restart_instance, run_for, send_request,
+    fleet, is_disturbed, leave, pause_instance, random_instance, restart_instance, run_for,
+    send_request,
 };
 
 /// Time after the third crash from which on repetitions are limited, and time without disturbance
@@ -64,8 +65,8 @@
         return 0;
     };
     let late = crashing_arrivals(fleet).filter(|arrival| {
-        let disturbed_at = fleet.instances[arrival.instance].disturbed_at;
-        arrival.at > third_at + CONTACT && arrival.at > disturbed_at + CONTACT
+        let is_excused = is_disturbed(fleet, arrival.instance, arrival.at, CONTACT);
+        arrival.at > third_at + CONTACT && !is_excused
     });
     let requests: HashSet<&str> = late.map(|arrival| &*arrival.request_id).collect();
     requests.len()
--- a/crates/tier/src/tests/gateway_fleet.rs
+++ b/crates/tier/src/tests/gateway_fleet.rs
@@ -80,8 +80,8 @@
     /// Instances with different values cannot reach each other.
     pub(crate) partition: u32,
     pub(crate) paused_until: Option<Instant>,
-    /// When it was last started, paused or cut off.
-    pub(crate) disturbed_at: Instant,
+    /// When it was started, resumed, cut off or connected again, oldest first.
+    pub(crate) disturbances: Vec<Instant>,
     run: u64,
     watches: Vec<StoreRead>,
 }
@@ -165,7 +165,7 @@
         is_up: true,
         partition: 0,
         paused_until: None,
-        disturbed_at: now,
+        disturbances: vec![now],
         run: 1,
         watches: Vec::new(),
     });
@@ -211,7 +211,7 @@
     instance.state = state;
     instance.run = run;
     instance.is_up = true;
-    instance.disturbed_at = fleet.now;
+    instance.disturbances.push(fleet.now);
     instance.watches.clear();
     for target in &mut fleet.targets {
         target.running.retain(|(owner, _)| *owner != index);
@@ -223,13 +223,13 @@
 pub(crate) fn pause_instance(fleet: &mut Fleet, index: usize, duration: Duration) {
     let until = fleet.now + duration;
     fleet.instances[index].paused_until = Some(until);
-    fleet.instances[index].disturbed_at = until;
+    fleet.instances[index].disturbances.push(until);
 }
 
 /// Moves an instance to a partition.
 pub(crate) fn cut_instance(fleet: &mut Fleet, index: usize, partition: u32) {
     fleet.instances[index].partition = partition;
-    fleet.instances[index].disturbed_at = fleet.now;
+    fleet.instances[index].disturbances.push(fleet.now);
 }
 
 /// Sends a caller's request to an instance.
@@ -273,6 +273,17 @@
         .expect("an instance is running")
 }
 
+/// Returns whether an instance was disturbed within `duration` before a time.
+pub(crate) fn is_disturbed(
+    fleet: &Fleet,
+    instance: usize,
+    at: Instant,
+    duration: Duration,
+) -> bool {
+    let mut disturbances = fleet.instances[instance].disturbances.iter();
+    disturbances.any(|&disturbed_at| disturbed_at <= at && at <= disturbed_at + duration)
+}
+
 /// Returns the arrivals of the crashing request.
 pub(crate) fn crashing_arrivals(fleet: &Fleet) -> impl Iterator<Item = &Arrival> {
     let arrivals = fleet.arrivals.iter();
--- a/crates/tier/src/tests/named_rate_limit.rs
+++ b/crates/tier/src/tests/named_rate_limit.rs
@@ -3,12 +3,13 @@
 use std::time::{Duration, Instant};
 
 use model::{HttpResponse, NotRunReason, Outcome};
-use rand::RngExt;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 
 use super::gateway_fleet::{
-    Fleet, Size, cut_instance, fleet, pause_instance, random_instance, restart_instance, run_for,
-    send_request,
+    Fleet, Size, cut_instance, fleet, is_disturbed, pause_instance, random_instance,
+    restart_instance, run_for, send_request,
 };
 
 /// Time after a target first names its limit from which on it is held to.
@@ -46,8 +47,7 @@
 /// `since` or later, from instances that had not been disturbed for [`CONTACT`].
 fn busiest_window_count(fleet: &Fleet, target: usize, since: Instant) -> usize {
     let arrivals = fleet.arrivals.iter().filter(|arrival| {
-        let disturbed_at = fleet.instances[arrival.instance].disturbed_at;
-        let is_excused = disturbed_at > since && arrival.at < disturbed_at + CONTACT;
+        let is_excused = is_disturbed(fleet, arrival.instance, arrival.at, CONTACT);
         arrival.target == target && arrival.at >= since && !is_excused
     });
     let times: Vec<Instant> = arrivals.map(|arrival| arrival.at).collect();
@@ -221,3 +221,37 @@
         "{unlimited_count} calls"
     );
 }
+
+/// Plays a random limit under random load and a random series of troubles; returns the fleet, the
+/// limit, and the time from which on the limited target is held to it.
+fn run_random_troubles(seed: u64) -> (Fleet, f64, Instant) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let size = Size {
+        instances_count: [2, 6, 9, 25][rng.random_range(0..4)],
+        ..[ONE_SERVICE, TWENTY_SERVICES][rng.random_range(0..2)]
+    };
+    let mut fleet = fleet(size, seed);
+    let limit_per_s = [0.0, 0.3, 1.0, 4.0, 12.0, 25.0][rng.random_range(0..6)];
+    fleet.targets[0].rate_limit_per_s = Some(limit_per_s);
+    send_load(&mut fleet, CONTACT, 60.0);
+    let since = fleet.now;
+    for round in 1..10 {
+        let index = random_instance(&mut fleet);
+        match rng.random_range(0..5) {
+            0 => restart_instance(&mut fleet, index),
+            1 => pause_instance(&mut fleet, index, Duration::from_millis(2_500)),
+            2 => cut_instance(&mut fleet, index, round),
+            3 => (0..size.instances_count).for_each(|index| cut_instance(&mut fleet, index, 0)),
+            _ => run_for(&mut fleet, Duration::from_secs(3)),
+        }
+        let per_s = [20.0, 80.0, 160.0][rng.random_range(0..3)];
+        send_load(&mut fleet, Duration::from_millis(3_000), per_s);
+    }
+    (fleet, limit_per_s, since)
+}
+
+#[rstest]
+fn any_series_of_troubles_keeps_the_limit(#[values(1, 2, 3, 4, 5, 6)] seed: u64) {
+    let (fleet, limit_per_s, since) = run_random_troubles(seed);
+    assert_within_limit(&fleet, 0, limit_per_s, since);
+}
