--- a/crates/tier/src/tests/gateway.rs
+++ b/crates/tier/src/tests/gateway.rs
@@ -214,6 +214,19 @@
     assert_eq!(responses(&fixture.out).len(), 1);
 }
 
+/// Loses the target of each attempt just sent, and of the retries that follow; returns their number.
+fn lose_targets(fixture: &mut GatewayFixture) -> usize {
+    let mut lost_count = 0;
+    while let Some(call) = attempts(&fixture.out).pop() {
+        fixture.now += Duration::from_millis(20);
+        lost_count += 1;
+        let failure = CallFailure::ConnectionLost;
+        let attempt = call.attempt;
+        feed(fixture, Event::AttemptFailed { attempt, failure });
+    }
+    lost_count
+}
+
 #[test]
 fn a_request_is_quarantined_after_three_target_crashes() {
     let mut fixture = gateway_fixture();
@@ -221,13 +234,7 @@
     for number in 1..=10 {
         fixture.now += Duration::from_millis(100);
         send_request(&mut fixture, number, "/crashes");
-        while let Some(call) = attempts(&fixture.out).pop() {
-            fixture.now += Duration::from_millis(20);
-            crashes_count += 1;
-            let failure = CallFailure::ConnectionLost;
-            let attempt = call.attempt;
-            feed(&mut fixture, Event::AttemptFailed { attempt, failure });
-        }
+        crashes_count += lose_targets(&mut fixture);
     }
     assert_eq!(crashes_count, 3);
     send_request(&mut fixture, 99, "/harmless");
@@ -259,13 +266,7 @@
         feed(&mut fixture, event);
         fixture.now += Duration::from_millis(100);
         send_request(&mut fixture, number, "/crashes");
-        while let Some(call) = attempts(&fixture.out).pop() {
-            fixture.now += Duration::from_millis(20);
-            crashes_count += 1;
-            let failure = CallFailure::ConnectionLost;
-            let attempt = call.attempt;
-            feed(&mut fixture, Event::AttemptFailed { attempt, failure });
-        }
+        crashes_count += lose_targets(&mut fixture);
     }
     assert_eq!(crashes_count, 3);
 }
--- a/crates/tier/src/tests/gateway_fleet.rs
+++ b/crates/tier/src/tests/gateway_fleet.rs
@@ -1,5 +1,7 @@
 //! Simulated fleet of gateways in front of targets, which a request can crash.
 
+mod store;
+
 use std::{
     borrow::Cow,
     collections::{BTreeMap, HashMap},
@@ -9,9 +11,8 @@
 
 use bytes::Bytes;
 use model::{
-    AttemptCall, AttemptKey, AttemptReply, CallFailure, CallerKey, Configuration, Destination,
-    Effect, Event, FrontEntry, HttpRequest, HttpResponse, Message, Registration, ReplyStatus,
-    ServiceEntry, StoreArea, StoreRead, StoreRecord, TargetReport, Timer,
+    AttemptCall, AttemptKey, AttemptReply, CallFailure, CallerKey, Effect, Event, HttpRequest,
+    HttpResponse, Message, ReplyStatus, StoreRead, StoreRecord, TargetReport, Timer,
 };
 use rand::{RngExt, SeedableRng, seq::IndexedRandom};
 use rand_chacha::ChaCha8Rng;
@@ -19,6 +20,7 @@
 
 use super::fixture::settings;
 use crate::{State, new_state, reduce};
+use store::{publish, read_store, registration};
 
 /// Path of the request that crashes its targets, and prefix of others that do.
 pub(crate) const CRASHING_PATH: &str = "/crash";
@@ -31,7 +33,6 @@
 /// Time from an attempt's start to its arrival, and from a reply to its receipt.
 const TARGET_DELAY: Duration = Duration::from_millis(1);
 const PEER_DELAY_MAX: Duration = Duration::from_millis(3);
-const STORE_DELAY: Duration = Duration::from_millis(4);
 /// Time after its crash at which a target is back under another identifier.
 const RESTART_DELAY: Duration = Duration::from_secs(3);
 /// Time after which the store drops the registration of a target that no longer renews it.
@@ -341,53 +342,6 @@
     format!("shard-{index}")
 }
 
-fn registration(index: usize, run: u64) -> impl Fn(&Fleet) -> StoreRecord {
-    move |fleet| StoreRecord::Target {
-        target_id: target_id(index, run),
-        registration: Some(Registration {
-            service: fleet.targets[index].service.clone(),
-            address: target_address(index),
-            zone: ZONES[index % ZONES.len()].to_owned(),
-            slots_count: 4,
-            is_draining: false,
-            cold_for: Duration::ZERO,
-            born_ms: run,
-        }),
-    }
-}
-
-fn configuration(fleet: &Fleet) -> StoreRecord {
-    let services = (0..fleet.services_count).map(service_name);
-    let destination = match fleet.services_count {
-        1 => Destination::Split(vec![(service_name(0), 1.0)]),
-        _ => Destination::Gather {
-            services: services.clone().collect(),
-            records_count: 5,
-            least_ratio: 0.75,
-        },
-    };
-    let services = services.map(|name| ServiceEntry {
-        name,
-        connections_max_count: 100,
-        cold_max_per_s: 10.0,
-    });
-    StoreRecord::Configuration(Configuration {
-        version: 1,
-        fronts: vec![FrontEntry {
-            name: "parts".to_owned(),
-            host: HOST.to_owned(),
-            prefix: "/".to_owned(),
-            is_idempotent: true,
-            timeout: Duration::from_secs(5),
-            goal: Some(Duration::from_millis(200)),
-            rank: 0,
-            attempts_max_count: fleet.attempts_max_count,
-            destination,
-        }],
-        services: services.collect(),
-    })
-}
-
 fn schedule(fleet: &mut Fleet, delay: Duration, index: usize, event: Scheduled) {
     fleet.queued_count += 1;
     let run = fleet.instances[index].run;
@@ -395,61 +349,6 @@
     fleet.queue.insert(key, (index, run, event));
 }
 
-/// Appends a record to the store's history and answers the watches on targets.
-fn publish(fleet: &mut Fleet, record: impl Fn(&Fleet) -> StoreRecord) {
-    let record = record(fleet);
-    let revision = fleet.history.len() as u64 + 1;
-    fleet.history.push((revision, record));
-    for index in 0..fleet.instances.len() {
-        let watches = std::mem::take(&mut fleet.instances[index].watches);
-        for read in watches {
-            read_store(fleet, index, read);
-        }
-    }
-}
-
-fn read_store(fleet: &mut Fleet, index: usize, read: StoreRead) {
-    let revision = fleet.history.len() as u64;
-    let records: Vec<StoreRecord> = match &read {
-        StoreRead::List {
-            area: StoreArea::Operators,
-            ..
-        } => vec![configuration(fleet)],
-        StoreRead::List { .. } => current_registrations(fleet),
-        StoreRead::Watch {
-            area,
-            after_revision,
-            ..
-        } => {
-            let changes = fleet.history.iter();
-            let changes = changes.filter(|(revision, _)| revision > after_revision);
-            let changes: Vec<_> = changes.map(|(_, record)| record.clone()).collect();
-            if *area == StoreArea::Operators || changes.is_empty() {
-                return fleet.instances[index].watches.push(read);
-            }
-            changes
-        }
-    };
-    let event = Scheduled::Store(read, records, revision);
-    schedule(fleet, STORE_DELAY, index, event);
-}
-
-fn current_registrations(fleet: &Fleet) -> Vec<StoreRecord> {
-    let mut current: BTreeMap<String, StoreRecord> = BTreeMap::new();
-    for (_, record) in &fleet.history {
-        match record {
-            StoreRecord::Target { target_id, .. } => {
-                current.insert(target_id.clone(), record.clone());
-            }
-            StoreRecord::TargetRemoved { target_id } => {
-                current.remove(target_id);
-            }
-            _ => {}
-        }
-    }
-    current.into_values().collect()
-}
-
 fn deliver(fleet: &mut Fleet, index: usize, run: u64, event: Scheduled) {
     match event {
         Scheduled::Arrive(call) => return arrive(fleet, index, run, &call),
