--- a/crates/tier/src/tests/crashing_request.rs
+++ b/crates/tier/src/tests/crashing_request.rs
@@ -326,3 +326,10 @@
     let late_count = late_repetitions_count(&fleet);
     assert!(late_count <= REPETITIONS_MAX_COUNT, "{late_count}");
 }
+
+#[rstest]
+fn targets_that_end_at_once_under_one_query_count_together(#[values(108, 177)] seed: u64) {
+    let fleet = run_random_troubles(seed);
+    let late_count = late_repetitions_count(&fleet);
+    assert!(late_count <= REPETITIONS_MAX_COUNT, "{late_count}");
+}
