Start with any number that the platform states for a limit

Cause: settings that a platform fills in were read as strictly as those that an operator writes.

Change: such numbers are moved to the nearest bound, or the default is taken, with a notice; zero retries is a policy.

--- a/crates/balsamd/src/commands.rs
+++ b/crates/balsamd/src/commands.rs
@@ -87,7 +87,12 @@
         .map_err(|error| StartError::SettingsFile(path.display().to_string(), error))?;
     let mut findings = Findings::default();
     match settings::read(&document, &mut findings) {
-        Some(settings) => Ok(settings),
+        Some(settings) => {
+            for notice in &findings.notices {
+                eprintln!("notice: {notice}");
+            }
+            Ok(settings)
+        }
         None => Err(StartError::Settings(path.display().to_string(), findings)),
     }
 }
--- a/crates/findings/src/finding.rs
+++ b/crates/findings/src/finding.rs
@@ -35,6 +35,9 @@
 pub struct Findings {
     /// The faults, in the order in which they were found.
     pub list: Vec<Finding>,
+    /// Unusual values that were replaced, so that the document is usable despite them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub notices: Vec<Finding>,
 }
 
 impl Findings {
--- a/crates/findings/src/node.rs
+++ b/crates/findings/src/node.rs
@@ -78,10 +78,22 @@
 
     /// Adds a finding at the position of the value.
     pub fn report(&self, findings: &mut Findings, message: impl Into<String>) {
+        findings.list.push(self.finding(message.into()));
+    }
+
+    /// Adds a notice at the position of the value, which is ignored or replaced.
+    pub fn notice(&self, findings: &mut Findings, message: impl Into<String>) {
+        findings.notices.push(self.finding(message.into()));
+    }
+
+    fn finding(&self, message: String) -> Finding {
         let start = self.value.range().start;
-        findings
-            .list
-            .push(finding_at(self.document, start, &self.path, message.into()));
+        finding_at(self.document, start, &self.path, message)
+    }
+
+    /// Returns whether the value is null.
+    pub fn is_null(&self) -> bool {
+        matches!(self.value, Value::NullKeyword(_))
     }
 
     /// Reads a JSON object.
@@ -180,6 +192,34 @@
         Some(number)
     }
 
+    /// Reads a number and moves it to the nearest bound if it lies outside.
+    ///
+    /// Returns `None` if the value is not a number. Each value that is not taken as it is adds a
+    /// notice, except null, which stands for an absent value.
+    pub fn clamped_decimal(
+        &self,
+        bounds: RangeInclusive<f64>,
+        findings: &mut Findings,
+    ) -> Option<f64> {
+        let number: Option<f64> = match self.value {
+            Value::NullKeyword(_) => return None,
+            Value::NumberLit(number) => number.value.parse().ok(),
+            _ => None,
+        };
+        let Some(number) = number else {
+            self.notice(findings, "is not a number; the default is used");
+            return None;
+        };
+        let clamped = number.clamp(*bounds.start(), *bounds.end());
+        if clamped != number {
+            self.notice(
+                findings,
+                format!("{number} is out of range; {clamped} is used"),
+            );
+        }
+        Some(clamped)
+    }
+
     /// Reads a number of milliseconds within bounds.
     pub fn millis(
         &self,
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -9,14 +9,17 @@
 const MAX_DURATION_MS: u64 = 3_600_000;
 const MAX_COUNT: u32 = 1_000_000;
 /// Upper bound of settings that may have decimals, such as ratios, factors and numbers of cores.
-const MAX_DECIMAL: f64 = 100.0;
+const MAX_DECIMAL: f64 = 1_000_000.0;
+/// Shortest duration of a setting in seconds.
+const MIN_DURATION_S: f64 = 0.001;
 
 /// Maximum time that one watch of the platform's configuration waits, unless the file sets it.
 const WATCH_TIMEOUT_DEFAULT: Duration = Duration::from_secs(4);
 
 /// Reads and validates the settings of an instance from a JSON document.
 ///
-/// Returns `None` if there is any finding.
+/// Returns `None` if there is any finding. A value that can be replaced without harm to callers
+/// adds only a notice.
 pub fn read(document: &str, findings: &mut Findings) -> Option<Settings> {
     let settings = with_document(document, findings, read_settings)?;
     check_consistency(&settings, findings);
@@ -154,9 +157,8 @@
     let store = fields.required("store", findings);
     let store = store.and_then(|node| node.address(findings));
     let seeds = fields.optional("seeds");
-    let seeds = seeds.map(|node| node.items(findings)).unwrap_or_default();
-    let seeds = seeds.iter().filter_map(|node| node.address(findings));
-    let seeds = seeds.collect();
+    let seeds = seeds.map(|node| read_seeds(&node, findings));
+    let seeds = seeds.unwrap_or_default();
     let mut section = Gateway {
         listen: listen?,
         store: store?,
@@ -183,7 +185,7 @@
         "retry_ratio",
         findings,
     );
-    set_count(
+    set_clamped_count(
         &mut section.retry_constant_count,
         &mut fields,
         "retry_constant_count",
@@ -201,7 +203,7 @@
         "cold_factor",
         findings,
     );
-    set_count(
+    set_clamped_count(
         &mut section.cold_constant_count,
         &mut fields,
         "cold_constant_count",
@@ -217,6 +219,22 @@
     Some(section.clone())
 }
 
+/// Reads the addresses of other instances. An unusable one is ignored: any of them is enough, and
+/// the others also find this instance.
+fn read_seeds(node: &Node<'_>, findings: &mut Findings) -> Vec<SocketAddr> {
+    if node.is_null() {
+        return Vec::new();
+    }
+    let items = node.items(findings);
+    let addresses = items.iter().filter_map(|item| {
+        let mut faults = Findings::default();
+        let address = item.address(&mut faults);
+        findings.notices.append(&mut faults.list);
+        address
+    });
+    addresses.collect()
+}
+
 fn read_query(section: &mut Query, fields: &mut Fields<'_>, findings: &mut Findings) {
     set_millis(&mut section.timeout_max, fields, "timeout_max_ms", findings);
     set_count(
@@ -369,23 +387,44 @@
     *value = count;
 }
 
-/// Replaces the default in `value` with the number of seconds in a field, which may have decimals.
+/// Replaces the default in `value` with the whole number in a field that a platform fills in.
+/// Decimals are cut off, and a number out of range is moved to the nearest bound.
+fn set_clamped_count(
+    value: &mut u32,
+    fields: &mut Fields<'_>,
+    name: &str,
+    findings: &mut Findings,
+) {
+    let Some(node) = fields.optional(name) else {
+        return;
+    };
+    let Some(number) = node.clamped_decimal(0.0..=f64::from(MAX_COUNT), findings) else {
+        return;
+    };
+    // The number is within the range of the type.
+    *value = number as u32;
+}
+
+/// Replaces the default in `value` with the number of seconds in a field that a platform fills in.
+/// It may have decimals, and a number out of range is moved to the nearest bound.
 fn set_seconds(value: &mut Duration, fields: &mut Fields<'_>, name: &str, findings: &mut Findings) {
     let Some(node) = fields.optional(name) else {
         return;
     };
-    let Some(seconds) = node.decimal(0.001..=MAX_DURATION_MS as f64 / 1000.0, findings) else {
+    let max_s = MAX_DURATION_MS as f64 / 1000.0;
+    let Some(seconds) = node.clamped_decimal(MIN_DURATION_S..=max_s, findings) else {
         return;
     };
     *value = Duration::from_secs_f64(seconds);
 }
 
-/// Replaces the default in `value` with the number in a field, which may have decimals.
+/// Replaces the default in `value` with the number in a field that a platform fills in. It may have
+/// decimals, and a number out of range is moved to the nearest bound.
 fn set_decimal(value: &mut f64, fields: &mut Fields<'_>, name: &str, findings: &mut Findings) {
     let Some(node) = fields.optional(name) else {
         return;
     };
-    let Some(number) = node.decimal(0.0..=MAX_DECIMAL, findings) else {
+    let Some(number) = node.clamped_decimal(0.0..=MAX_DECIMAL, findings) else {
         return;
     };
     *value = number;
--- a/crates/tier/src/reload.rs
+++ b/crates/tier/src/reload.rs
@@ -20,6 +20,12 @@
         }
         return;
     };
+    for notice in &findings.notices {
+        let line = LogLine::new(Level::Warn, "setting-replaced")
+            .with("place", notice.path.as_str())
+            .with("message", notice.message.as_str());
+        out.push(Effect::Log(line));
+    }
     let needs_restart = keep_restart_only_settings(&state.settings, &mut read);
     let line = LogLine::new(Level::Info, "reloaded")
         .with("is_changed", u64::from(state.settings != read))
