Use the retry constant without requests, and in windows over 14 s

Cause: a budget that had counted no request permitted nothing, not even its share of the constant; and in a window longer than the 14 s that the buckets cover, the whole constant was permitted every 14 s.

Change: without requests the constant alone counts; of a longer window the part that the buckets cover is used; a fraction of a second is rounded up.

Test: extra calls without requests over 200 s, windows of 10 to 3,600 s.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -7,6 +7,8 @@
 
 /// Length of a bucket of the retry budget.
 const BUCKET_DURATION: Duration = Duration::from_secs(1);
+/// Longest window that the buckets cover, in seconds.
+const MAX_WINDOW_S: f64 = 14.0;
 /// Number of buckets; enough for the longest window of 14 s and a bucket that is only partly within
 /// it.
 const BUCKETS_COUNT: usize = 16;
@@ -72,11 +74,11 @@
     now: Instant,
     is_hedge: bool,
 ) -> bool {
-    let Some(epoch) = budget.epoch else {
-        return false;
-    };
-    let number = bucket_number(epoch, now);
-    let window_count = settings.retry_window.as_secs().clamp(1, 14);
+    // Without an epoch nothing has been counted yet.
+    let number = bucket_number(budget.epoch.unwrap_or(now), now);
+    let window_s = settings.retry_window.as_secs_f64().ceil().max(1.0);
+    // The conversion is exact: the number is small and whole.
+    let window_count = window_s.min(MAX_WINDOW_S) as u64;
     let recent = |buckets_count: u64| {
         let buckets = budget.buckets.iter();
         buckets
@@ -89,6 +91,8 @@
         .map(|bucket| bucket.extra_count)
         .sum();
     let constant = f64::from(settings.retry_constant_count) * CONSTANT_SAFETY_FACTOR;
+    // Of a window that is longer than the buckets, only the part that they cover is used.
+    let constant = constant * (MAX_WINDOW_S / window_s).min(1.0);
     let constant = share_ratio.map_or(0.0, |ratio| constant * ratio);
     let mut allowed =
         settings.retry_ratio * RETRY_RATIO_SAFETY_FACTOR * f64::from(requests) + constant;
--- a/crates/gateway/src/tests/limits.rs
+++ b/crates/gateway/src/tests/limits.rs
@@ -186,3 +186,35 @@
     assert!(sim.attempts.is_empty());
     assert!(sim.response(caller).is_some(), "not refused at once");
 }
+
+#[rstest]
+#[case::usual(10.0, 60)]
+#[case::fraction(10.5, 60)]
+#[case::longer_than_the_buckets(40.0, 60)]
+#[case::very_long(3_600.0, 60)]
+#[case::none_allowed(10.0, 0)]
+fn extra_calls_without_requests_stay_within_the_constant(
+    #[case] window_s: f64,
+    #[case] constant_count: u32,
+) {
+    let window = Duration::from_secs_f64(window_s);
+    let settings = settings::Gateway {
+        retry_constant_count: constant_count,
+        retry_window: window,
+        ..settings()
+    };
+    let start = Instant::now();
+    let mut budget = RetryBudget::default();
+    let mut sent = Vec::new();
+    for step in 0..2_000 {
+        let now = start + Duration::from_millis(100) * step;
+        while allows_extra_call(&settings, &budget, Some(1.0), now, false) {
+            record_extra_call(&mut budget, now);
+            sent.push(now);
+        }
+    }
+    for &from in &sent {
+        let within = sent.iter().filter(|&&at| at >= from && at < from + window);
+        assert!(within.count() <= constant_count as usize);
+    }
+}
