Hand over a query's attempts to its relay instead of copying them

Cause: a relay could use the front's whole limit of attempts, while the instance that had relayed the query kept the rest beyond one for itself in case the relay did not confirm in 15 ms. A confirmation or a cancellation that is late or lost made the sum larger than the limit. Likewise, a relay whose targets had declined the query reported it as unsent, so it ran anew with a fresh count, and it was counted twice in the retry budget.

Change: the relay starts with all attempts but one, and is granted the last one once its confirmation has arrived; what was handed over counts as used. Only a query that no target can have received is unsent; one that was only declined is answered as not run. The grant is a field of the confirmation's message, which an instance of an earlier version ignores. Ruled out: counting by cancellation, which a lost or late message breaks.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -46,7 +46,8 @@
     rate_limit_updates,
 };
 pub use relay::{
-    on_relay_accepted, on_relay_answer, on_relay_cancel, on_relay_request, on_relay_unreachable,
+    RelayAnswer, on_relay_accepted, on_relay_answer, on_relay_cancel, on_relay_granted,
+    on_relay_request, on_relay_unreachable,
 };
 pub use request::on_request;
 pub use respond::{finish_all, refuse};
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -21,7 +21,7 @@
 
 use crate::{
     Gateway, Relay,
-    completion::cancel_exchange,
+    completion::{cancel_exchange, send_queued_parts},
     request::{GoalSource, NewExchange, create_exchange, run_locally},
     respond::{finish, record_end, refuse_relayed, remove_exchange, respond},
 };
@@ -62,17 +62,20 @@
         timeout: Some(time_left(exchange.deadline)),
         ..HttpRequest::clone(&exchange.request)
     };
+    let attempts_count = handed_over_count(exchange.attempts_max_count);
     let relayed = RelayedRequest {
         reply_to: gateway.settings.peers,
         relay_id: relay_id(key),
         version: exchange.version,
         request: Arc::new(request),
         goal: exchange.goal_at.map(time_left),
+        attempts_max_count: Some(attempts_count),
     };
     let exchange = &mut gateway.exchanges[key];
     exchange.relay = Some(Relay {
         address,
         accept_deadline: Some(now + ACCEPT_TIMEOUT),
+        attempts_count,
     });
     out.push(Effect::Send {
         address,
@@ -81,24 +84,69 @@
     true
 }
 
-/// Handles a relay's confirmation that it has started a query.
-pub fn on_relay_accepted(gateway: &mut Gateway, id: u64) {
-    let exchange = gateway.exchanges.get_mut(exchange_key(id));
-    if let Some(relay) = exchange.and_then(|exchange| exchange.relay.as_mut()) {
-        relay.accept_deadline = None;
+/// Returns how many attempts of each part go to the relay with the query. One stays here until the
+/// relay confirms, so that the query can still run here if it does not.
+fn handed_over_count(attempts_max_count: u32) -> u32 {
+    attempts_max_count.saturating_sub(1).max(1)
+}
+
+/// Handles a relay's confirmation that it has started a query: it is granted the attempts that were
+/// held back, unless the query has been taken back meanwhile.
+pub fn on_relay_accepted(gateway: &mut Gateway, id: u64, out: &mut Vec<Effect>) {
+    let key = exchange_key(id);
+    let exchange = gateway.exchanges.get_mut(key);
+    let Some(relay) = exchange.and_then(|exchange| exchange.relay.as_mut()) else {
+        return;
+    };
+    if relay.accept_deadline.take().is_some() {
+        let address = relay.address;
+        out.push(Effect::Send {
+            address,
+            message: Message::RelayGranted {
+                reply_to: gateway.settings.peers,
+                relay_id: id,
+            },
+        });
     }
 }
 
+/// Handles the grant of all attempts of a query that this instance runs for another one.
+pub fn on_relay_granted(
+    gateway: &mut Gateway,
+    now: Instant,
+    reply_to: SocketAddr,
+    id: u64,
+    out: &mut Vec<Effect>,
+) {
+    let requester = Requester::Peer {
+        address: reply_to,
+        forward_id: id,
+    };
+    let mut exchanges = gateway.exchanges.values_mut();
+    let Some(exchange) = exchanges.find(|exchange| exchange.requester == requester) else {
+        return;
+    };
+    exchange.attempts_max_count += std::mem::take(&mut exchange.attempts_withheld_count);
+    send_queued_parts(gateway, now, out);
+}
+
+/// A relay's answer to a query.
+#[derive(Clone, Copy, Debug)]
+pub struct RelayAnswer<'a> {
+    /// The results; `None` if the query was not run or failed.
+    pub merged: Option<&'a MergedAnswer>,
+    /// Whether no target can have received the query, so that it may run here.
+    pub is_unsent: bool,
+    /// Whether no target has executed the query.
+    pub is_unexecuted: bool,
+}
+
 /// Handles a relay's answer.
-///
-/// `answer` is `None` if the relay has none; `is_unsent` then tells whether no target has run the
-/// query, so that it may run here.
 pub fn on_relay_answer(
     gateway: &mut Gateway,
     now: Instant,
     id: u64,
-    answer: Option<&MergedAnswer>,
-    is_unsent: bool,
+    answer: &RelayAnswer<'_>,
     out: &mut Vec<Effect>,
 ) {
     let key = exchange_key(id);
@@ -106,8 +154,8 @@
         return;
     };
     let is_waiting = exchange.relay.is_some();
-    match answer {
-        Some(answer) => {
+    match answer.merged {
+        Some(merged) => {
             let Some(exchange) = remove_exchange(gateway, now, key) else {
                 return;
             };
@@ -116,28 +164,29 @@
                 now,
                 &exchange,
                 "relayed",
-                answer.missing_count,
+                merged.missing_count,
                 out,
             );
             let response = HttpResponse::Merged {
-                proofs: answer.proofs.clone(),
-                missing_count: answer.missing_count,
-                body: answer.body.clone(),
+                proofs: merged.proofs.clone(),
+                missing_count: merged.missing_count,
+                body: merged.body.clone(),
             };
-            respond(exchange.requester, response, out);
+            respond(&exchange, response, out);
         }
-        None if is_waiting && is_unsent => {
+        None if is_waiting && answer.is_unsent => {
             if let Some(relay) = exchange.relay {
                 back_off(gateway, now, relay.address, "refused", out);
             }
             reclaim(gateway, now, key, true, out);
         }
-        None if is_waiting => finish_relayed(gateway, now, key, out),
+        None if is_waiting => finish_relayed(gateway, now, key, answer.is_unexecuted, out),
         None => {}
     }
 }
 
-/// Runs an exchange here that the relay has not confirmed in time, and puts the relay in backoff.
+/// Puts a relay that has not confirmed an exchange in time in backoff, and runs the exchange here
+/// with the attempts that are left.
 pub(crate) fn on_accept_timeout(
     gateway: &mut Gateway,
     now: Instant,
@@ -174,7 +223,7 @@
             .and_then(|exchange| exchange.relay);
         match relay.and_then(|relay| relay.accept_deadline) {
             Some(_) => reclaim(gateway, now, key, false, out),
-            None => finish_relayed(gateway, now, key, out),
+            None => finish_relayed(gateway, now, key, false, out),
         }
     }
 }
@@ -203,6 +252,7 @@
             front,
             request,
             goal: GoalSource::Relayed(relayed.goal.map(|goal| now + goal)),
+            attempts_max_count: relayed.attempts_max_count,
         };
         create_exchange(gateway, now, &new)
     });
@@ -250,10 +300,10 @@
     });
 }
 
-/// Returns the message that answers a relayed query. `is_unsent` is set for every outcome of "not
-/// run", also if targets have received and declined the query.
-pub(crate) fn answer_message(relay_id: u64, response: HttpResponse) -> Message {
-    let (answer, is_unsent) = match response {
+/// Returns the message that answers a relayed query. `is_unsent` states that no target can have
+/// received it.
+pub(crate) fn answer_message(relay_id: u64, response: HttpResponse, is_unsent: bool) -> Message {
+    let (answer, is_unexecuted) = match response {
         HttpResponse::Merged {
             proofs,
             missing_count,
@@ -271,15 +321,16 @@
     };
     Message::RelayAnswer {
         relay_id,
+        is_unsent: is_unsent && answer.is_none(),
         answer,
-        is_unsent,
+        is_unexecuted,
     }
 }
 
 /// Runs an exchange here that the relay has refused or not confirmed.
 ///
-/// Unless the relay has reported the query as not run (`is_unsent`), each part counts as sent once:
-/// a further attempt is subject to the retry budget and to the front's limit of targets.
+/// Unless the relay has reported the query as unsent, the attempts that were handed over count as
+/// used: a further one is subject to the retry budget and to the front's limit of targets.
 fn reclaim(
     gateway: &mut Gateway,
     now: Instant,
@@ -296,18 +347,27 @@
     if !is_unsent {
         exchange.evidence.lost_count += 1;
         for part in &mut exchange.parts {
-            part.sent_count = 1;
+            part.sent_count = relay.attempts_count;
         }
         send_cancel(gateway, key, &relay, out);
     }
     run_locally(gateway, now, key, out);
 }
 
-/// Ends an exchange that a relay has started but not answered. The relay may have sent it to as
-/// many targets as the front allows, so nothing is sent from here.
-fn finish_relayed(gateway: &mut Gateway, now: Instant, key: ExchangeKey, out: &mut Vec<Effect>) {
+/// Ends an exchange that a relay has started but not answered with results. The relay may have sent
+/// it to as many targets as the front allows, so nothing is sent from here.
+fn finish_relayed(
+    gateway: &mut Gateway,
+    now: Instant,
+    key: ExchangeKey,
+    is_unexecuted: bool,
+    out: &mut Vec<Effect>,
+) {
     if let Some(exchange) = gateway.exchanges.get_mut(key) {
-        exchange.evidence.lost_count += 1;
+        match is_unexecuted {
+            true => exchange.evidence.declined_count += 1,
+            false => exchange.evidence.lost_count += 1,
+        }
         for part in &mut exchange.parts {
             part.sent_count = exchange.attempts_max_count;
         }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -51,6 +51,7 @@
         front,
         request: &request,
         goal: GoalSource::Front,
+        attempts_max_count: None,
     };
     let Some(key) = create_exchange(gateway, now, &new) else {
         let reason = NotRunReason::DeadlinePassed;
@@ -70,16 +71,13 @@
     key: ExchangeKey,
     out: &mut Vec<Effect>,
 ) {
-    for part_index in 0..gateway.exchanges[key].parts.len() {
-        let service = gateway.exchanges[key].parts[part_index].service;
-        if let Some(budget) = gateway.retry_budgets.entry(service) {
-            budget::record_request(budget.or_default(), now);
-        }
-    }
     let exchange = &gateway.exchanges[key];
     match exchange.parts.iter().all(|part| part.sent_count == 0) {
-        true => send_first_attempts(gateway, now, key, out),
-        // A larger instance may already have sent each part once.
+        true => {
+            record_request(gateway, now, key);
+            send_first_attempts(gateway, now, key, out);
+        }
+        // A larger instance may have sent each part, and has then counted the request.
         false => (0..exchange.parts.len())
             .for_each(|part_index| send_or_queue(gateway, now, key, part_index, out)),
     }
@@ -88,6 +86,15 @@
     }
 }
 
+/// Counts a request in the retry budget of each of its services.
+fn record_request(gateway: &mut Gateway, now: Instant, key: ExchangeKey) {
+    for part in &gateway.exchanges[key].parts {
+        if let Some(budget) = gateway.retry_budgets.entry(part.service) {
+            budget::record_request(budget.or_default(), now);
+        }
+    }
+}
+
 /// Input of [`create_exchange`].
 pub(crate) struct NewExchange<'a> {
     /// Receiver of the response.
@@ -98,6 +105,8 @@
     pub request: &'a Arc<HttpRequest>,
     /// Source of the latency goal.
     pub goal: GoalSource,
+    /// Number of targets that each part may be sent to at first; `None` for the front's limit.
+    pub attempts_max_count: Option<u32>,
 }
 
 /// Source of the latency goal of an exchange.
@@ -146,6 +155,8 @@
     };
     let time_left = timeout.min(front.timeout).checked_sub(reserve)?;
     let parts: Vec<Part> = services.iter().copied().map(new_part).collect();
+    let granted_count = new.attempts_max_count.unwrap_or(front.attempts_max_count);
+    let attempts_max_count = granted_count.min(front.attempts_max_count);
     let exchange = Exchange {
         requester: new.requester,
         relay: None,
@@ -156,7 +167,8 @@
         is_idempotent: front.is_idempotent,
         is_quarantined: false,
         is_rate_limited: false,
-        attempts_max_count: front.attempts_max_count,
+        attempts_max_count,
+        attempts_withheld_count: front.attempts_max_count - attempts_max_count,
         records_count,
         parts_min_count,
         arrived_at: now,
--- a/crates/gateway/src/respond.rs
+++ b/crates/gateway/src/respond.rs
@@ -7,7 +7,7 @@
 
 use model::{
     CallerKey, Counter, Effect, ExchangeKey, HttpRequest, HttpResponse, Level, LogLine,
-    NotRunReason, Outcome, ProxiedReply, Requester, Timing, variant_name,
+    NotRunReason, Outcome, ProxiedReply, Requester, Timing, UnknownReason, variant_name,
 };
 use rand::RngExt;
 
@@ -48,7 +48,7 @@
         .with("reason", variant_name(&reason).as_str());
     out.push(Effect::Log(line));
     let response = outcome_response(gateway, Outcome::NotRun(reason));
-    respond(Requester::Caller(caller), response, out);
+    send_response(Requester::Caller(caller), response, true, out);
 }
 
 /// Refuses a query that another instance relayed to this one, before any attempt.
@@ -65,7 +65,7 @@
         .with("reason", variant_name(&reason).as_str());
     out.push(Effect::Log(line));
     let response = outcome_response(gateway, Outcome::NotRun(reason));
-    respond(requester, response, out);
+    send_response(requester, response, true, out);
 }
 
 /// Ends an exchange by passing a target's reply on to the requester.
@@ -80,7 +80,7 @@
         return;
     };
     record_end(gateway, now, &exchange, "passed", 0, out);
-    respond(exchange.requester, HttpResponse::Proxied(reply), out);
+    respond(&exchange, HttpResponse::Proxied(reply), out);
 }
 
 /// Ends an exchange if it should be answered now; returns whether it has ended.
@@ -139,7 +139,7 @@
     };
     let missing_count = exchange.parts.len() as u32 - exchange.answered_count;
     record_end(gateway, now, &exchange, end, missing_count, out);
-    respond(exchange.requester, response, out);
+    respond(&exchange, response, out);
 }
 
 /// Ends every exchange with the parts that have arrived so far, or else with an error.
@@ -165,9 +165,14 @@
     Some(exchange)
 }
 
+/// Returns whether no target can have received any part of an exchange.
+fn is_unsent(exchange: &Exchange) -> bool {
+    let is_untouched = exchange.parts.iter().all(|part| part.sent_count == 0);
+    is_untouched && exchange.answered_count == 0
+}
+
 fn outcome(exchange: &Exchange, now: Instant) -> Outcome {
-    let is_unsent = exchange.parts.iter().all(|part| part.sent_count == 0);
-    if is_unsent && exchange.answered_count == 0 {
+    if is_unsent(exchange) {
         let reason = if now >= exchange.deadline {
             NotRunReason::Overloaded
         } else if exchange.is_rate_limited {
@@ -178,7 +183,7 @@
         return Outcome::NotRun(reason);
     }
     match once::outcome(&exchange.evidence) {
-        Outcome::Ran => Outcome::Unknown(model::UnknownReason::ConnectionLost),
+        Outcome::Ran => Outcome::Unknown(UnknownReason::ConnectionLost),
         other => other,
     }
 }
@@ -227,8 +232,18 @@
     }
 }
 
+/// Sends the response of an exchange that has ended.
+pub(crate) fn respond(exchange: &Exchange, response: HttpResponse, out: &mut Vec<Effect>) {
+    send_response(exchange.requester, response, is_unsent(exchange), out);
+}
+
 /// Sends a response to the caller or to the peer that relayed the query.
-pub(crate) fn respond(requester: Requester, response: HttpResponse, out: &mut Vec<Effect>) {
+fn send_response(
+    requester: Requester,
+    response: HttpResponse,
+    is_unsent: bool,
+    out: &mut Vec<Effect>,
+) {
     match requester {
         Requester::Caller(caller) => out.push(Effect::Respond {
             caller,
@@ -238,7 +253,7 @@
             address,
             forward_id,
         } => {
-            let message = relay::answer_message(forward_id, response);
+            let message = relay::answer_message(forward_id, response, is_unsent);
             out.push(Effect::Send { address, message });
         }
     }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     Attempt, Choice, Exchange, Gateway, budget,
-    budget::ExtraCall,
+    budget::{ExtraCall, RetryBudget},
     choose_target, health, latency,
     latency::LatencyEstimate,
     rate_limit,
@@ -175,7 +175,8 @@
 pub(crate) enum SendOutcome {
     /// An attempt was started.
     Sent,
-    /// At least one target is usable, but this instance has reached its connection limit at each.
+    /// The part has to wait: this instance has reached its connection limit at every usable target,
+    /// or the instance that relayed the query has not granted another attempt yet.
     Busy,
     /// Another attempt is not permitted.
     Denied(Denial),
@@ -207,7 +208,10 @@
     }
     let is_extra = part.sent_count > 0;
     if part.sent_count >= exchange.attempts_max_count {
-        return SendOutcome::Denied(Denial::AttemptLimit);
+        return match exchange.attempts_withheld_count {
+            0 => SendOutcome::Denied(Denial::AttemptLimit),
+            _ => SendOutcome::Busy,
+        };
     }
     if is_extra && !is_in_budget(gateway, now, part, extra) {
         return SendOutcome::Denied(Denial::Budget);
@@ -234,9 +238,8 @@
 }
 
 fn is_in_budget(gateway: &Gateway, now: Instant, part: &Part, extra: Option<ExtraCall>) -> bool {
-    let Some(budget) = gateway.retry_budgets.get(part.service) else {
-        return false;
-    };
+    let unused = RetryBudget::default();
+    let budget = gateway.retry_budgets.get(part.service).unwrap_or(&unused);
     budget::allows_extra_call(
         &gateway.settings,
         budget,
@@ -318,8 +321,8 @@
     let service = part.service;
     let counter = if is_extra {
         exchange.extra_count += 1;
-        if let Some(budget) = gateway.retry_budgets.get_mut(service) {
-            budget::record_extra_call(budget, now);
+        if let Some(budget) = gateway.retry_budgets.entry(service) {
+            budget::record_extra_call(budget.or_default(), now);
         }
         Counter::HedgeCalls
     } else {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -119,6 +119,8 @@
     pub is_rate_limited: bool,
     /// Maximum number of targets that each part may be sent to.
     pub attempts_max_count: u32,
+    /// Further attempts of each part that the instance that relayed the query has not granted yet.
+    pub attempts_withheld_count: u32,
     /// Maximum number of records in a merged answer; `None` unless the front gathers.
     pub records_count: Option<u32>,
     /// Minimum number of answered parts for a successful answer.
@@ -162,6 +164,8 @@
     /// When it must have confirmed the start of the query; `None` once it has.
     #[serde(skip)]
     pub accept_deadline: Option<Instant>,
+    /// Attempts of each part that were handed over with the query.
+    pub attempts_count: u32,
 }
 
 /// The contribution of one service to an exchange.
--- a/crates/gateway/src/tests.rs
+++ b/crates/gateway/src/tests.rs
@@ -7,5 +7,6 @@
 mod limits;
 mod load;
 mod relay;
+mod relay_allowance;
 mod retry;
 mod split;
--- a/crates/gateway/src/tests/relay.rs
+++ b/crates/gateway/src/tests/relay.rs
@@ -10,7 +10,8 @@
 
 use super::fixture::{CallResult, gathering_front, record, simulation};
 use crate::{
-    on_relay_accepted, on_relay_answer, on_relay_cancel, on_relay_request, on_relay_unreachable,
+    RelayAnswer, on_relay_accepted, on_relay_answer, on_relay_cancel, on_relay_request,
+    on_relay_unreachable,
 };
 
 const RELAY_ADDRESS: ([u8; 4], u16) = ([10, 0, 0, 9], 7000);
@@ -41,6 +42,16 @@
             ..HttpRequest::default()
         }),
         goal: Some(Duration::from_millis(60)),
+        attempts_max_count: None,
+    }
+}
+
+/// Returns an answer without results.
+fn no_answer(is_unsent: bool) -> RelayAnswer<'static> {
+    RelayAnswer {
+        merged: None,
+        is_unsent,
+        is_unexecuted: is_unsent,
     }
 }
 
@@ -60,18 +71,17 @@
             .is_some_and(|goal| goal < Duration::from_millis(86))
     );
     let id = relayed.relay_id;
-    on_relay_accepted(&mut sim.gateway, id);
+    on_relay_accepted(&mut sim.gateway, id, &mut Vec::new());
     sim.advance(40);
     assert!(sim.attempts.is_empty());
     let mut out = Vec::new();
-    on_relay_answer(
-        &mut sim.gateway,
-        sim.now,
-        id,
-        Some(&answer()),
-        false,
-        &mut out,
-    );
+    let merged = answer();
+    let answer = RelayAnswer {
+        merged: Some(&merged),
+        is_unsent: false,
+        is_unexecuted: false,
+    };
+    on_relay_answer(&mut sim.gateway, sim.now, id, &answer, &mut out);
     sim.apply_effects(out);
     let (_, response) = sim.response(caller).expect("no response");
     assert!(matches!(
@@ -127,7 +137,7 @@
     };
     let id = relayed.relay_id;
     let mut out = Vec::new();
-    on_relay_answer(&mut sim.gateway, sim.now, id, None, true, &mut out);
+    on_relay_answer(&mut sim.gateway, sim.now, id, &no_answer(true), &mut out);
     sim.apply_effects(out);
     sim.advance(6);
     assert_eq!(sim.attempts.len(), 30);
@@ -161,12 +171,12 @@
         panic!("expected one relay message, got {:?}", sim.peer_messages);
     };
     let id = relayed.relay_id;
-    on_relay_accepted(&mut sim.gateway, id);
+    on_relay_accepted(&mut sim.gateway, id, &mut Vec::new());
     sim.advance(50);
     let mut out = Vec::new();
     match failure {
         RelayFailure::NoAnswer => {
-            on_relay_answer(&mut sim.gateway, sim.now, id, None, false, &mut out)
+            on_relay_answer(&mut sim.gateway, sim.now, id, &no_answer(false), &mut out)
         }
         RelayFailure::Unreachable => {
             on_relay_unreachable(&mut sim.gateway, sim.now, relay_address(), &mut out)
@@ -257,7 +267,8 @@
         [Message::RelayAnswer {
             relay_id: 5,
             answer: None,
-            is_unsent: true
+            is_unsent: true,
+            is_unexecuted: true
         }]
     ));
     assert!(sim.attempts.is_empty());
--- a/crates/model/src/message.rs
+++ b/crates/model/src/message.rs
@@ -164,6 +164,9 @@
     pub request: Arc<HttpRequest>,
     /// Time left until the front's latency goal; `None` if there is no goal or it has passed.
     pub goal: Option<Duration>,
+    /// Number of targets that the relay may send each part to until the sender grants it the rest
+    /// of the front's limit; `None` for all, from a sender of an earlier version.
+    pub attempts_max_count: Option<u32>,
 }
 
 /// Merged results of a relayed query.
@@ -228,6 +231,13 @@
         /// Correlation number of the relayed query.
         relay_id: u64,
     },
+    /// Hands over the rest of a relayed query's attempts: the sender will run no part itself.
+    RelayGranted {
+        /// Peer address of the instance that relayed the query.
+        reply_to: SocketAddr,
+        /// Correlation number of the relayed query.
+        relay_id: u64,
+    },
     /// Cancels a relayed query that is no longer needed.
     RelayCancel {
         /// Peer address of the instance that relayed the query.
@@ -243,6 +253,8 @@
         answer: Option<MergedAnswer>,
         /// Whether no target can have received any call of the query.
         is_unsent: bool,
+        /// Whether no target has executed the query, although some may have received it.
+        is_unexecuted: bool,
     },
     /// Shares changes that a reader received from the store.
     StoreChanges(StoreChanges),
--- a/crates/tier/src/peer.rs
+++ b/crates/tier/src/peer.rs
@@ -44,9 +44,10 @@
             forward::on_answer(state, *forward_id, answer, out);
         }
         Message::Relay(request) => gateway::on_relay_request(state, now, request, out),
-        Message::RelayTaken { .. } | Message::RelayCancel { .. } | Message::RelayAnswer { .. } => {
-            on_relay_message(state, now, message, out)
-        }
+        Message::RelayTaken { .. }
+        | Message::RelayGranted { .. }
+        | Message::RelayCancel { .. }
+        | Message::RelayAnswer { .. } => on_relay_message(state, now, message, out),
         // The shell decodes the body and delivers it as `Event::SharedStoreChanges`.
         Message::StoreChanges(_) => {}
     }
@@ -57,7 +58,10 @@
         return;
     };
     match message {
-        Message::RelayTaken { relay_id } => ::gateway::on_relay_accepted(gateway, *relay_id),
+        Message::RelayTaken { relay_id } => ::gateway::on_relay_accepted(gateway, *relay_id, out),
+        Message::RelayGranted { reply_to, relay_id } => {
+            ::gateway::on_relay_granted(gateway, now, *reply_to, *relay_id, out);
+        }
         Message::RelayCancel { reply_to, relay_id } => {
             ::gateway::on_relay_cancel(gateway, now, *reply_to, *relay_id, out);
         }
@@ -65,9 +69,14 @@
             relay_id,
             answer,
             is_unsent,
+            is_unexecuted,
         } => {
-            let answer = answer.as_ref();
-            ::gateway::on_relay_answer(gateway, now, *relay_id, answer, *is_unsent, out);
+            let answer = ::gateway::RelayAnswer {
+                merged: answer.as_ref(),
+                is_unsent: *is_unsent,
+                is_unexecuted: *is_unexecuted,
+            };
+            ::gateway::on_relay_answer(gateway, now, *relay_id, &answer, out);
         }
         _ => {}
     }
--- a/crates/wire/src/decode.rs
+++ b/crates/wire/src/decode.rs
@@ -54,8 +54,14 @@
             )?),
         },
         frame::Message::Relay(relay) => Message::Relay(decode_relay(relay)?),
-        frame::Message::RelayTaken(taken) => Message::RelayTaken {
-            relay_id: taken.relay_id,
+        frame::Message::RelayTaken(taken) => match taken.granted_by {
+            Some(address) => Message::RelayGranted {
+                reply_to: decode_address(&address, "granted_by")?,
+                relay_id: taken.relay_id,
+            },
+            None => Message::RelayTaken {
+                relay_id: taken.relay_id,
+            },
         },
         frame::Message::RelayCancel(cancel) => Message::RelayCancel {
             reply_to: decode_address(&cancel.reply_to, "reply_to")?,
@@ -69,6 +75,7 @@
                 body: answer.body,
             }),
             is_unsent: answer.is_unsent,
+            is_unexecuted: answer.is_unexecuted,
         },
         frame::Message::StoreChanges(changes) => {
             Message::StoreChanges(decode_store_changes(changes)?)
@@ -97,6 +104,7 @@
             body: request.body,
         }),
         goal: relay.goal_ms.map(Duration::from_millis),
+        attempts_max_count: relay.attempts_max_count,
     })
 }
 
--- a/crates/wire/src/encode.rs
+++ b/crates/wire/src/encode.rs
@@ -37,7 +37,14 @@
         Message::Relay(relay) => frame::Message::Relay(encode_relay(relay)),
         Message::RelayTaken { relay_id } => frame::Message::RelayTaken(generated::RelayTaken {
             relay_id: *relay_id,
+            granted_by: None,
         }),
+        Message::RelayGranted { reply_to, relay_id } => {
+            frame::Message::RelayTaken(generated::RelayTaken {
+                relay_id: *relay_id,
+                granted_by: Some(reply_to.to_string()),
+            })
+        }
         Message::RelayCancel { reply_to, relay_id } => {
             frame::Message::RelayCancel(generated::RelayCancel {
                 reply_to: reply_to.to_string(),
@@ -48,6 +55,7 @@
             relay_id,
             answer,
             is_unsent,
+            is_unexecuted,
         } => frame::Message::RelayAnswer(generated::RelayAnswer {
             relay_id: *relay_id,
             answer: answer.as_ref().map(|answer| generated::MergedAnswer {
@@ -60,6 +68,7 @@
                 body: answer.body.clone(),
             }),
             is_unsent: *is_unsent,
+            is_unexecuted: *is_unexecuted,
         }),
         Message::StoreChanges(changes) => {
             frame::Message::StoreChanges(encode_store_changes(changes))
@@ -92,6 +101,7 @@
             body: request.body.clone(),
         }),
         goal_ms: relay.goal.map(to_ms),
+        attempts_max_count: relay.attempts_max_count,
     }
 }
 
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -220,11 +220,18 @@
     pub request: ::core::option::Option<HttpRequest>,
     #[prost(uint64, optional, tag = "5")]
     pub goal_ms: ::core::option::Option<u64>,
+    #[prost(uint32, optional, tag = "6")]
+    pub attempts_max_count: ::core::option::Option<u32>,
 }
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+/// Confirms a relayed query; with `granted_by`, hands over the rest of its attempts. Both are one
+/// message because an instance of an earlier version closes the connection on an unknown one.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct RelayTaken {
     #[prost(uint64, tag = "1")]
     pub relay_id: u64,
+    /// Peer address of the sender of the query.
+    #[prost(string, optional, tag = "2")]
+    pub granted_by: ::core::option::Option<::prost::alloc::string::String>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct RelayCancel {
@@ -241,6 +248,8 @@
     pub answer: ::core::option::Option<MergedAnswer>,
     #[prost(bool, tag = "3")]
     pub is_unsent: bool,
+    #[prost(bool, tag = "4")]
+    pub is_unexecuted: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct MergedAnswer {
--- a/crates/wire/src/tests.rs
+++ b/crates/wire/src/tests.rs
@@ -71,15 +71,24 @@
         }),
         any_relayed_request().prop_map(Message::Relay),
         any::<u64>().prop_map(|relay_id| Message::RelayTaken { relay_id }),
+        (any_address(), any::<u64>())
+            .prop_map(|(reply_to, relay_id)| Message::RelayGranted { reply_to, relay_id }),
         (any_address(), any::<u64>())
             .prop_map(|(reply_to, relay_id)| Message::RelayCancel { reply_to, relay_id }),
-        (any::<u64>(), option::of(any_merged_answer()), any::<bool>()).prop_map(
-            |(relay_id, answer, is_unsent)| Message::RelayAnswer {
-                relay_id,
-                answer,
-                is_unsent,
-            }
-        ),
+        (
+            any::<u64>(),
+            option::of(any_merged_answer()),
+            any::<bool>(),
+            any::<bool>()
+        )
+            .prop_map(|(relay_id, answer, is_unsent, is_unexecuted)| {
+                Message::RelayAnswer {
+                    relay_id,
+                    answer,
+                    is_unsent,
+                    is_unexecuted,
+                }
+            }),
         any_store_changes().prop_map(Message::StoreChanges),
     ]
 }
@@ -110,14 +119,16 @@
         any::<u64>(),
         any::<u64>(),
         option::of(any_duration()),
+        option::of(any::<u32>()),
     );
     (request, routing).prop_map(
-        |(request, (reply_to, relay_id, version, goal))| RelayedRequest {
+        |(request, (reply_to, relay_id, version, goal, attempts_max_count))| RelayedRequest {
             reply_to,
             relay_id,
             version,
             request: request.into(),
             goal,
+            attempts_max_count,
         },
     )
 }
