Answer an unanswered relayed query as unknown, not as not run

Callers saw: a query that another instance ran, and that was not answered by the deadline, was answered as not run although targets had executed it; the other instance went on with it.

Cause: the deadline ended the exchange by its own parts only, of which none had been sent from here.

Change: at the deadline, and when a process ends, such a query is unknown, and the relay is told to stop.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -198,6 +198,18 @@
     reclaim(gateway, now, key, false, out);
 }
 
+/// Ends an exchange whose relay has not answered by the deadline.
+pub(crate) fn on_relay_deadline(
+    gateway: &mut Gateway,
+    now: Instant,
+    key: ExchangeKey,
+    relay: &Relay,
+    out: &mut Vec<Effect>,
+) {
+    send_cancel(gateway, key, relay, out);
+    finish_relayed(gateway, now, key, false, out);
+}
+
 /// Handles an unreachable instance: queries relayed to it run here if it has not confirmed them, and
 /// end otherwise.
 pub fn on_relay_unreachable(
--- a/crates/gateway/src/respond.rs
+++ b/crates/gateway/src/respond.rs
@@ -168,7 +168,7 @@
 /// Returns whether no target can have received any part of an exchange.
 fn is_unsent(exchange: &Exchange) -> bool {
     let is_untouched = exchange.parts.iter().all(|part| part.sent_count == 0);
-    is_untouched && exchange.answered_count == 0
+    is_untouched && exchange.answered_count == 0 && exchange.relay.is_none()
 }
 
 fn outcome(exchange: &Exchange, now: Instant) -> Outcome {
@@ -183,6 +183,10 @@
         return Outcome::NotRun(reason);
     }
     match once::outcome(&exchange.evidence) {
+        // The relay that runs the query has not answered yet.
+        Outcome::NotRun(NotRunReason::NoTarget) if exchange.relay.is_some() => {
+            Outcome::Unknown(UnknownReason::ConnectionLost)
+        }
         Outcome::Ran => Outcome::Unknown(UnknownReason::ConnectionLost),
         other => other,
     }
--- a/crates/gateway/src/tests/relay_allowance.rs
+++ b/crates/gateway/src/tests/relay_allowance.rs
@@ -353,5 +353,18 @@
             );
         }
         assert_eq!(fleet.responses.len(), QUERIES_COUNT, "seed {seed}");
+        for (request, response) in &fleet.responses {
+            let is_refused = matches!(
+                response,
+                HttpResponse::Local {
+                    outcome: Outcome::NotRun(_),
+                    ..
+                }
+            );
+            assert!(
+                !(is_refused && fleet.executed.contains(request)),
+                "seed {seed}: {request} was executed, but answered as not run"
+            );
+        }
     }
 }
--- a/crates/gateway/src/timer.rs
+++ b/crates/gateway/src/timer.rs
@@ -36,7 +36,10 @@
     };
     let due_at = exchange.due_at.take();
     if now >= exchange.deadline {
-        finish(gateway, now, key, out);
+        match exchange.relay {
+            Some(relay) => relay::on_relay_deadline(gateway, now, key, &relay, out),
+            None => finish(gateway, now, key, out),
+        }
         return;
     }
     if let Some(relay) = exchange.relay {
