Answer what waits to be accepted when an instance ends

Cause: the accept loop ended at the close signal while connections that the system had established were still waiting, so that closing the listener reset them; and the process ended 100 ms later whether or not its connections had been answered.

Change: the pending connections are taken from the closed listener and served; the process ends when no caller's connection is open, after 100 to 400 ms, so still before the host's limit. A connection that the system establishes in the microseconds between the last accept and the close is reset with nothing read. The accept loop for other instances no longer ends at its first error.

Test: 40 requests that wait to be accepted when the port closes, answered at once and after 120 ms; before, 0 of 40 were answered.

--- a/crates/balsamd/src/callers.rs
+++ b/crates/balsamd/src/callers.rs
@@ -26,7 +26,7 @@
 
 use crate::{
     error::StartError,
-    http::{self, CloseSignal},
+    http::{self, CloseSignal, ConnectionTracker},
     shell::{CallerGone, CallerRequest, IssueTickets, Shell},
 };
 
@@ -70,6 +70,7 @@
     limits: &settings::Query,
     is_draining: Arc<AtomicBool>,
     close_signal: CloseSignal,
+    connections: ConnectionTracker,
 ) -> Result<(), StartError> {
     let app_state = AppState {
         shell,
@@ -86,6 +87,7 @@
         listener,
         map_config(app, |()| AppConfig::default()),
         close_signal,
+        connections,
     )
     .await;
     Ok(())
--- a/crates/balsamd/src/effects.rs
+++ b/crates/balsamd/src/effects.rs
@@ -11,9 +11,13 @@
     store_reads,
 };
 
-/// Time between the close signal and the exit of the process, in which requests on accepted
-/// connections are still read and answered.
-const EXIT_DELAY: Duration = Duration::from_millis(100);
+/// Time after the close signal in which callers whose connections have been accepted may still
+/// send a request, which is refused.
+const EXIT_DELAY_MIN: Duration = Duration::from_millis(100);
+/// Longest time between the close signal and the exit of the process. Connections that carry a
+/// request end with its response, so what is open after this time is idle or does not read. The
+/// host may kill the process 500 ms after the signal.
+const EXIT_DELAY_MAX: Duration = Duration::from_millis(400);
 
 /// Runs one effect.
 pub fn run(shell: &mut Shell, address: &Addr<Shell>, effect: Effect) {
@@ -141,16 +145,19 @@
     }
 }
 
-/// Exits the process, after a delay in which the ports accept no connections, so that callers
-/// connect elsewhere instead of sending requests that would not be read. Repeated calls have no
-/// effect.
+/// Exits the process once the callers' connections have ended. Meanwhile the ports accept no
+/// connections, so that callers connect elsewhere. Repeated calls have no effect.
 fn exit(shell: &Shell) {
     if shell.close_listeners.send_replace(true) {
         return;
     }
     let system = System::current();
+    let connections = shell.connections.clone();
     actix_rt::spawn(async move {
-        actix_rt::time::sleep(EXIT_DELAY).await;
+        actix_rt::time::sleep(EXIT_DELAY_MIN).await;
+        let rest = EXIT_DELAY_MAX - EXIT_DELAY_MIN;
+        // Elapses if connections are idle.
+        let _ = actix_rt::time::timeout(rest, connections.all_closed()).await;
         system.stop();
     });
 }
--- a/crates/balsamd/src/http.rs
+++ b/crates/balsamd/src/http.rs
@@ -20,11 +20,49 @@
 /// Time limit for the first request of a connection to arrive.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(60);
 /// Delay after a failed accept, which mostly means that file descriptors have run out.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+pub const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Turns true when the process is about to exit; ports then stop accepting connections.
 pub type CloseSignal = watch::Receiver<bool>;
 
+/// Counts the open connections of ports, so that the process can wait for their end.
+#[derive(Clone, Debug)]
+pub struct ConnectionTracker {
+    open_count: Rc<watch::Sender<usize>>,
+}
+
+/// An open connection that is counted until it is dropped.
+struct TrackedConnection(ConnectionTracker);
+
+impl Drop for TrackedConnection {
+    fn drop(&mut self) {
+        let open_count = &self.0.open_count;
+        open_count.send_modify(|open_count| *open_count -= 1);
+    }
+}
+
+impl ConnectionTracker {
+    /// Returns a tracker without open connections.
+    pub fn open() -> ConnectionTracker {
+        let (open_count, _) = watch::channel(0);
+        ConnectionTracker {
+            open_count: Rc::new(open_count),
+        }
+    }
+
+    /// Waits until no connection is open.
+    pub async fn all_closed(&self) {
+        let mut open_count = self.open_count.subscribe();
+        // Cannot fail: the sender is alive.
+        let _ = open_count.wait_for(|open_count| *open_count == 0).await;
+    }
+
+    fn track(&self) -> TrackedConnection {
+        self.open_count.send_modify(|open_count| *open_count += 1);
+        TrackedConnection(self.clone())
+    }
+}
+
 /// Binds the listener of a port; `name` appears in the error.
 ///
 /// # Errors
@@ -38,8 +76,12 @@
 
 /// Starts to serve a port until the close signal. Connections that the caller half-closes are
 /// closed, since a caller that closes its side no longer waits for the answer.
-pub async fn serve<F, S, B>(listener: TcpListener, factory: F, close_signal: CloseSignal)
-where
+pub async fn serve<F, S, B>(
+    listener: TcpListener,
+    factory: F,
+    close_signal: CloseSignal,
+    connections: ConnectionTracker,
+) where
     F: IntoServiceFactory<S, Request>,
     S: ServiceFactory<Request, Config = ()> + 'static,
     S::Future: 'static,
@@ -56,31 +98,67 @@
         .h1(factory)
         .tcp();
     if let Ok(service) = factory.new_service(()).await {
-        spawn_accept_loop(listener, service, close_signal);
+        spawn_accept_loop(listener, service, close_signal, connections);
     }
 }
 
 /// Starts the accept loop, which ends at the close signal.
-fn spawn_accept_loop<S>(listener: TcpListener, service: S, mut close_signal: CloseSignal)
-where
+fn spawn_accept_loop<S>(
+    listener: TcpListener,
+    service: S,
+    mut close_signal: CloseSignal,
+    connections: ConnectionTracker,
+) where
     S: Service<TcpStream> + 'static,
 {
-    let service = Rc::new(service);
     actix_rt::spawn(async move {
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
-                _ = close_signal.wait_for(|is_closing| *is_closing) => return,
-            };
-            let Ok((stream, _)) = accepted else {
-                actix_rt::time::sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
+                _ = close_signal.wait_for(|is_closing| *is_closing) => break,
             };
-            let connection = service.call(stream);
-            actix_rt::spawn(async move {
-                // Errors of a connection are reported through the requests that it carries.
-                let _ = connection.await;
-            });
+            match accepted {
+                Ok((stream, _)) => spawn_connection(&service, stream, &connections),
+                Err(_) => actix_rt::time::sleep(ACCEPT_RETRY_DELAY).await,
+            }
         }
+        for stream in take_pending(listener) {
+            spawn_connection(&service, stream, &connections);
+        }
+    });
+}
+
+fn spawn_connection<S>(service: &S, stream: TcpStream, connections: &ConnectionTracker)
+where
+    S: Service<TcpStream> + 'static,
+{
+    let connection = service.call(stream);
+    let tracked = connections.track();
+    actix_rt::spawn(async move {
+        // Errors of a connection are reported through the requests that it carries.
+        let _ = connection.await;
+        drop(tracked);
     });
 }
+
+/// Closes a listener and returns the connections that the system has already established for it:
+/// closing alone would reset them, although their callers may have sent a request.
+fn take_pending(listener: TcpListener) -> Vec<TcpStream> {
+    let mut streams = Vec::new();
+    let Ok(listener) = listener.into_std() else {
+        return streams;
+    };
+    // The listener does not block, so this ends when no connection is pending.
+    while let Ok((stream, _)) = listener.accept() {
+        let is_nonblocking = stream.set_nonblocking(true).is_ok();
+        streams.extend(
+            is_nonblocking
+                .then(|| TcpStream::from_std(stream).ok())
+                .flatten(),
+        );
+    }
+    streams
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/balsamd/src/http/tests.rs
@@ -0,0 +1,118 @@
+//! Tests of closing a port while callers connect and wait.
+
+use std::{
+    cell::Cell,
+    convert::Infallible,
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use actix_http::{ConnectionType, Request, Response, StatusCode};
+use actix_service::fn_service;
+use bytes::Bytes;
+use rstest::rstest;
+use tokio::sync::watch;
+
+use super::{ConnectionTracker, bind, serve};
+
+const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n";
+/// Time limit for a response, far beyond what one takes.
+const READ_TIMEOUT: Duration = Duration::from_secs(5);
+
+struct Port {
+    address: SocketAddr,
+    close: watch::Sender<bool>,
+    connections: ConnectionTracker,
+    served_count: Rc<Cell<usize>>,
+}
+
+/// Serves a port that answers each request after a delay and then closes the connection.
+async fn open_port(delay: Duration) -> Port {
+    let listener = bind("test", ([127, 0, 0, 1], 0).into())
+        .await
+        .expect("a free port");
+    let address = listener.local_addr().expect("a bound port");
+    let (close, close_signal) = watch::channel(false);
+    let connections = ConnectionTracker::open();
+    let served_count = Rc::new(Cell::new(0));
+    let count = served_count.clone();
+    let service = fn_service(move |_: Request| {
+        let count = count.clone();
+        async move {
+            actix_rt::time::sleep(delay).await;
+            count.set(count.get() + 1);
+            let mut response = Response::with_body(StatusCode::OK, Bytes::from("done"));
+            response
+                .head_mut()
+                .set_connection_type(ConnectionType::Close);
+            Ok::<_, Infallible>(response)
+        }
+    });
+    serve(listener, service, close_signal, connections.clone()).await;
+    Port {
+        address,
+        close,
+        connections,
+        served_count,
+    }
+}
+
+/// Opens connections and sends a request on each, without giving the port a turn to accept them.
+fn send_requests(address: SocketAddr, count: usize) -> Vec<TcpStream> {
+    let streams = (0..count).map(|_| {
+        let mut stream = TcpStream::connect(address).expect("a connection");
+        stream.write_all(REQUEST).expect("a sent request");
+        stream
+            .set_read_timeout(Some(READ_TIMEOUT))
+            .expect("a positive timeout");
+        stream
+    });
+    streams.collect()
+}
+
+fn is_answered(stream: &mut TcpStream) -> bool {
+    let mut response = Vec::new();
+    stream.read_to_end(&mut response).is_ok() && response.ends_with(b"done")
+}
+
+#[rstest]
+#[case::at_once(Duration::ZERO)]
+#[case::slow(Duration::from_millis(120))]
+fn requests_that_wait_to_be_accepted_are_answered_when_the_port_closes(#[case] delay: Duration) {
+    actix_rt::System::new().block_on(async {
+        let port = open_port(delay).await;
+        let mut streams = send_requests(port.address, 40);
+        port.close.send_replace(true);
+        while port.served_count.get() < 40 {
+            let before = port.served_count.get();
+            actix_rt::time::sleep(delay + Duration::from_millis(50)).await;
+            assert!(port.served_count.get() > before, "{before} of 40 served");
+        }
+        port.connections.all_closed().await;
+        let answered = streams
+            .iter_mut()
+            .filter_map(|stream| is_answered(stream).then_some(()));
+        assert_eq!(answered.count(), 40);
+        assert!(
+            TcpStream::connect(port.address).is_err(),
+            "the port is open"
+        );
+    });
+}
+
+#[test]
+fn connections_are_tracked_until_their_response_is_sent() {
+    actix_rt::System::new().block_on(async {
+        let delay = Duration::from_millis(150);
+        let port = open_port(delay).await;
+        let start = Instant::now();
+        let _streams = send_requests(port.address, 3);
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+        port.close.send_replace(true);
+        port.connections.all_closed().await;
+        assert!(start.elapsed() >= delay);
+        assert_eq!(port.served_count.get(), 3);
+    });
+}
--- a/crates/balsamd/src/ingress.rs
+++ b/crates/balsamd/src/ingress.rs
@@ -19,7 +19,7 @@
     callers::CallerGuard,
     error::StartError,
     gateway_messages::GatewayRequest,
-    http::{self, CloseSignal},
+    http::{self, CloseSignal, ConnectionTracker},
     shell::Shell,
 };
 
@@ -40,6 +40,7 @@
     settings: &settings::Gateway,
     is_draining: Arc<AtomicBool>,
     close_signal: CloseSignal,
+    connections: ConnectionTracker,
 ) -> Result<(), StartError> {
     let app_state = AppState {
         shell,
@@ -51,7 +52,7 @@
         let app_state = app_state.clone();
         async move { Ok::<_, Infallible>(serve(&app_state, request).await) }
     });
-    http::serve(listener, service, close_signal).await;
+    http::serve(listener, service, close_signal, connections).await;
     Ok(())
 }
 
--- a/crates/balsamd/src/operators.rs
+++ b/crates/balsamd/src/operators.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     error::StartError,
-    http::{self, CloseSignal},
+    http::{self, CloseSignal, ConnectionTracker},
     metrics::{self, Gauges},
     readiness::AwaitReady,
     reports::{GetStateDump, GetStatus},
@@ -58,6 +58,7 @@
         listener,
         map_config(app, |()| AppConfig::default()),
         close_signal,
+        ConnectionTracker::open(),
     )
     .await;
     Ok(())
--- a/crates/balsamd/src/peers.rs
+++ b/crates/balsamd/src/peers.rs
@@ -14,7 +14,10 @@
 };
 use tokio_util::codec::{FramedRead, FramedWrite};
 
-use crate::shell::{PeerMessage, PeerUnreachable, Shell};
+use crate::{
+    http::ACCEPT_RETRY_DELAY,
+    shell::{PeerMessage, PeerUnreachable, Shell},
+};
 
 /// Capacity of the send queue of a connection; messages are dropped while it is full.
 const SEND_QUEUE_MAX_COUNT: usize = 256;
@@ -36,7 +39,11 @@
 /// Starts the accept loop for connections from other instances.
 pub fn spawn_listener(shell: Addr<Shell>, listener: TcpListener) {
     actix_rt::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                actix_rt::time::sleep(ACCEPT_RETRY_DELAY).await;
+                continue;
+            };
             enable_keepalive(&stream);
             actix_rt::spawn(read_frames(shell.clone(), stream));
         }
--- a/crates/balsamd/src/shell.rs
+++ b/crates/balsamd/src/shell.rs
@@ -40,7 +40,9 @@
     clock::{self, Clock},
     effects,
     error::StartError,
-    gateway_messages, ingress,
+    gateway_messages,
+    http::ConnectionTracker,
+    ingress,
     metrics::{self, Metrics},
     operators,
     peers::{self, SendQueues},
@@ -73,6 +75,8 @@
     pub(crate) head_cache: HeadCache,
     /// Close signal of the ports, sent shortly before the process exits.
     pub(crate) close_listeners: watch::Sender<bool>,
+    /// Open connections of callers.
+    pub(crate) connections: ConnectionTracker,
     /// Connections that carry the running attempts.
     pub(crate) attempts: SecondaryMap<AttemptKey, ConnectionHandle>,
     /// Empty buffer, kept for its capacity; see [`dispatch`].
@@ -113,6 +117,7 @@
         .map_err(|error| StartError::Listen("peers", listen.peers, error))?;
     let is_draining = Arc::new(AtomicBool::new(false));
     let (close_listeners, close_signal) = watch::channel(false);
+    let connections = ConnectionTracker::open();
     let shell = Shell {
         is_draining: is_draining.clone(),
         state: tier::new_state(settings, incarnation, draw_seed()?),
@@ -130,6 +135,7 @@
         idle_connections: IdleConnections::new(),
         head_cache: HeadCache::default(),
         close_listeners,
+        connections: connections.clone(),
         attempts: SecondaryMap::new(),
         effects: Vec::new(),
     };
@@ -137,10 +143,27 @@
     if let Some(callers) = listen.callers {
         let is_draining = is_draining.clone();
         let close_signal = close_signal.clone();
-        callers::spawn(address.clone(), callers, &limits, is_draining, close_signal).await?;
+        let connections = connections.clone();
+        callers::spawn(
+            address.clone(),
+            callers,
+            &limits,
+            is_draining,
+            close_signal,
+            connections,
+        )
+        .await?;
     }
     if let Some(gateway) = &gateway {
-        ingress::spawn(address.clone(), gateway, is_draining, close_signal.clone()).await?;
+        let close_signal = close_signal.clone();
+        ingress::spawn(
+            address.clone(),
+            gateway,
+            is_draining,
+            close_signal,
+            connections,
+        )
+        .await?;
     }
     operators::spawn(address.clone(), registry, gauges, &listen, close_signal).await?;
     peers::spawn_listener(address.clone(), peers);
