Give a target that drains after a lapse the usual grace period

Cause: a registration that lapsed while the store was away, and came back, stayed marked as lapsed, so that a later drain had 2.2 s of grace, not 0.8 s.

Test: lapse, return, drain; before, the target was still used after 1 s.

--- a/crates/catalog/src/apply.rs
+++ b/crates/catalog/src/apply.rs
@@ -347,6 +347,9 @@
     target.zone.clone_from(&registration.zone);
     target.slots_count = registration.slots_count.max(1);
     target.cold_until = cold_until;
+    if was_removed {
+        target.has_lapsed = false;
+    }
     if !registration.is_draining {
         target.draining_since = None;
     } else if !was_draining {
--- a/crates/catalog/src/tests/apply.rs
+++ b/crates/catalog/src/tests/apply.rs
@@ -178,3 +178,19 @@
         [key]
     );
 }
+
+#[test]
+fn target_that_drains_after_its_registration_is_back_has_the_usual_grace_period() {
+    let now = Instant::now();
+    let mut catalog = Catalog::default();
+    apply(&mut catalog, now, &target("t1", registration(80)));
+    catalog.lapse_window_until = Some(now + Duration::from_secs(3));
+    apply(&mut catalog, now, &removed("t1"));
+    apply(&mut catalog, now, &target("t1", registration(80)));
+    let mut draining = registration(80);
+    draining.is_draining = true;
+    apply(&mut catalog, now, &target("t1", draining));
+    let (key, _) = catalog.targets.iter().next().expect("a target");
+    let later = now + Duration::from_secs(1);
+    assert_eq!(eligibility(&catalog, key, later), Eligibility::Out);
+}
