Keep to what targets say of themselves: leaving, and a backoff

A leaving target has the effect of a draining registration until its next process; a backoff holds for the instance that was told, then one request at a time for a second. If all targets of a service want nothing, requests are refused at once with a fitting time.

--- a/crates/catalog/src/apply.rs
+++ b/crates/catalog/src/apply.rs
@@ -315,6 +315,7 @@
         started_at_ms: registration.born_ms,
         cold_until,
         draining_since: registration.is_draining.then_some(now),
+        has_announced_leaving: false,
         removed_since: None,
         has_lapsed: false,
     });
@@ -351,7 +352,9 @@
         target.has_lapsed = false;
     }
     if !registration.is_draining {
-        target.draining_since = None;
+        if !target.has_announced_leaving {
+            target.draining_since = None;
+        }
     } else if !was_draining {
         target.draining_since = Some(now);
         return Some(Change::TargetLeaving {
@@ -359,11 +362,25 @@
             is_registration_missing: false,
         });
     }
-    let is_changed =
-        was_removed || was_draining != registration.is_draining || was_cold != cold_until.is_some();
+    let is_draining = target.draining_since.is_some();
+    let is_changed = was_removed || was_draining != is_draining || was_cold != cold_until.is_some();
     is_changed.then_some(Change::TargetChanged { target: key })
 }
 
+/// Marks a target that has said in a reply that it leaves; returns whether that was not known.
+///
+/// Only the next process under the same identifier receives requests again: a registration that
+/// says otherwise may be older than the reply.
+pub fn mark_leaving(catalog: &mut Catalog, now: Instant, target: TargetKey) -> bool {
+    let Some(target) = catalog.targets.get_mut(target) else {
+        return false;
+    };
+    target.has_announced_leaving = true;
+    let was_known = target.draining_since.is_some();
+    target.draining_since.get_or_insert(now);
+    !was_known
+}
+
 fn mark_removed(catalog: &mut Catalog, now: Instant, target_id: &str) -> Option<Change> {
     let &key = catalog.target_ids.get(target_id)?;
     let target = &mut catalog.targets[key];
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -18,7 +18,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use apply::{Change, apply, remove_expired_targets};
+pub use apply::{Change, apply, mark_leaving, remove_expired_targets};
 pub use eligibility::{Eligibility, eligibility};
 pub use sync::{
     AreaProgress, Role, SharedChanges, Stage, StoreAnswer, SyncState, area_progress,
--- a/crates/catalog/src/table.rs
+++ b/crates/catalog/src/table.rs
@@ -123,6 +123,9 @@
     /// When this instance learned that the target is draining.
     #[serde(skip)]
     pub draining_since: Option<Instant>,
+    /// Whether the target itself has said that it leaves. Never reset, because the store may lag
+    /// behind; the next process has an entry of its own.
+    pub has_announced_leaving: bool,
     /// When this instance found the registration missing or invalid.
     #[serde(skip)]
     pub removed_since: Option<Instant>,
--- a/crates/gateway/src/completion.rs
+++ b/crates/gateway/src/completion.rs
@@ -4,7 +4,7 @@
 
 use model::{
     AttemptKey, AttemptReply, CallFailure, CallerKey, Counter, Effect, ExchangeKey, Level, LogLine,
-    ProxiedReply, ReplyStatus, Requester, TargetKey, Timing, variant_name,
+    ProxiedReply, ReplyStatus, Requester, TargetKey, TargetReport, Timing, variant_name,
 };
 
 use crate::{
@@ -13,6 +13,7 @@
     health, latency, rate_limit, relay,
     respond::{finish_if_decided, finish_with_reply},
     send::{Denial, SendOutcome, mark_missing, try_send},
+    stated_backoff,
     timer::arm_timer,
     unresolved,
 };
@@ -162,7 +163,7 @@
         health.load = Some((load, now));
     }
     if reply.status != ReplyStatus::Misdirected {
-        rate_limit::on_report(gateway, now, attempt, reply.report.rate_limit_per_s, out);
+        record_report(gateway, now, attempt, &reply.report, out);
     }
     let Some(health) = gateway.health.get_mut(attempt.target) else {
         return;
@@ -195,6 +196,22 @@
     }
 }
 
+/// Takes over what a target states about itself in a reply, whatever its status.
+fn record_report(
+    gateway: &mut Gateway,
+    now: Instant,
+    attempt: &Attempt,
+    report: &TargetReport,
+    out: &mut Vec<Effect>,
+) {
+    rate_limit::on_report(gateway, now, attempt, report.rate_limit_per_s, out);
+    stated_backoff::on_report(gateway, now, attempt, report.backoff, out);
+    if report.is_leaving && catalog::mark_leaving(&mut gateway.catalog, now, attempt.target) {
+        let line = target_log_line(gateway, attempt.target, "target-leaving");
+        out.push(Effect::Log(line.with("heard", "reply")));
+    }
+}
+
 fn record_failure(
     gateway: &mut Gateway,
     now: Instant,
--- a/crates/gateway/src/health.rs
+++ b/crates/gateway/src/health.rs
@@ -48,6 +48,9 @@
     /// Last load report and when it arrived.
     #[serde(skip)]
     pub load: Option<(SlotLoad, Instant)>,
+    /// Until when it wants no requests from this instance, as it has stated.
+    #[serde(skip)]
+    pub paused_until: Option<Instant>,
     /// Rate limit that it names, if any.
     pub rate_limit: Option<RateLimit>,
     /// Times of the recent requests to it during its cold start, oldest first.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod selection;
 mod send;
 mod state;
+mod stated_backoff;
 mod tick;
 mod timer;
 mod unresolved;
--- a/crates/gateway/src/respond.rs
+++ b/crates/gateway/src/respond.rs
@@ -15,7 +15,7 @@
     Exchange, Gateway, PartState,
     completion::{abandon_attempts, elapsed_ms},
     merge::greatest_records,
-    rate_limit, relay,
+    rate_limit, relay, stated_backoff,
 };
 
 /// Range of the random `Retry-After` of refusals; the jitter keeps callers from retrying at once.
@@ -227,7 +227,10 @@
 /// spreads the callers over the time in which as many requests again are permitted.
 fn rate_limited_response(gateway: &mut Gateway, now: Instant, exchange: &Exchange) -> HttpResponse {
     let parts = exchange.parts.iter();
-    let waits = parts.filter_map(|part| rate_limit::token_wait(gateway, now, part.service));
+    let waits = parts.filter_map(|part| {
+        let backoff = stated_backoff::wait(gateway, now, part.service);
+        backoff.or_else(|| rate_limit::token_wait(gateway, now, part.service))
+    });
     let wait = waits.max().unwrap_or_default().max(RETRY_AFTER_RANGE[0]);
     let jitter = gateway.rng.random_range(1.0..RATE_LIMITED_JITTER_MAX);
     HttpResponse::Local {
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -6,7 +6,7 @@
 use model::{FrontKey, ServiceKey, TargetKey};
 use rand::RngExt;
 
-use crate::{Gateway, Health, budget, health, rate_limit};
+use crate::{Gateway, Health, budget, health, rate_limit, stated_backoff};
 
 /// Expected latency on a front that has not had a reply yet.
 const DEFAULT_LATENCY_MS: f64 = 50.0;
@@ -39,8 +39,8 @@
     },
     /// At least one target is usable, but this instance has reached its connection limit at each.
     Busy,
-    /// At least one target is usable, but this instance has used up its share of the rate limit of
-    /// each.
+    /// At least one target is usable, but each wants no more requests now: this instance has used up
+    /// its share of the target's rate limit, or the target has stated a backoff.
     RateLimited,
     /// No target is usable.
     NoTarget,
@@ -77,7 +77,10 @@
         if health.is_some_and(|health| health.is_replaced) {
             continue;
         }
-        if !health.is_none_or(|health| rate_limit::has_token(health, now)) {
+        let is_permitted = |health: &Health| {
+            rate_limit::has_token(health, now) && stated_backoff::is_ready(health, now)
+        };
+        if !health.is_none_or(is_permitted) {
             is_rate_limited = true;
             continue;
         }
--- a/crates/gateway/src/tests.rs
+++ b/crates/gateway/src/tests.rs
@@ -10,3 +10,4 @@
 mod relay_allowance;
 mod retry;
 mod split;
+mod target_statements;
--- a/crates/gateway/src/tests/fixture.rs
+++ b/crates/gateway/src/tests/fixture.rs
@@ -26,6 +26,8 @@
     Done(Vec<u8>),
     /// The target replies with this status and no body.
     Status(ReplyStatus),
+    /// The same, and states something about itself.
+    Stated(ReplyStatus, TargetReport),
     /// The attempt fails without a reply.
     Failure(CallFailure),
     /// The attempt gets no reply and stays in flight until the gateway drops it.
@@ -317,12 +319,14 @@
                 on_attempt_reply(gateway, now, attempt, &reply, &mut out);
             }
             Event::End(attempt, CallResult::Status(status)) => {
-                let code = if status == ReplyStatus::Failed {
-                    500
-                } else {
-                    503
+                let reply = reply(status, status_code(status), Vec::new());
+                on_attempt_reply(gateway, now, attempt, &reply, &mut out);
+            }
+            Event::End(attempt, CallResult::Stated(status, report)) => {
+                let reply = AttemptReply {
+                    report,
+                    ..reply(status, status_code(status), Vec::new())
                 };
-                let reply = reply(status, code, Vec::new());
                 on_attempt_reply(gateway, now, attempt, &reply, &mut out);
             }
             Event::End(attempt, CallResult::Failure(failure)) => {
@@ -334,6 +338,14 @@
     }
 }
 
+fn status_code(status: ReplyStatus) -> u16 {
+    match status {
+        ReplyStatus::Done => 200,
+        ReplyStatus::Failed => 500,
+        _ => 503,
+    }
+}
+
 fn reply(status: ReplyStatus, code: u16, body: Vec<u8>) -> AttemptReply<'static> {
     AttemptReply {
         status,
@@ -347,7 +359,7 @@
                 waiting_count: 0,
                 slots_count: 2,
             }),
-            rate_limit_per_s: None,
+            ..TargetReport::default()
         },
     }
 }
--- a/crates/model/src/http.rs
+++ b/crates/model/src/http.rs
@@ -58,6 +58,10 @@
     /// Requests per second that it takes from all instances together; `None` if it names no limit.
     /// Finite and not negative.
     pub rate_limit_per_s: Option<f64>,
+    /// Whether it is about to leave and wants no new requests.
+    pub is_leaving: bool,
+    /// Time for which it wants no requests from this instance, if it states one.
+    pub backoff: Option<Duration>,
 }
 
 /// One request to one target.
--- a/crates/tier/src/tests/gateway_fleet.rs
+++ b/crates/tier/src/tests/gateway_fleet.rs
@@ -410,8 +410,8 @@
                 headers: Cow::Borrowed(&[]),
                 body: Bytes::new(),
                 report: TargetReport {
-                    load: None,
                     rate_limit_per_s,
+                    ..TargetReport::default()
                 },
             };
             step(fleet, index, Event::AttemptReplied { attempt, reply });
