Take no unnamed response on a connection that has been used

One of the failures that operators of similar systems reported: a second copy of a response, late, on a connection in use again, reached the next caller.

Here it could: a copy that names its request was skipped, but a response that names none was accepted on any connection, so an unnamed copy of the previous response was taken for the next one's.

Change: an unnamed response is accepted on a new connection only, which is not used again; on a used one the exchange fails as one that may have run. A peer that never names requests is served on a connection each.

Test: a peer sends a second copy once the next request has arrived, named, unnamed, whole, in chunks, without a length, broken off; the unnamed ones were taken before.

--- a/crates/balsamd/src/attempts.rs
+++ b/crates/balsamd/src/attempts.rs
@@ -13,7 +13,7 @@
 };
 
 use crate::{
-    client::{self, ClientError, Connection, Response},
+    client::{self, ClientError, Connection, Relation, Response},
     gateway_messages::AttemptEnded,
     shell::Shell,
 };
@@ -175,8 +175,12 @@
     let head = attempt.head.clone().ok_or(ClientError::Unwritable)?;
     let headers = platform::encode_attempt(&attempt.call).ok_or(ClientError::Unwritable)?;
     let request = &attempt.call.request;
-    let is_expected = |head: &_| platform::is_reply_to(head, &request.request_id);
-    client::exchange(connection, head, Some(headers), &request.body, is_expected).await
+    let relation = |head: &_| match platform::named_request(head) {
+        Some(id) if id == request.request_id => Relation::Own,
+        Some(_) => Relation::Stray,
+        None => Relation::Unnamed,
+    };
+    client::exchange(connection, head, Some(headers), &request.body, relation).await
 }
 
 fn report(
--- a/crates/balsamd/src/client.rs
+++ b/crates/balsamd/src/client.rs
@@ -34,6 +34,19 @@
 pub struct Connection {
     stream: TcpStream,
     codec: ClientCodec,
+    /// Whether it has carried an exchange, so that a late copy of its response may arrive.
+    is_used: bool,
+}
+
+/// Whether a response belongs to the request of an exchange.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Relation {
+    /// It does.
+    Own,
+    /// It belongs to another request.
+    Stray,
+    /// It does not say.
+    Unnamed,
 }
 
 /// A complete response.
@@ -83,6 +96,7 @@
     Ok(Connection {
         stream,
         codec: ClientCodec::new(config),
+        is_used: false,
     })
 }
 
@@ -100,9 +114,12 @@
     }
 }
 
-/// Sends a request and reads the response that `is_expected` accepts; informational and stray
+/// Sends a request and reads its response, told apart by `relation`; informational and stray
 /// responses before it are skipped.
 ///
+/// An unnamed response is accepted on a new connection only, which is not used again: after an
+/// earlier exchange it may be a second copy of that one's response.
+///
 /// # Errors
 ///
 /// Returns an error if there is no complete response; the connection is then dropped.
@@ -111,12 +128,12 @@
     head: Rc<RequestHead>,
     more_headers: Option<HeaderMap>,
     body: &Bytes,
-    is_expected: impl Fn(&ResponseHead) -> bool,
+    relation: impl Fn(&ResponseHead) -> Relation,
 ) -> Result<(Response, Connection), ClientError> {
     let Connection {
         mut stream,
         mut codec,
-        ..
+        is_used,
     } = connection;
     let size = match (body.len(), &head.method) {
         (0, &Method::GET | &Method::HEAD | &Method::DELETE) => BodySize::None,
@@ -136,7 +153,7 @@
     };
     let mut is_written = false;
     let received = {
-        let receiving = read_expected_response(&mut incoming, codec, &is_expected);
+        let receiving = read_own_response(&mut incoming, codec, is_used, &relation);
         let sending = writer.write_all(&request_bytes);
         tokio::pin!(receiving, sending);
         // The peer may respond before it has read a long body.
@@ -154,7 +171,12 @@
     let (mut response, codec) = received?;
     // After a partly written body the peer would take the next request for its rest.
     response.is_reusable &= is_written && incoming.buffer.is_empty();
-    Ok((response, Connection { stream, codec }))
+    let connection = Connection {
+        stream,
+        codec,
+        is_used: true,
+    };
+    Ok((response, connection))
 }
 
 /// Receiving side of an exchange; `bytes_count` is the number of bytes read in it so far.
@@ -164,23 +186,31 @@
     bytes_count: usize,
 }
 
-/// Reads responses until one is expected; fails after too many others.
-async fn read_expected_response(
+/// Reads responses until one belongs to the request; fails after too many others.
+async fn read_own_response(
     incoming: &mut Incoming<'_>,
     mut codec: ClientCodec,
-    is_expected: &impl Fn(&ResponseHead) -> bool,
+    is_used: bool,
+    relation: &impl Fn(&ResponseHead) -> Relation,
 ) -> Result<(Response, ClientCodec), ClientError> {
     for _ in 0..=STRAY_RESPONSES_MAX_COUNT {
-        let (response, next_codec) = read_response(incoming, codec).await?;
+        let (mut response, next_codec) = read_response(incoming, codec).await?;
         codec = next_codec;
         if response.head.status.is_informational() {
             continue;
         }
-        if is_expected(&response.head) {
-            return Ok((response, codec));
-        }
-        if !response.is_reusable {
-            break;
+        match relation(&response.head) {
+            Relation::Own => return Ok((response, codec)),
+            Relation::Unnamed if !is_used => {
+                response.is_reusable = false;
+                return Ok((response, codec));
+            }
+            Relation::Unnamed => {
+                let message = "response does not name its request".to_owned();
+                return Err(ClientError::Malformed(message));
+            }
+            Relation::Stray if !response.is_reusable => break,
+            Relation::Stray => {}
         }
     }
     let message = "only stray responses were received".to_owned();
--- a/crates/balsamd/src/client/tests.rs
+++ b/crates/balsamd/src/client/tests.rs
@@ -11,7 +11,7 @@
     net::{TcpListener, TcpStream},
 };
 
-use super::{ClientError, Connection, Response, config, exchange, open, wait_idle_close};
+use super::{ClientError, Connection, Relation, Response, config, exchange, open, wait_idle_close};
 
 /// Time limit of every wait in a test.
 const TEST_TIMEOUT: Duration = Duration::from_secs(5);
@@ -54,10 +54,13 @@
     }
 }
 
-/// Accepts responses to `r-1`, and those without a request id.
-fn is_expected(head: &ResponseHead) -> bool {
-    let id = head.headers.get("request-id");
-    id.is_none_or(|id| id == "r-1")
+/// Returns the relation of a response to the request `r-1`.
+fn relation(head: &ResponseHead) -> Relation {
+    match head.headers.get("request-id") {
+        Some(id) if id == "r-1" => Relation::Own,
+        Some(_) => Relation::Stray,
+        None => Relation::Unnamed,
+    }
 }
 
 async fn send_request(
@@ -69,7 +72,7 @@
     if !body.is_empty() {
         head.method = Method::POST;
     }
-    let pending = exchange(connection, Rc::new(head), None, &body, is_expected);
+    let pending = exchange(connection, Rc::new(head), None, &body, relation);
     actix_rt::time::timeout(TEST_TIMEOUT, pending)
         .await
         .expect("the exchange ends in time")
@@ -81,21 +84,31 @@
 #[rstest]
 #[case::whole(COMPLETE_RESPONSE, PeerEnd::StaysOpen, true)]
 #[case::chunked(
-    b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1\r\no\r\n1\r\nk\r\n0\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nrequest-id: r-1\r\ntransfer-encoding: chunked\r\n\r\n\
+    1\r\no\r\n1\r\nk\r\n0\r\n\r\n",
     PeerEnd::StaysOpen,
     true
 )]
+#[case::unnamed(
+    b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
+    PeerEnd::StaysOpen,
+    false
+)]
 #[case::closing(
-    b"HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 2\r\n\r\nok",
+    b"HTTP/1.1 200 OK\r\nrequest-id: r-1\r\nconnection: close\r\ncontent-length: 2\r\n\r\nok",
     PeerEnd::StaysOpen,
     false
 )]
 #[case::extra_bytes(
-    b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n",
+    b"HTTP/1.1 200 OK\r\nrequest-id: r-1\r\ncontent-length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n",
     PeerEnd::StaysOpen,
     false
 )]
-#[case::no_length(b"HTTP/1.1 200 OK\r\n\r\nok", PeerEnd::Closes, false)]
+#[case::no_length(
+    b"HTTP/1.1 200 OK\r\nrequest-id: r-1\r\n\r\nok",
+    PeerEnd::Closes,
+    false
+)]
 #[case::stray_first(
     b"HTTP/1.1 200 OK\r\nrequest-id: r-0\r\ncontent-length: 3\r\n\r\nold\
     HTTP/1.1 200 OK\r\nrequest-id: r-1\r\ncontent-length: 2\r\n\r\nok",
@@ -103,7 +116,8 @@
     true
 )]
 #[case::informational_first(
-    b"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
+    b"HTTP/1.1 103 Early Hints\r\n\r\n\
+    HTTP/1.1 200 OK\r\nrequest-id: r-1\r\ncontent-length: 2\r\n\r\nok",
     PeerEnd::StaysOpen,
     true
 )]
@@ -270,3 +284,48 @@
         "the exchange must fail"
     );
 }
+
+/// Starts a peer that answers the first request, and writes `late` once it has read the second one.
+async fn spawn_repeating_peer(late: &'static [u8]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    actix_rt::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        read_head(&mut stream).await;
+        stream.write_all(COMPLETE_RESPONSE).await.expect("written");
+        read_head(&mut stream).await;
+        stream.write_all(late).await.expect("written");
+        actix_rt::time::sleep(TEST_TIMEOUT).await;
+    });
+    address
+}
+
+#[rstest]
+#[case::named(b"HTTP/1.1 200 OK\r\nrequest-id: r-1\r\ncontent-length: 2\r\n\r\nok")]
+#[case::named_without_a_length(b"HTTP/1.1 200 OK\r\nrequest-id: r-1\r\n\r\nok")]
+#[case::named_and_broken_off(b"HTTP/1.1 200 OK\r\nrequest-id: r-1\r\ncontent-length: 9\r\n\r\nok")]
+#[case::unnamed(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")]
+#[case::unnamed_in_chunks(
+    b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+)]
+fn second_copy_of_a_response_is_not_the_next_ones(#[case] late: &'static [u8]) {
+    actix_rt::System::new().block_on(async {
+        let address = spawn_repeating_peer(late).await;
+        let (first, connection) = send_request(address, Bytes::new())
+            .await
+            .expect("a response");
+        assert!(first.is_reusable);
+        let next = |head: &ResponseHead| match head.headers.get("request-id") {
+            Some(_) => Relation::Stray,
+            None => Relation::Unnamed,
+        };
+        let head = Rc::new(RequestHead::default());
+        let body = Bytes::new();
+        let pending = exchange(connection, head, None, &body, next);
+        let ended = actix_rt::time::timeout(Duration::from_millis(300), pending).await;
+        assert!(
+            !matches!(ended, Ok(Ok(_))),
+            "the copy was taken for the response"
+        );
+    });
+}
--- a/crates/balsamd/src/store_reads.rs
+++ b/crates/balsamd/src/store_reads.rs
@@ -9,7 +9,11 @@
 use model::{StoreFailure, StoreRead};
 use platform::StoreResponse;
 
-use crate::{client, gateway_messages::StoreReadEnded, shell::Shell};
+use crate::{
+    client::{self, Relation},
+    gateway_messages::StoreReadEnded,
+    shell::Shell,
+};
 
 /// Time limit of a read, in addition to the time that a watch waits for a change.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -49,7 +53,7 @@
     head.headers.insert(header::HOST, host);
     let connection = client::open(address, config).await.map_err(unreachable)?;
     let no_body = Bytes::new();
-    let exchange = client::exchange(connection, Rc::new(head), None, &no_body, |_| true);
+    let exchange = client::exchange(connection, Rc::new(head), None, &no_body, |_| Relation::Own);
     let (response, _) = exchange.await.map_err(unreachable)?;
     let store_response =
         platform::decode_store_response(read, response.head.status.as_u16(), &response.body)?;
