Bring back no target that has left by repeated changes

One of the failures that operators of similar systems reported: after a restart, a server that had left was in use again.

Cause: an answer of the store, or of the zone's reader, may repeat changes from before the revision that an instance knows, which is so right after a list.

Change: of several records of a target in one answer, only the last counts.

Test: an answer that repeats a registration and its removal, shared and own; both failed before.

--- a/crates/catalog/src/sync.rs
+++ b/crates/catalog/src/sync.rs
@@ -1,7 +1,7 @@
 //! Replication of the store: a list of each area, then watches from the revision of the list.
 
 use std::{
-    collections::HashSet,
+    collections::{HashMap, HashSet},
     time::{Duration, Instant},
 };
 
@@ -219,7 +219,7 @@
     progress.stage = Stage::Watching {
         revision: shared.revision,
     };
-    let records = shared.records.iter();
+    let records = latest_records(shared.records);
     records
         .filter_map(|record| apply(catalog, now, record))
         .collect()
@@ -264,7 +264,7 @@
     };
     let mut changes: Vec<Change> = Vec::new();
     if answer.revision >= known_revision {
-        let records = answer.records.iter();
+        let records = latest_records(answer.records);
         changes.extend(records.filter_map(|record| apply(catalog, now, record)));
     }
     let progress = area_progress_mut(sync, area);
@@ -310,6 +310,29 @@
     changes
 }
 
+/// Returns the records without those of targets that a later record of the answer replaces.
+///
+/// An answer may repeat changes from before the known revision. A target that has left would
+/// otherwise take part again, until the grace period of its removal is over once more.
+fn latest_records(records: &[StoreRecord]) -> impl Iterator<Item = &StoreRecord> {
+    let target_id = |record: &'_ StoreRecord| match record {
+        StoreRecord::Target { target_id, .. } | StoreRecord::TargetRemoved { target_id } => {
+            Some(target_id.clone())
+        }
+        _ => None,
+    };
+    let last: HashMap<String, usize> = records
+        .iter()
+        .enumerate()
+        .filter_map(|(index, record)| Some((target_id(record)?, index)))
+        .collect();
+    let records = records.iter().enumerate();
+    let is_last = move |index: usize, record: &StoreRecord| {
+        target_id(record).is_none_or(|id| last.get(&id) == Some(&index))
+    };
+    records.filter_map(move |(index, record)| is_last(index, record).then_some(record))
+}
+
 fn is_watching(sync: &SyncState, area: StoreArea) -> bool {
     matches!(
         self::area_progress(sync, area).stage,
--- a/crates/catalog/src/tests/sync.rs
+++ b/crates/catalog/src/tests/sync.rs
@@ -328,3 +328,31 @@
     };
     assert!(wait_of(read) > Duration::from_secs(1));
 }
+
+/// Changes from before the known revision: those of an instance that has just listed the targets,
+/// or whose reader had been behind.
+#[rstest]
+#[case::shared_by_the_reader(true)]
+#[case::read_by_itself(false)]
+fn repeated_changes_bring_back_no_target_that_has_left(#[case] is_shared: bool) {
+    let now = Instant::now();
+    let (mut sync, mut catalog) = watching_catalog(now);
+    let records = [target("i-9", registration(89)), removed("i-9")];
+    let changes = match is_shared {
+        true => {
+            let shared = SharedChanges {
+                area: TARGETS,
+                after_revision: 6,
+                revision: 12,
+                records: &records,
+            };
+            on_shared_changes(&mut sync, &mut catalog, now, &shared)
+        }
+        false => {
+            let read = watch(TARGETS, 10);
+            apply_answer(&mut sync, &mut catalog, now, &read, &records, 12, None)
+        }
+    };
+    assert_eq!(changes, []);
+    assert!(!catalog.target_ids.contains_key("i-9"));
+}
