--- a/crates/balsamd/src/client/tests.rs
+++ b/crates/balsamd/src/client/tests.rs
@@ -5,6 +5,8 @@
 
 use actix_http::{Method, RequestHead, ResponseHead};
 use bytes::Bytes;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -329,3 +331,51 @@
         );
     });
 }
+
+/// Responses from which the mutated ones of the next test are made.
+const MUTATED_RESPONSES: [&[u8]; 4] = [
+    COMPLETE_RESPONSE,
+    b"HTTP/1.1 200 OK\r\nrequest-id: r-1\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+    b"HTTP/1.1 503 Service Unavailable\r\nrequest-id: r-1\r\nretry-after: 2\r\ncontent-length: 0\r\n\r\n",
+    b"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nrequest-id: r-1\r\n\r\nok",
+];
+/// Mutated responses of one run.
+const MUTATIONS_COUNT: usize = 2_000;
+
+#[test]
+fn mutated_responses_end_every_exchange() {
+    let mut rng = ChaCha8Rng::seed_from_u64(23);
+    let mutated: Vec<Vec<u8>> = (0..MUTATIONS_COUNT)
+        .map(|_| {
+            let response = MUTATED_RESPONSES[rng.random_range(0..MUTATED_RESPONSES.len())];
+            let mut bytes = response.to_vec();
+            for _ in 0..rng.random_range(1..4) {
+                let index = rng.random_range(0..bytes.len());
+                match rng.random_range(0..4) {
+                    0 => bytes.truncate(index + 1),
+                    1 => bytes[index] = rng.random(),
+                    2 => bytes.insert(index, rng.random()),
+                    _ => bytes.extend_from_within(index..),
+                }
+            }
+            bytes
+        })
+        .collect();
+    actix_rt::System::new().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        actix_rt::spawn(async move {
+            for bytes in mutated {
+                let (mut stream, _) = listener.accept().await.expect("a connection");
+                read_head(&mut stream).await;
+                // Fails if the exchange has given up the response already.
+                let _ = stream.write_all(&bytes).await;
+            }
+        });
+        let mut complete_count = 0;
+        for _ in 0..MUTATIONS_COUNT {
+            complete_count += usize::from(send_request(address, Bytes::new()).await.is_ok());
+        }
+        assert!(complete_count < MUTATIONS_COUNT);
+    });
+}
--- a/crates/tier/src/tests.rs
+++ b/crates/tier/src/tests.rs
@@ -3,6 +3,7 @@
 mod configuration_series;
 mod crashing_request;
 mod exhaustive_schedules;
+mod extreme_messages;
 mod fan_out;
 mod fixture;
 mod freshness;
