Take only a reply that names its call

Test: replies to another call and to none, over sockets; both were taken as the call's own before. The older cases name their call now.

--- a/crates/balsamd/src/calls.rs
+++ b/crates/balsamd/src/calls.rs
@@ -102,10 +102,11 @@
     call_id_prefix: &str,
 ) -> impl Future<Output = Result<TargetReply, CallFailure>> + use<> {
     let url = format!("http://{}/v1/call", pool.address);
+    let call_id = call_id(call_id_prefix, call.call);
     let mut request = pool
         .client
         .post(url)
-        .insert_header((CALL_ID_HEADER, call_id(call_id_prefix, call.call)))
+        .insert_header((CALL_ID_HEADER, call_id.as_str()))
         .insert_header((REQUEST_ID_HEADER, &*call.request_id))
         .insert_header((TIMEOUT_HEADER, call.timeout.as_millis().to_string()))
         .insert_header((IDEMPOTENT_HEADER, call.is_idempotent.to_string()));
@@ -115,7 +116,7 @@
     let sending = request.send_body(call.body.clone());
     async move {
         match sending.await {
-            Ok(response) => read_reply(response).await,
+            Ok(response) => read_reply(response, &call_id).await,
             Err(error) => Err(classify(&error)),
         }
     }
@@ -153,7 +154,15 @@
     }
 }
 
-async fn read_reply(mut response: ClientResponse) -> Result<TargetReply, CallFailure> {
+/// Reads the reply to a call. One that names no call or another one is not its own: it may be a late
+/// second copy of the previous reply on the connection. Dropped unread, it closes the connection.
+async fn read_reply(
+    mut response: ClientResponse,
+    call_id: &str,
+) -> Result<TargetReply, CallFailure> {
+    if header_text(response.headers(), CALL_ID_HEADER) != Some(call_id) {
+        return Err(CallFailure::Truncated);
+    }
     let status: Option<ReplyStatus> =
         header_text(response.headers(), STATUS_HEADER).and_then(variant_from_name);
     let snapshot =
--- a/crates/balsamd/src/calls/tests.rs
+++ b/crates/balsamd/src/calls/tests.rs
@@ -11,10 +11,17 @@
 
 use super::{Pool, open_pool, send};
 
-const COMPLETE_REPLY: &[u8] =
+const COMPLETE_REPLY: &[u8] = b"HTTP/1.1 200 OK\r\nbalsam-call-id: north-1:1:8589934591\r\n\
+    balsam-status: done\r\nbalsam-snapshot: 4\r\ncontent-length: 2\r\n\r\n{}";
+const NO_LENGTH: &[u8] = b"HTTP/1.1 200 OK\r\nbalsam-call-id: north-1:1:8589934591\r\n\
+    balsam-status: done\r\n\r\n{}";
+const NO_STATUS: &[u8] = b"HTTP/1.1 200 OK\r\nbalsam-call-id: north-1:1:8589934591\r\n\
+    content-length: 2\r\n\r\n{}";
+/// A second copy of the reply to an earlier call, and one that names no call.
+const OTHER_CALL: &[u8] = b"HTTP/1.1 200 OK\r\nbalsam-call-id: north-1:1:7\r\n\
+    balsam-status: done\r\nbalsam-snapshot: 4\r\ncontent-length: 2\r\n\r\n{}";
+const NO_CALL: &[u8] =
     b"HTTP/1.1 200 OK\r\nbalsam-status: done\r\nbalsam-snapshot: 4\r\ncontent-length: 2\r\n\r\n{}";
-const NO_LENGTH: &[u8] = b"HTTP/1.1 200 OK\r\nbalsam-status: done\r\n\r\n{}";
-const NO_STATUS: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
 
 /// Stage of the call at which the target closes the connection, or the fault of its reply.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,6 +38,10 @@
     Replied(usize),
     /// Sends a complete reply without `balsam-status`.
     WithoutStatus,
+    /// Sends a complete reply to another call.
+    OtherCall,
+    /// Sends a complete reply that names no call.
+    WithoutCall,
     /// Sends a reply without a length, whose end cannot be told from a lost connection.
     WithoutLength,
     /// Replies to the first call, and closes the reused connection after it has read the second.
@@ -73,6 +84,14 @@
             read_call(&mut stream).await;
             stream.write_all(NO_STATUS).await.expect("sent");
         }
+        Stage::OtherCall => {
+            read_call(&mut stream).await;
+            stream.write_all(OTHER_CALL).await.expect("sent");
+        }
+        Stage::WithoutCall => {
+            read_call(&mut stream).await;
+            stream.write_all(NO_CALL).await.expect("sent");
+        }
         Stage::WithoutLength => {
             read_call(&mut stream).await;
             stream.write_all(NO_LENGTH).await.expect("sent");
@@ -114,6 +133,8 @@
 #[case(Stage::Replied(COMPLETE_REPLY.len() - 2), &[CallFailure::Truncated])]
 #[case(Stage::Replied(COMPLETE_REPLY.len() - 1), &[CallFailure::Truncated])]
 #[case(Stage::WithoutStatus, &[CallFailure::Truncated])]
+#[case(Stage::OtherCall, &[CallFailure::Truncated])]
+#[case(Stage::WithoutCall, &[CallFailure::Truncated])]
 #[case(Stage::WithoutLength, &[CallFailure::Truncated])]
 #[case(Stage::SecondCallRead, &[CallFailure::ConnectionLost])]
 #[actix_rt::test]
--- a/crates/balsamfake/src/http/target.rs
+++ b/crates/balsamfake/src/http/target.rs
@@ -5,7 +5,12 @@
 use actix::Addr;
 use actix_http::HttpService;
 use actix_service::{Service, ServiceFactory, map_config};
-use actix_web::{App, HttpRequest, HttpResponse, dev::AppConfig, http::header::HeaderMap, web};
+use actix_web::{
+    App, HttpRequest, HttpResponse,
+    dev::AppConfig,
+    http::header::{HeaderMap, HeaderName},
+    web,
+};
 use bytes::Bytes;
 use tokio::net::TcpStream;
 
@@ -52,6 +57,7 @@
     body: Bytes,
 ) -> HttpResponse {
     let headers = request.headers();
+    let call_id = headers.get(CALL_ID_HEADER).cloned();
     let timeout_ms = header_text(headers, TIMEOUT_HEADER).parse();
     let call = OwnedCall {
         call_id: header_text(headers, CALL_ID_HEADER).to_owned(),
@@ -62,7 +68,12 @@
         body,
     };
     let target = context.target;
-    submit(&context.shell, OwnedRequest::Call { target, call }).await
+    let mut response = submit(&context.shell, OwnedRequest::Call { target, call }).await;
+    if let Some(call_id) = call_id {
+        let name = HeaderName::from_static(CALL_ID_HEADER);
+        response.headers_mut().insert(name, call_id);
+    }
+    response
 }
 
 async fn cancel(context: web::Data<TargetContext>, request: HttpRequest) -> HttpResponse {
