Bound what all exchanges together receive

Change: while all exchanges in progress together have received more than 32 MB, those beyond 64 KB fail, so that usual ones go on.

Test: a hundred peers that send without end, by length and until the end, and one usual exchange among them; without the change the bytes held at once exceed the bound.

--- a/crates/balsamd/src/attempts.rs
+++ b/crates/balsamd/src/attempts.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use actix::Addr;
-use actix_http::{RequestHead, ServiceConfig};
+use actix_http::RequestHead;
 use model::{AttemptCall, CallFailure, HttpRequest, TargetKey};
 use platform::Reply;
 use slotmap::SecondaryMap;
@@ -13,7 +13,7 @@
 };
 
 use crate::{
-    client::{self, ClientError, Connection, Relation, Response},
+    client::{self, ClientConfig, ClientError, Connection, Relation, Response},
     gateway_messages::AttemptEnded,
     shell::Shell,
 };
@@ -55,7 +55,7 @@
 pub fn send(
     idle: &mut IdleConnections,
     shell: &Addr<Shell>,
-    config: &ServiceConfig,
+    config: &ClientConfig,
     cache: &mut HeadCache,
     call: AttemptCall,
 ) -> ConnectionHandle {
@@ -99,7 +99,7 @@
 /// Starts the task of a new connection, with its first request.
 fn spawn_connection(
     shell: Addr<Shell>,
-    config: ServiceConfig,
+    config: ClientConfig,
     attempt: OutgoingAttempt,
 ) -> ConnectionHandle {
     let (queue, receiver) = mpsc::channel(1);
--- a/crates/balsamd/src/client.rs
+++ b/crates/balsamd/src/client.rs
@@ -1,7 +1,7 @@
 //! A single HTTP/1.1 connection to a target or to the store. It exposes what a pooled client hides:
 //! unread bytes, how a body ended, and whether the request was written completely.
 
-use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_http::{
     ConnectionType, Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig,
@@ -26,6 +26,11 @@
 const BODY_MAX_BYTES: usize = 16 * 1024 * 1024;
 /// Upper limit of the bytes received in an exchange: a body with the overhead of small chunks.
 const RECEIVED_MAX_BYTES: usize = 2 * BODY_MAX_BYTES;
+/// Upper limit of the bytes received in all exchanges in progress together, beyond which only those
+/// up to [`RECEIVED_USUAL_BYTES`] go on.
+const RECEIVED_TOTAL_MAX_BYTES: usize = 32 * 1024 * 1024;
+/// Bytes that an exchange with a usual response receives.
+const RECEIVED_USUAL_BYTES: usize = 64 * 1024;
 /// Responses skipped before the exchange fails: informational ones, and stray ones such as those to
 /// earlier requests.
 const STRAY_RESPONSES_MAX_COUNT: usize = 2;
@@ -34,6 +39,8 @@
 pub struct Connection {
     stream: TcpStream,
     codec: ClientCodec,
+    /// Bytes that the exchanges of all connections have received.
+    received_count: Rc<Cell<usize>>,
     /// Whether it has carried an exchange, so that a late copy of its response may arrive.
     is_used: bool,
 }
@@ -75,9 +82,20 @@
     Malformed(String),
 }
 
+/// What all connections share.
+#[derive(Clone)]
+pub struct ClientConfig {
+    service: ServiceConfig,
+    /// Bytes that the exchanges in progress have received.
+    received_count: Rc<Cell<usize>>,
+}
+
 /// Returns the configuration that all connections share.
-pub fn config() -> ServiceConfig {
-    ServiceConfig::default()
+pub fn config() -> ClientConfig {
+    ClientConfig {
+        service: ServiceConfig::default(),
+        received_count: Rc::default(),
+    }
 }
 
 /// Opens a connection.
@@ -85,7 +103,7 @@
 /// # Errors
 ///
 /// Returns an error if the peer refuses the connection or does not accept it in time.
-pub async fn open(address: SocketAddr, config: ServiceConfig) -> Result<Connection, ClientError> {
+pub async fn open(address: SocketAddr, config: ClientConfig) -> Result<Connection, ClientError> {
     let connecting = TcpStream::connect(address);
     let stream = match actix_rt::time::timeout(CONNECT_TIMEOUT, connecting).await {
         Ok(stream) => stream.map_err(ClientError::Connect)?,
@@ -95,7 +113,8 @@
     stream.set_nodelay(true).map_err(ClientError::Connect)?;
     Ok(Connection {
         stream,
-        codec: ClientCodec::new(config),
+        codec: ClientCodec::new(config.service),
+        received_count: config.received_count,
         is_used: false,
     })
 }
@@ -133,6 +152,7 @@
     let Connection {
         mut stream,
         mut codec,
+        received_count,
         is_used,
     } = connection;
     let size = match (body.len(), &head.method) {
@@ -150,6 +170,7 @@
         reader: &mut reader,
         buffer: BytesMut::with_capacity(BUFFER_BYTES),
         bytes_count: 0,
+        received_count: &received_count,
     };
     let mut is_written = false;
     let received = {
@@ -171,9 +192,11 @@
     let (mut response, codec) = received?;
     // After a partly written body the peer would take the next request for its rest.
     response.is_reusable &= is_written && incoming.buffer.is_empty();
+    drop(incoming);
     let connection = Connection {
         stream,
         codec,
+        received_count,
         is_used: true,
     };
     Ok((response, connection))
@@ -184,6 +207,14 @@
     reader: &'a mut ReadHalf<'a>,
     buffer: BytesMut,
     bytes_count: usize,
+    received_count: &'a Cell<usize>,
+}
+
+impl Drop for Incoming<'_> {
+    fn drop(&mut self) {
+        let received_count = self.received_count.get();
+        self.received_count.set(received_count - self.bytes_count);
+    }
 }
 
 /// Reads responses until one belongs to the request; fails after too many others.
@@ -294,8 +325,7 @@
 /// Reads until the peer closes the connection; a reset is an error.
 async fn read_to_end(incoming: &mut Incoming<'_>) -> Result<Bytes, ClientError> {
     loop {
-        let read = incoming.reader.read_buf(&mut incoming.buffer).await;
-        match read.map_err(ClientError::Truncated)? {
+        match read_some(incoming).await.map_err(ClientError::Truncated)? {
             0 => return Ok(incoming.buffer.split().freeze()),
             _ if incoming.buffer.len() > BODY_MAX_BYTES => {
                 return Err(ClientError::Malformed("response body too large".to_owned()));
@@ -306,15 +336,28 @@
 }
 
 async fn read_more(incoming: &mut Incoming<'_>) -> io::Result<()> {
-    match incoming.reader.read_buf(&mut incoming.buffer).await? {
+    match read_some(incoming).await? {
         0 => Err(io::ErrorKind::UnexpectedEof.into()),
-        bytes_count => {
-            incoming.bytes_count += bytes_count;
-            match incoming.bytes_count > RECEIVED_MAX_BYTES {
-                true => Err(io::ErrorKind::InvalidData.into()),
-                false => Ok(()),
-            }
-        }
+        _ => Ok(()),
+    }
+}
+
+/// Reads what has arrived and returns its length, 0 at the end of the connection.
+///
+/// Fails if the exchange has received too much. While all exchanges together have, those fail that
+/// are beyond what a usual response takes, so that peers that send without end use up the memory
+/// of no other.
+async fn read_some(incoming: &mut Incoming<'_>) -> io::Result<usize> {
+    let bytes_count = incoming.reader.read_buf(&mut incoming.buffer).await?;
+    incoming.bytes_count += bytes_count;
+    let received_count = incoming.received_count.get() + bytes_count;
+    incoming.received_count.set(received_count);
+    let is_crowded = received_count > RECEIVED_TOTAL_MAX_BYTES;
+    let is_too_much = incoming.bytes_count > RECEIVED_MAX_BYTES
+        || (is_crowded && incoming.bytes_count > RECEIVED_USUAL_BYTES);
+    match is_too_much {
+        true => Err(io::ErrorKind::InvalidData.into()),
+        false => Ok(bytes_count),
     }
 }
 
--- a/crates/balsamd/src/client/tests.rs
+++ b/crates/balsamd/src/client/tests.rs
@@ -379,3 +379,44 @@
         assert!(complete_count < MUTATIONS_COUNT);
     });
 }
+
+/// Peers that send a body without end at the same time.
+const ENDLESS_PEERS_COUNT: usize = 100;
+
+#[rstest]
+#[case::until_the_end(b"HTTP/1.1 200 OK\r\nrequest-id: r-1\r\n\r\n")]
+#[case::length(b"HTTP/1.1 200 OK\r\nrequest-id: r-1\r\ncontent-length: 99999999999\r\n\r\n")]
+fn many_bodies_without_end_are_bounded_together(#[case] head: &'static [u8]) {
+    actix_rt::System::new().block_on(async {
+        let config = config();
+        let peak_bytes = Rc::new(std::cell::Cell::new(0));
+        let exchanges = (0..ENDLESS_PEERS_COUNT).map(|_| {
+            let (config, peak_bytes) = (config.clone(), peak_bytes.clone());
+            actix_rt::spawn(async move {
+                let address = spawn_endless_peer(head, vec![b'x'; 64 * 1024]).await;
+                let connection = open(address, config.clone()).await.expect("a connection");
+                let (request, body) = (Rc::new(RequestHead::default()), Bytes::new());
+                let pending = exchange(connection, request, None, &body, relation);
+                let result = actix_rt::time::timeout(TEST_TIMEOUT, pending).await;
+                peak_bytes.set(peak_bytes.get().max(config.received_count.get()));
+                result.expect("the exchange ends in time").is_err()
+            })
+        });
+        let exchanges: Vec<_> = exchanges.collect();
+        // A usual exchange among them is not hurt.
+        let address = spawn_peer(COMPLETE_RESPONSE, PeerEnd::StaysOpen).await;
+        let connection = open(address, config.clone()).await.expect("a connection");
+        let request = Rc::new(RequestHead::default());
+        let usual = exchange(connection, request, None, &Bytes::new(), relation).await;
+        assert!(usual.is_ok());
+        for exchange in exchanges {
+            assert!(
+                exchange.await.expect("no panic"),
+                "a body without end was accepted"
+            );
+        }
+        let usual_bytes = ENDLESS_PEERS_COUNT * super::RECEIVED_USUAL_BYTES;
+        assert!(peak_bytes.get() <= super::RECEIVED_TOTAL_MAX_BYTES + 2 * usual_bytes);
+        assert_eq!(config.received_count.get(), 0);
+    });
+}
--- a/crates/balsamd/src/shell.rs
+++ b/crates/balsamd/src/shell.rs
@@ -14,7 +14,6 @@
 };
 
 use actix::{Actor, AsyncContext, Context, Handler, Message, System};
-use actix_http::ServiceConfig;
 use awc::{Client, http::header::USER_AGENT};
 use bytes::Bytes;
 use model::{
@@ -36,7 +35,7 @@
     attempts::{ConnectionHandle, HeadCache, IdleConnections},
     callers::{self, Headers},
     calls::{Pool, TargetReply},
-    client,
+    client::{self, ClientConfig},
     clock::{self, Clock},
     effects,
     error::StartError,
@@ -70,7 +69,7 @@
     pub(crate) call_id_prefix: String,
     pub(crate) ready_waiters: ReadyWaiters,
     /// Configuration shared by the gateway's connections to targets and the store.
-    pub(crate) connection_config: ServiceConfig,
+    pub(crate) connection_config: ClientConfig,
     pub(crate) idle_connections: IdleConnections,
     pub(crate) head_cache: HeadCache,
     /// Close signal of the ports, sent shortly before the process exits.
--- a/crates/balsamd/src/store_reads.rs
+++ b/crates/balsamd/src/store_reads.rs
@@ -4,13 +4,13 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use actix::Addr;
-use actix_http::{RequestHead, ServiceConfig, header};
+use actix_http::{RequestHead, header};
 use bytes::Bytes;
 use model::{StoreFailure, StoreRead};
 use platform::StoreResponse;
 
 use crate::{
-    client::{self, Relation},
+    client::{self, ClientConfig, Relation},
     gateway_messages::StoreReadEnded,
     shell::Shell,
 };
@@ -21,7 +21,7 @@
 /// Starts one read, whose end is reported as [`StoreReadEnded`].
 pub fn spawn_read(
     shell: &Addr<Shell>,
-    config: &ServiceConfig,
+    config: &ClientConfig,
     address: SocketAddr,
     read: StoreRead,
 ) {
@@ -39,7 +39,7 @@
 }
 
 async fn fetch(
-    config: ServiceConfig,
+    config: ClientConfig,
     address: SocketAddr,
     read: &StoreRead,
 ) -> Result<(StoreResponse, Bytes), StoreFailure> {
