Answer a query before the goal on a busy instance

Cause: an answer that had its least parts waited for the goal, and then for the other events of the thread: the timer, replies before it, the task that sends it. The reserve kept back for the way to the caller does not cover that.

Change: the lateness of the timers of exchanges is averaged, and three times what exceeds their resolution is taken off the goal.

--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -17,7 +17,7 @@
     Exchange, FrontStats, Gateway, Part, PartState, budget, fingerprint, isolation, relay,
     respond::{finish_if_decided, refuse},
     send::{send_first_attempts, send_or_queue},
-    timer::arm_timer,
+    timer::{self, arm_timer},
 };
 
 /// Length of a window over which the longest timeout of callers is taken.
@@ -131,14 +131,17 @@
         true => Duration::ZERO,
         false => gateway.settings.answer_reserve,
     };
+    let answer_delay = timer::answer_delay(gateway);
     let stats = gateway.front_stats.entry(front_key)?.or_default();
     let front = &gateway.catalog.fronts[front_key];
     let timeout = request.timeout.unwrap_or(front.timeout);
     let goal_at = match new.goal {
-        GoalSource::Relayed(goal_at) => goal_at,
+        GoalSource::Relayed(goal_at) => {
+            goal_at.and_then(|goal_at| goal_at.checked_sub(answer_delay))
+        }
         GoalSource::Front => {
             let waited = prior_wait(stats, now, timeout);
-            goal_at(front, now, waited, reserve)
+            goal_at(front, now, waited, reserve + answer_delay)
         }
     };
     let (services, records_count, parts_min_count) = match &front.route {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -73,6 +73,9 @@
     /// says nothing about the target: it may have arrived but not been read.
     #[serde(skip)]
     pub resumed_at: Option<Instant>,
+    /// Moving average of the time by which timers of exchanges fire late: the events that wait
+    /// before them on the thread, each of which delays an answer likewise.
+    pub timer_lateness: Duration,
     /// Random number generator for jitter.
     #[serde(skip)]
     pub rng: ChaCha8Rng,
@@ -265,6 +268,7 @@
         relay_candidates: Vec::new(),
         relay_backoffs: HashMap::new(),
         resumed_at: None,
+        timer_lateness: Duration::ZERO,
         rng: ChaCha8Rng::seed_from_u64(seed),
     }
 }
--- a/crates/gateway/src/tests.rs
+++ b/crates/gateway/src/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway: requests are simulated on a virtual clock, and the responses to callers and
 //! the attempts at targets are checked.
 
+mod busy_instance;
 mod fixture;
 mod gather;
 mod isolation;
--- a/crates/gateway/src/timer.rs
+++ b/crates/gateway/src/timer.rs
@@ -15,6 +15,10 @@
 /// Delay of a timer from which on the process is assumed to have paused. Replies may have arrived
 /// that are not read yet, so hedges are held off.
 const TIMER_LATE_THRESHOLD: Duration = Duration::from_millis(15);
+/// Number of times that an answer waits for other events of the thread before it leaves.
+const ANSWER_WAITS_COUNT: u32 = 3;
+/// Weight of a sample in the moving average of the lateness of timers.
+const LATENESS_WEIGHT: f64 = 0.1;
 /// Time for which hedges are held off after a pause; long enough to read the replies that have
 /// arrived.
 const HEDGE_HOLD_OFF: Duration = Duration::from_millis(3);
@@ -35,6 +39,13 @@
         return;
     };
     let due_at = exchange.due_at.take();
+    if let Some(due_at) = due_at {
+        let lateness = now.saturating_duration_since(due_at);
+        gateway.timer_lateness = smoothed_lateness(gateway.timer_lateness, lateness);
+    }
+    let Some(exchange) = gateway.exchanges.get_mut(key) else {
+        return;
+    };
     if now >= exchange.deadline {
         match exchange.relay {
             Some(relay) => relay::on_relay_deadline(gateway, now, key, &relay, out),
@@ -65,6 +76,21 @@
     }
 }
 
+/// Returns the moving average of the lateness of timers with one more sample. After a pause of the
+/// process, which says nothing about its load, a sample counts as [`TIMER_LATE_THRESHOLD`].
+fn smoothed_lateness(average: Duration, sample: Duration) -> Duration {
+    let sample = sample.min(TIMER_LATE_THRESHOLD);
+    average.mul_f64(1.0 - LATENESS_WEIGHT) + sample.mul_f64(LATENESS_WEIGHT)
+}
+
+/// Returns the time that an answer is expected to wait on this instance beyond what is always kept
+/// back: for the timer that decides on it, for the replies that are handled before it, and for the
+/// task that sends it.
+pub(crate) fn answer_delay(gateway: &Gateway) -> Duration {
+    let lateness = gateway.timer_lateness;
+    lateness.saturating_sub(TIMER_RESOLUTION) * ANSWER_WAITS_COUNT
+}
+
 /// Sets the timer of an exchange for its next event, unless one is set that fires no later.
 pub(crate) fn arm_timer(
     gateway: &mut Gateway,
