--- a/crates/catalog/src/sync.rs
+++ b/crates/catalog/src/sync.rs
@@ -315,22 +315,24 @@
 /// An answer may repeat changes from before the known revision. A target that has left would
 /// otherwise take part again, until the grace period of its removal is over once more.
 fn latest_records(records: &[StoreRecord]) -> impl Iterator<Item = &StoreRecord> {
-    let target_id = |record: &'_ StoreRecord| match record {
-        StoreRecord::Target { target_id, .. } | StoreRecord::TargetRemoved { target_id } => {
-            Some(target_id.clone())
-        }
-        _ => None,
-    };
-    let last: HashMap<String, usize> = records
-        .iter()
-        .enumerate()
+    let indices = records.iter().enumerate();
+    let last: HashMap<&str, usize> = indices
         .filter_map(|(index, record)| Some((target_id(record)?, index)))
         .collect();
     let records = records.iter().enumerate();
-    let is_last = move |index: usize, record: &StoreRecord| {
-        target_id(record).is_none_or(|id| last.get(&id) == Some(&index))
-    };
-    records.filter_map(move |(index, record)| is_last(index, record).then_some(record))
+    records.filter_map(move |(index, record)| {
+        let is_last = target_id(record).is_none_or(|id| last.get(id) == Some(&index));
+        is_last.then_some(record)
+    })
+}
+
+fn target_id(record: &StoreRecord) -> Option<&str> {
+    match record {
+        StoreRecord::Target { target_id, .. } | StoreRecord::TargetRemoved { target_id } => {
+            Some(target_id)
+        }
+        _ => None,
+    }
 }
 
 fn is_watching(sync: &SyncState, area: StoreArea) -> bool {
--- a/crates/gateway/src/completion.rs
+++ b/crates/gateway/src/completion.rs
@@ -4,13 +4,15 @@
 
 use model::{
     AttemptKey, AttemptReply, CallFailure, CallerKey, Counter, Effect, ExchangeKey, Level, LogLine,
-    ProxiedReply, ReplyStatus, Requester, TargetKey, TargetReport, Timing, variant_name,
+    ProxiedReply, ReplyStatus, Requester, TargetReport, Timing, variant_name,
 };
 
 use crate::{
     Attempt, Gateway, PartState,
     budget::ExtraCall,
-    health, latency, rate_limit, relay,
+    health, latency,
+    log_line::{elapsed_ms, target_log_line},
+    rate_limit, relay,
     respond::{finish_if_decided, finish_with_reply},
     send::{Denial, SendOutcome, mark_missing, try_send},
     stated_backoff,
@@ -117,11 +119,6 @@
     }
 }
 
-/// Returns the time since `since` in whole milliseconds, rounded down.
-pub(crate) fn elapsed_ms(now: Instant, since: Instant) -> u64 {
-    u64::try_from(now.saturating_duration_since(since).as_millis()).unwrap_or(u64::MAX)
-}
-
 fn remove_attempt(
     gateway: &mut Gateway,
     key: AttemptKey,
@@ -237,17 +234,6 @@
     }
 }
 
-/// Returns a log line with the identifier of a target and its service.
-pub(crate) fn target_log_line(gateway: &Gateway, target: TargetKey, name: &str) -> LogLine {
-    let target = gateway.catalog.targets.get(target);
-    let id = target.map_or("", |target| &*target.id);
-    let service = target.and_then(|target| gateway.catalog.services.get(target.service));
-    let service = service.map_or("", |service| &*service.name);
-    LogLine::new(Level::Info, name)
-        .with("target", id)
-        .with("service", service)
-}
-
 fn on_reply(
     gateway: &mut Gateway,
     now: Instant,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod health;
 mod isolation;
 mod latency;
+mod log_line;
 mod merge;
 mod rate_limit;
 mod relay;
--- a/crates/gateway/src/rate_limit.rs
+++ b/crates/gateway/src/rate_limit.rs
@@ -11,7 +11,7 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::{Attempt, Gateway, completion::target_log_line, health::Health};
+use crate::{Attempt, Gateway, health::Health, log_line::target_log_line};
 
 /// Rate that is assumed for a target that names a lower one, so that the end of its limit is heard.
 const RATE_MIN_PER_S: f64 = 0.25;
--- a/crates/gateway/src/respond.rs
+++ b/crates/gateway/src/respond.rs
@@ -12,10 +12,8 @@
 use rand::RngExt;
 
 use crate::{
-    Exchange, Gateway, PartState,
-    completion::{abandon_attempts, elapsed_ms},
-    merge::greatest_records,
-    rate_limit, relay, stated_backoff,
+    Exchange, Gateway, PartState, completion::abandon_attempts, log_line::elapsed_ms,
+    merge::greatest_records, rate_limit, relay, stated_backoff,
 };
 
 /// Range of the random `Retry-After` of refusals; the jitter keeps callers from retrying at once.
--- a/crates/gateway/src/stated_backoff.rs
+++ b/crates/gateway/src/stated_backoff.rs
@@ -9,7 +9,9 @@
 use model::{Effect, ServiceKey};
 
 use crate::{
-    Attempt, Gateway, completion::elapsed_ms, completion::target_log_line, health::Health,
+    Attempt, Gateway,
+    health::Health,
+    log_line::{elapsed_ms, target_log_line},
 };
 
 /// Time after the end of a backoff for which a target gets one request at a time.
--- a/crates/gateway/src/tick.rs
+++ b/crates/gateway/src/tick.rs
@@ -8,9 +8,11 @@
 use model::{AttemptKey, Effect, TargetKey};
 
 use crate::{
-    Gateway, completion,
-    completion::{send_queued_parts, target_log_line},
-    health, isolation, rate_limit,
+    Gateway,
+    completion::send_queued_parts,
+    health, isolation,
+    log_line::{elapsed_ms, target_log_line},
+    rate_limit,
     rate_limit::ShareHolders,
     unresolved,
 };
@@ -117,7 +119,7 @@
             continue;
         }
         health::record_unreachable(health, now);
-        let silent_ms = completion::elapsed_ms(now, attempt.sent_at);
+        let silent_ms = elapsed_ms(now, attempt.sent_at);
         let line = target_log_line(gateway, gateway.attempts[key].target, "target-silent");
         out.push(Effect::Log(line.with("silent_ms", silent_ms)));
     }
