Show a fleet that hangs at one malformed registration

Rule: Fault, no request is served. Another writer leaves an entry among the registered targets whose ColdLeftMs is out of range. Adding it to the clock panics in the actor of every instance; the processes neither serve nor end.

--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -3,6 +3,7 @@
 //! Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run. With the
 //! environment variable `TROUBLE=0` the disruption is left out.
 
+mod foreign_entry;
 mod http;
 mod stale_relay_answer;
 mod store;
@@ -18,6 +19,7 @@
     };
     let folder = Path::new(folder);
     match name.as_str() {
+        "foreign-entry" => world::run(folder, foreign_entry::run),
         "stale-relay-answer" => world::run(folder, stale_relay_answer::run),
         _ => {
             eprintln!("no such case: {name}");
