Restart the killed instance of review/1 after 0.2 s

Rule: MIXED, an answer that belongs to another request. Case: review/1, with 24 queries before the kill and 12 after the restart.

--- a/review/harness/src/stale_relay_answer.rs
+++ b/review/harness/src/stale_relay_answer.rs
@@ -24,11 +24,12 @@
 const SLOW_FACTOR: u64 = 8;
 /// Time limit of a query.
 const TIMEOUT_MS: u64 = 1_200;
-/// Queries at once when many users come.
-const BURST_COUNT: usize = 12;
+/// Queries at once before the kill, and after the restart.
+const FIRST_BURST_COUNT: usize = 24;
+const SECOND_BURST_COUNT: usize = 12;
 /// Time from the burst to the kill, and from the kill to the restart.
 const KILL_AFTER: Duration = Duration::from_millis(60);
-const RESTART_AFTER: Duration = Duration::from_millis(100);
+const RESTART_AFTER: Duration = Duration::from_millis(200);
 
 pub fn run(world: &mut World) -> Outcome {
     let backends = open_backends(world)?;
@@ -58,7 +59,7 @@
             .ok();
     }
     world.record.line("two shards turn slow; first burst");
-    let first = burst(small.front, "first");
+    let first = burst(small.front, "first", FIRST_BURST_COUNT);
     thread::sleep(KILL_AFTER);
     if world.has_trouble {
         world.record.line("kill front-iseyin-2");
@@ -70,7 +71,7 @@
         thread::sleep(RESTART_AFTER);
     }
     world.record.line("second burst");
-    let second = burst(small.front, "second");
+    let second = burst(small.front, "second", SECOND_BURST_COUNT);
     collect(world, first);
     let foreign_count = collect(world, second);
     world.record.line(&format!(
@@ -137,8 +138,8 @@
 type Burst = Vec<(String, JoinHandle<std::io::Result<Message>>)>;
 
 /// Sends queries at once, each on a connection of its own.
-fn burst(front: SocketAddr, name: &str) -> Burst {
-    let ids = (0..BURST_COUNT).map(|number| format!("{name}-{number}"));
+fn burst(front: SocketAddr, name: &str, count: usize) -> Burst {
+    let ids = (0..count).map(|number| format!("{name}-{number}"));
     let sent = ids.map(|id| (id.clone(), http::spawn(move || query(front, &id))));
     sent.collect()
 }
