Show instances beyond their memory at bodies without end

Rule: Fault, processes that end by themselves three times on two machines; memory over the limit counts. Some targets answer with chunks of one byte without end. The bytes received are bounded, the memory of the chunks is not: 6 bytes take 38.

--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -3,6 +3,7 @@
 //! Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run. With the
 //! environment variable `TROUBLE=0` the disruption is left out.
 
+mod endless_body;
 mod foreign_entry;
 mod http;
 mod stale_relay_answer;
@@ -19,6 +20,7 @@
     };
     let folder = Path::new(folder);
     match name.as_str() {
+        "endless-body" => world::run(folder, endless_body::run),
         "foreign-entry" => world::run(folder, foreign_entry::run),
         "stale-relay-answer" => world::run(folder, stale_relay_answer::run),
         _ => {
--- a/review/harness/src/world.rs
+++ b/review/harness/src/world.rs
@@ -239,6 +239,10 @@
 }
 
 impl Instance {
+    pub fn id(&self) -> u32 {
+        self.child.as_ref().map_or(0, Child::id)
+    }
+
     /// Returns whether the process has ended.
     pub fn has_exited(&mut self) -> bool {
         let Some(child) = &mut self.child else {
