--- a/review/harness/src/world.rs
+++ b/review/harness/src/world.rs
@@ -5,6 +5,7 @@
     fs::{self, File},
     io::{self, Write},
     net::{Ipv4Addr, SocketAddr, TcpListener},
+    os::unix::process::CommandExt,
     path::{Path, PathBuf},
     process::{self, Child, Command, Stdio},
     sync::{
@@ -34,8 +35,12 @@
 
 unsafe extern "C" {
     fn kill(process: i32, signal: i32) -> i32;
+    fn prctl(option: i32, ...) -> i32;
 }
 
+/// Option of `prctl`: the signal that a process gets when its parent ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+
 const SIGKILL: i32 = 9;
 
 /// Log of what was sent, answered and run, with times since the start.
@@ -87,7 +92,8 @@
         world.record.line(&format!("verdict: {outcome:?}"));
         outcome
     });
-    println!("{outcome:?}");
+    // Standard output may be closed.
+    let _ = writeln!(io::stdout(), "{outcome:?}");
     end(&folder, outcome.map_or(2, |verdict| verdict as i32))
 }
 
@@ -192,13 +198,19 @@
     pub fn start(&self, instance: &mut Instance) -> Result<(), String> {
         let log = instance.settings.with_extension("log");
         let log = File::options().create(true).append(true).open(log);
-        let child = Command::new("target/release/balsamd")
-            .arg("--settings")
-            .arg(&instance.settings)
-            .stdin(Stdio::null())
-            .stdout(log.map_err(|error| error.to_string())?)
-            .spawn()
-            .map_err(|error| format!("cannot start balsamd: {error}"))?;
+        let mut command = Command::new("target/release/balsamd");
+        command.arg("--settings").arg(&instance.settings);
+        command.stdin(Stdio::null());
+        command.stdout(log.map_err(|error| error.to_string())?);
+        // SAFETY: `prctl` with these arguments only sets an attribute of the new process.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, u64::from(SIGKILL as u32));
+                Ok(())
+            });
+        }
+        let child = command.spawn();
+        let child = child.map_err(|error| format!("cannot start balsamd: {error}"))?;
         RUNNING.lock().unwrap().push(child.id());
         self.record
             .line(&format!("start {} pid={}", instance.name, child.id()));
