--- a/review/harness/src/endless_body.rs
+++ b/review/harness/src/endless_body.rs
@@ -251,6 +251,7 @@
                 ("Deadline-Ms", "800"),
             ];
             let request = http::request("GET", "/kits/2f", &headers, b"");
+            record.line(&format!("send {id}"));
             let answer = http::call(front, &request, Duration::from_secs(2));
             let text = match &answer {
                 Ok(answer) => answer.status().to_string(),
--- a/review/harness/src/foreign_entry.rs
+++ b/review/harness/src/foreign_entry.rs
@@ -102,6 +102,9 @@
                 ("Deadline-Ms", "5000"),
             ];
             let request = http::request("GET", "/payouts/2f", &headers, b"");
+            world
+                .record
+                .line(&format!("send {id} to {}", instance.name));
             let answer = http::call(instance.front, &request, Duration::from_secs(6));
             let text = match &answer {
                 Ok(answer) => answer.status().to_string(),
--- a/review/harness/src/stale_relay_answer.rs
+++ b/review/harness/src/stale_relay_answer.rs
@@ -44,6 +44,7 @@
     }
     thread::sleep(Duration::from_secs(5));
     for number in 0..30 {
+        world.record.line(&format!("send warm-{number}"));
         let answer = query(small.front, &format!("warm-{number}"));
         let status = answer.map_or(0, |answer| answer.status());
         world
@@ -59,7 +60,7 @@
             .ok();
     }
     world.record.line("two shards turn slow; first burst");
-    let first = burst(small.front, "first", FIRST_BURST_COUNT);
+    let first = burst(world, small.front, "first", FIRST_BURST_COUNT);
     thread::sleep(KILL_AFTER);
     if world.has_trouble {
         world.record.line("kill front-iseyin-2");
@@ -71,7 +72,7 @@
         thread::sleep(RESTART_AFTER);
     }
     world.record.line("second burst");
-    let second = burst(small.front, "second", SECOND_BURST_COUNT);
+    let second = burst(world, small.front, "second", SECOND_BURST_COUNT);
     collect(world, first);
     let foreign_count = collect(world, second);
     world.record.line(&format!(
@@ -138,9 +139,12 @@
 type Burst = Vec<(String, JoinHandle<std::io::Result<Message>>)>;
 
 /// Sends queries at once, each on a connection of its own.
-fn burst(front: SocketAddr, name: &str, count: usize) -> Burst {
+fn burst(world: &World, front: SocketAddr, name: &str, count: usize) -> Burst {
     let ids = (0..count).map(|number| format!("{name}-{number}"));
-    let sent = ids.map(|id| (id.clone(), http::spawn(move || query(front, &id))));
+    let sent = ids.map(|id| {
+        world.record.line(&format!("send {id}"));
+        (id.clone(), http::spawn(move || query(front, &id)))
+    });
     sent.collect()
 }
 
