--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -140,15 +140,13 @@
 ) -> Digest {
     let mut sequence = 0;
     if recipient.wants_reply {
-        fleet.sequence += 1;
-        sequence = fleet.sequence;
         let probe = Probe {
             name: recipient.name.clone(),
             sent_at: now,
             first_sent_at: recipient.first_sent_at.unwrap_or(now),
             is_retried: false,
         };
-        fleet.probes.insert(sequence, probe);
+        sequence = pending::register(&mut fleet.probes, recipient.address, probe);
     }
     let mut digest = build(fleet, now, &recipient.name, observations);
     digest.sequence = sequence;
--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -42,7 +42,7 @@
 pub fn on_pause(fleet: &mut FleetState, settings: &Settings, now: Instant, late_by: Duration) {
     fleet.fresh_as_of = None;
     fleet.freshness_source = FreshnessSource::None;
-    fleet.probes.clear();
+    pending::clear(&mut fleet.probes);
     fleet.note_request = None;
     for member in fleet.members.values_mut() {
         member.confirmed_at = None;
--- a/crates/fleet/src/gossip.rs
+++ b/crates/fleet/src/gossip.rs
@@ -124,12 +124,12 @@
     }
     member.heard_at = Some(now);
     let is_reply = !digest.wants_reply && digest.sequence != 0;
-    let probe = fleet.probes.get(&digest.sequence);
+    let probe = pending::accept(&fleet.probes, Some(digest.from.address), digest.sequence);
     let Some(probe) = probe.filter(|probe| is_reply && probe.name == digest.from.id.name) else {
         return;
     };
     let sent_at = probe.sent_at;
-    fleet.probes.remove(&digest.sequence);
+    pending::remove(&mut fleet.probes, digest.sequence);
     member.confirmed_at = member.confirmed_at.max(Some(sent_at));
     if digest.revision != fleet.revision() {
         return;
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -6,6 +6,7 @@
 use findings::Findings;
 use model::{InstanceId, MemberRow, MemberState, Revision};
 use note::Note;
+use pending::{Requests, Table};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
@@ -69,11 +70,9 @@
     /// State of the reads of the platform.
     #[serde(rename = "reading")]
     pub platform_reads: PlatformReadState,
-    /// Unanswered probes by sequence number.
+    /// Probes that have not been answered.
     #[serde(skip)]
-    pub probes: BTreeMap<u64, Probe>,
-    /// Sequence number of the last probe.
-    pub sequence: u64,
+    pub probes: Requests<Probe>,
     /// Ticks since the start.
     pub ticks_count: u64,
     /// Random number generator for jitter and the selection of peers.
@@ -185,10 +184,10 @@
 
 /// Returns the initial state of an instance.
 ///
-/// `incarnation` must be larger than in every earlier run of the instance.
-pub fn new_state(settings: &Settings, incarnation: u64) -> FleetState {
+/// `incarnation` must be larger than in every earlier run of the instance, and `seed` unpredictable.
+pub fn new_state(settings: &Settings, incarnation: u64, seed: u64) -> FleetState {
     let name = settings.instance.name.clone();
-    let seed = xxh3_64_with_seed(name.as_bytes(), incarnation);
+    let jitter_seed = xxh3_64_with_seed(name.as_bytes(), incarnation);
     FleetState {
         id: InstanceId { name, incarnation },
         address: settings.listen.peers,
@@ -215,10 +214,9 @@
         freshness_age_ms: None,
         is_stale: false,
         platform_reads: PlatformReadState::default(),
-        probes: BTreeMap::new(),
-        sequence: 0,
+        probes: pending::new_requests(seed, Table::Probes),
         ticks_count: 0,
-        rng: ChaCha8Rng::seed_from_u64(seed),
+        rng: ChaCha8Rng::seed_from_u64(jitter_seed),
     }
 }
 
--- a/crates/fleet/src/suspicion.rs
+++ b/crates/fleet/src/suspicion.rs
@@ -39,13 +39,9 @@
     let is_overdue = |probe: &Probe| {
         now.saturating_duration_since(probe.first_sent_at) >= settings.suspect_after
     };
-    let overdue: Vec<Probe> = fleet
-        .probes
-        .values()
-        .filter(|probe| is_overdue(probe))
-        .cloned()
-        .collect();
-    fleet.probes.retain(|_, probe| !is_overdue(probe));
+    let overdue = pending::values(&fleet.probes).filter(|probe| is_overdue(probe));
+    let overdue: Vec<Probe> = overdue.cloned().collect();
+    pending::retain(&mut fleet.probes, |probe| !is_overdue(probe));
     for probe in overdue {
         let Some(member) = fleet.members.get_mut(&probe.name) else {
             continue;
@@ -76,7 +72,7 @@
 ) -> Vec<Recipient> {
     let retry_after = settings.suspect_after / PROBES_PER_SUSPICION;
     let mut retries = Vec::new();
-    for probe in fleet.probes.values_mut() {
+    for probe in pending::values_mut(&mut fleet.probes) {
         let is_due = now.saturating_duration_since(probe.sent_at) >= retry_after;
         if !is_due || probe.is_retried {
             continue;
--- a/crates/gateway/src/completion.rs
+++ b/crates/gateway/src/completion.rs
@@ -13,7 +13,7 @@
     health, latency,
     log_line::{elapsed_ms, target_log_line},
     rate_limit, relay,
-    respond::{finish_if_decided, finish_with_reply},
+    respond::{finish_if_decided, finish_with_reply, remove_exchange},
     send::{Denial, SendOutcome, mark_missing, try_send},
     stated_backoff,
     timer::arm_timer,
@@ -92,14 +92,11 @@
     let Some((key, _)) = exchanges.find(|(_, exchange)| exchange.requester == requester) else {
         return;
     };
-    let Some(exchange) = gateway.exchanges.remove(key) else {
+    let Some(exchange) = remove_exchange(gateway, now, key) else {
         return;
     };
-    for part in &exchange.parts {
-        abandon_attempts(gateway, now, &part.in_flight);
-    }
     if let Some(relay) = &exchange.relay {
-        relay::send_cancel(gateway, key, relay, out);
+        relay::send_cancel(gateway, &exchange, relay, out);
     }
     let line = LogLine::new(Level::Info, "caller-gone")
         .with("request_id", exchange.request.request_id.as_str())
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -17,10 +17,9 @@
     NotRunReason, Outcome, RelayedRequest, Requester,
 };
 use rand::seq::IndexedRandom;
-use slotmap::{Key, KeyData};
 
 use crate::{
-    Gateway, Relay,
+    Exchange, Gateway, Relay,
     completion::{cancel_exchange, send_queued_parts},
     request::{GoalSource, NewExchange, create_exchange, run_locally},
     respond::{finish, record_end, refuse_relayed, remove_exchange, respond},
@@ -63,15 +62,17 @@
         ..HttpRequest::clone(&exchange.request)
     };
     let attempts_count = handed_over_count(exchange.attempts_max_count);
+    let number = pending::register(&mut gateway.relays, address, key);
     let relayed = RelayedRequest {
         reply_to: gateway.settings.peers,
-        relay_id: relay_id(key),
+        relay_id: number,
         version: exchange.version,
         request: Arc::new(request),
         goal: exchange.goal_at.map(time_left),
         attempts_max_count: Some(attempts_count),
     };
     let exchange = &mut gateway.exchanges[key];
+    exchange.relay_number = Some(number);
     exchange.relay = Some(Relay {
         address,
         accept_deadline: Some(now + ACCEPT_TIMEOUT),
@@ -92,19 +93,19 @@
 
 /// Handles a relay's confirmation that it has started a query: it is granted the attempts that were
 /// held back, unless the query has been taken back meanwhile.
-pub fn on_relay_accepted(gateway: &mut Gateway, id: u64, out: &mut Vec<Effect>) {
-    let key = exchange_key(id);
-    let exchange = gateway.exchanges.get_mut(key);
-    let Some(relay) = exchange.and_then(|exchange| exchange.relay.as_mut()) else {
+pub fn on_relay_accepted(gateway: &mut Gateway, key: ExchangeKey, out: &mut Vec<Effect>) {
+    let Some(exchange) = gateway.exchanges.get_mut(key) else {
+        return;
+    };
+    let (Some(relay), Some(relay_id)) = (&mut exchange.relay, exchange.relay_number) else {
         return;
     };
     if relay.accept_deadline.take().is_some() {
-        let address = relay.address;
         out.push(Effect::Send {
-            address,
+            address: relay.address,
             message: Message::RelayGranted {
                 reply_to: gateway.settings.peers,
-                relay_id: id,
+                relay_id,
             },
         });
     }
@@ -145,11 +146,10 @@
 pub fn on_relay_answer(
     gateway: &mut Gateway,
     now: Instant,
-    id: u64,
+    key: ExchangeKey,
     answer: &RelayAnswer<'_>,
     out: &mut Vec<Effect>,
 ) {
-    let key = exchange_key(id);
     let Some(exchange) = gateway.exchanges.get(key) else {
         return;
     };
@@ -172,7 +172,7 @@
                 missing_count: merged.missing_count,
                 body: merged.body.clone(),
             };
-            respond(&exchange, response, out);
+            respond(gateway, &exchange, response, out);
         }
         None if is_waiting && answer.is_unsent => {
             if let Some(relay) = exchange.relay {
@@ -206,7 +206,9 @@
     relay: &Relay,
     out: &mut Vec<Effect>,
 ) {
-    send_cancel(gateway, key, relay, out);
+    if let Some(exchange) = gateway.exchanges.get(key) {
+        send_cancel(gateway, exchange, relay, out);
+    }
     finish_relayed(gateway, now, key, false, out);
 }
 
@@ -253,6 +255,11 @@
         address: relayed.reply_to,
         forward_id: relayed.relay_id,
     };
+    let mut exchanges = gateway.exchanges.values();
+    if exchanges.any(|exchange| exchange.requester == requester) {
+        // The message has arrived twice.
+        return;
+    }
     let request = &relayed.request;
     // In another version of the configuration, the front may gather from other services.
     let is_same_version = relayed.version == gateway.catalog.version;
@@ -276,6 +283,7 @@
         address: relayed.reply_to,
         message: Message::RelayTaken {
             relay_id: relayed.relay_id,
+            answered_by: Some(gateway.settings.peers),
         },
     });
     run_locally(gateway, now, key, out);
@@ -299,22 +307,30 @@
 /// Tells the relay that the answer to a query is no longer needed.
 pub(crate) fn send_cancel(
     gateway: &Gateway,
-    key: ExchangeKey,
+    exchange: &Exchange,
     relay: &Relay,
     out: &mut Vec<Effect>,
 ) {
+    let Some(relay_id) = exchange.relay_number else {
+        return;
+    };
     out.push(Effect::Send {
         address: relay.address,
         message: Message::RelayCancel {
             reply_to: gateway.settings.peers,
-            relay_id: relay_id(key),
+            relay_id,
         },
     });
 }
 
 /// Returns the message that answers a relayed query. `is_unsent` states that no target can have
 /// received it.
-pub(crate) fn answer_message(relay_id: u64, response: HttpResponse, is_unsent: bool) -> Message {
+pub(crate) fn answer_message(
+    gateway: &Gateway,
+    relay_id: u64,
+    response: HttpResponse,
+    is_unsent: bool,
+) -> Message {
     let (answer, is_unexecuted) = match response {
         HttpResponse::Merged {
             proofs,
@@ -333,6 +349,7 @@
     };
     Message::RelayAnswer {
         relay_id,
+        answered_by: Some(gateway.settings.peers),
         is_unsent: is_unsent && answer.is_none(),
         answer,
         is_unexecuted,
@@ -357,11 +374,13 @@
         return;
     };
     if !is_unsent {
+        let exchange = &gateway.exchanges[key];
+        send_cancel(gateway, exchange, &relay, out);
+        let exchange = &mut gateway.exchanges[key];
         exchange.evidence.lost_count += 1;
         for part in &mut exchange.parts {
             part.sent_count = relay.attempts_count;
         }
-        send_cancel(gateway, key, &relay, out);
     }
     run_locally(gateway, now, key, out);
 }
@@ -400,11 +419,3 @@
         .with("reason", reason);
     out.push(Effect::Log(line));
 }
-
-fn relay_id(key: ExchangeKey) -> u64 {
-    key.data().as_ffi()
-}
-
-fn exchange_key(relay_id: u64) -> ExchangeKey {
-    ExchangeKey::from(KeyData::from_ffi(relay_id))
-}
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -163,6 +163,7 @@
     let exchange = Exchange {
         requester: new.requester,
         relay: None,
+        relay_number: None,
         request: request.clone(),
         fingerprint: fingerprint(request),
         front: front_key,
--- a/crates/gateway/src/respond.rs
+++ b/crates/gateway/src/respond.rs
@@ -46,7 +46,7 @@
         .with("reason", variant_name(&reason).as_str());
     out.push(Effect::Log(line));
     let response = outcome_response(gateway, Outcome::NotRun(reason));
-    send_response(Requester::Caller(caller), response, true, out);
+    send_response(gateway, Requester::Caller(caller), response, true, out);
 }
 
 /// Refuses a query that another instance relayed to this one, before any attempt.
@@ -63,7 +63,7 @@
         .with("reason", variant_name(&reason).as_str());
     out.push(Effect::Log(line));
     let response = outcome_response(gateway, Outcome::NotRun(reason));
-    send_response(requester, response, true, out);
+    send_response(gateway, requester, response, true, out);
 }
 
 /// Ends an exchange by passing a target's reply on to the requester.
@@ -78,7 +78,7 @@
         return;
     };
     record_end(gateway, now, &exchange, "passed", 0, out);
-    respond(&exchange, HttpResponse::Proxied(reply), out);
+    respond(gateway, &exchange, HttpResponse::Proxied(reply), out);
 }
 
 /// Ends an exchange if it should be answered now; returns whether it has ended.
@@ -137,7 +137,7 @@
     };
     let missing_count = exchange.parts.len() as u32 - exchange.answered_count;
     record_end(gateway, now, &exchange, end, missing_count, out);
-    respond(&exchange, response, out);
+    respond(gateway, &exchange, response, out);
 }
 
 /// Ends every exchange with the parts that have arrived so far, or else with an error.
@@ -155,6 +155,9 @@
     key: ExchangeKey,
 ) -> Option<Exchange> {
     let mut exchange = gateway.exchanges.remove(key)?;
+    if let Some(number) = exchange.relay_number {
+        pending::remove(&mut gateway.relays, number);
+    }
     for part in &exchange.parts {
         abandon_attempts(gateway, now, &part.in_flight);
         let in_flight_count = u32::try_from(part.in_flight.len()).unwrap_or(u32::MAX);
@@ -238,12 +241,19 @@
 }
 
 /// Sends the response of an exchange that has ended.
-pub(crate) fn respond(exchange: &Exchange, response: HttpResponse, out: &mut Vec<Effect>) {
-    send_response(exchange.requester, response, is_unsent(exchange), out);
+pub(crate) fn respond(
+    gateway: &Gateway,
+    exchange: &Exchange,
+    response: HttpResponse,
+    out: &mut Vec<Effect>,
+) {
+    let is_unsent = is_unsent(exchange);
+    send_response(gateway, exchange.requester, response, is_unsent, out);
 }
 
 /// Sends a response to the caller or to the peer that relayed the query.
 fn send_response(
+    gateway: &Gateway,
     requester: Requester,
     response: HttpResponse,
     is_unsent: bool,
@@ -258,7 +268,7 @@
             address,
             forward_id,
         } => {
-            let message = relay::answer_message(forward_id, response, is_unsent);
+            let message = relay::answer_message(gateway, forward_id, response, is_unsent);
             out.push(Effect::Send { address, message });
         }
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -13,6 +13,7 @@
     AttemptKey, ExchangeKey, FrontKey, HttpRequest, ProxiedReply, Requester, ServiceKey, TargetKey,
 };
 use once::Evidence;
+use pending::{Requests, Table};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
@@ -35,6 +36,8 @@
     pub sync: SyncState,
     /// Requests that have not been answered yet.
     pub exchanges: SlotMap<ExchangeKey, Exchange>,
+    /// Queries relayed to larger instances, until their exchange ends.
+    pub relays: Requests<ExchangeKey>,
     /// Requests to targets that are in flight, including abandoned ones.
     pub attempts: SlotMap<AttemptKey, Attempt>,
     /// Dropped attempts without a reply, oldest first, in case their target turns out to have ended.
@@ -105,6 +108,9 @@
     pub requester: Requester,
     /// The larger instance that runs the query on behalf of this one, if any.
     pub relay: Option<Relay>,
+    /// Number of the relayed query in [`Gateway::relays`]. It stays when the query is taken back,
+    /// because an answer of the relay that is on its way can still be passed on.
+    pub relay_number: Option<u64>,
     /// The request.
     #[serde(skip)]
     pub request: Arc<HttpRequest>,
@@ -254,6 +260,7 @@
         catalog: Catalog::default(),
         sync: catalog::new_sync_state(),
         exchanges: SlotMap::with_key(),
+        relays: pending::new_requests(seed, Table::Relays),
         attempts: SlotMap::with_key(),
         unresolved: VecDeque::new(),
         health: SecondaryMap::new(),
--- a/crates/gateway/src/tests/fixture.rs
+++ b/crates/gateway/src/tests/fixture.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use model::{
     AttemptCall, AttemptKey, AttemptReply, CallFailure, CallerKey, Configuration, Destination,
-    Effect, FrontEntry, HttpRequest, HttpResponse, Message, Registration, ReplyStatus,
+    Effect, ExchangeKey, FrontEntry, HttpRequest, HttpResponse, Message, Registration, ReplyStatus,
     ServiceEntry, SlotLoad, StoreRecord, TargetReport, Timer,
 };
 use slotmap::SlotMap;
@@ -84,6 +84,11 @@
     pub is_gathering: bool,
 }
 
+/// Returns the exchange that waits for the reply to a relayed query.
+pub(crate) fn relayed_exchange(gateway: &Gateway, number: u64) -> Option<ExchangeKey> {
+    pending::accept(&gateway.relays, None, number).copied()
+}
+
 /// Returns a front that gathers from a number of services with two targets each.
 pub(crate) fn gathering_front(services_count: usize) -> FrontSpec {
     FrontSpec {
--- a/crates/gateway/src/tests/relay.rs
+++ b/crates/gateway/src/tests/relay.rs
@@ -8,7 +8,7 @@
 };
 use rstest::rstest;
 
-use super::fixture::{CallResult, gathering_front, record, simulation};
+use super::fixture::{CallResult, gathering_front, record, relayed_exchange, simulation};
 use crate::{
     RelayAnswer, on_relay_accepted, on_relay_answer, on_relay_cancel, on_relay_request,
     on_relay_unreachable,
@@ -70,8 +70,8 @@
             .goal
             .is_some_and(|goal| goal < Duration::from_millis(86))
     );
-    let id = relayed.relay_id;
-    on_relay_accepted(&mut sim.gateway, id, &mut Vec::new());
+    let key = relayed_exchange(&sim.gateway, relayed.relay_id).expect("the query waits");
+    on_relay_accepted(&mut sim.gateway, key, &mut Vec::new());
     sim.advance(40);
     assert!(sim.attempts.is_empty());
     let mut out = Vec::new();
@@ -81,7 +81,7 @@
         is_unsent: false,
         is_unexecuted: false,
     };
-    on_relay_answer(&mut sim.gateway, sim.now, id, &answer, &mut out);
+    on_relay_answer(&mut sim.gateway, sim.now, key, &answer, &mut out);
     sim.apply_effects(out);
     let (_, response) = sim.response(caller).expect("no response");
     assert!(matches!(
@@ -135,9 +135,9 @@
     let [Message::Relay(relayed)] = &sim.peer_messages[..] else {
         panic!("expected one relay message, got {:?}", sim.peer_messages);
     };
-    let id = relayed.relay_id;
+    let key = relayed_exchange(&sim.gateway, relayed.relay_id).expect("the query waits");
     let mut out = Vec::new();
-    on_relay_answer(&mut sim.gateway, sim.now, id, &no_answer(true), &mut out);
+    on_relay_answer(&mut sim.gateway, sim.now, key, &no_answer(true), &mut out);
     sim.apply_effects(out);
     sim.advance(6);
     assert_eq!(sim.attempts.len(), 30);
@@ -170,13 +170,13 @@
     let [Message::Relay(relayed)] = &sim.peer_messages[..] else {
         panic!("expected one relay message, got {:?}", sim.peer_messages);
     };
-    let id = relayed.relay_id;
-    on_relay_accepted(&mut sim.gateway, id, &mut Vec::new());
+    let key = relayed_exchange(&sim.gateway, relayed.relay_id).expect("the query waits");
+    on_relay_accepted(&mut sim.gateway, key, &mut Vec::new());
     sim.advance(50);
     let mut out = Vec::new();
     match failure {
         RelayFailure::NoAnswer => {
-            on_relay_answer(&mut sim.gateway, sim.now, id, &no_answer(false), &mut out)
+            on_relay_answer(&mut sim.gateway, sim.now, key, &no_answer(false), &mut out)
         }
         RelayFailure::Unreachable => {
             on_relay_unreachable(&mut sim.gateway, sim.now, relay_address(), &mut out)
@@ -237,7 +237,7 @@
     sim.apply_effects(out);
     assert!(matches!(
         sim.peer_messages[0],
-        Message::RelayTaken { relay_id: 5 }
+        Message::RelayTaken { relay_id: 5, .. }
     ));
     sim.advance(6);
     assert!(matches!(
@@ -268,12 +268,44 @@
             relay_id: 5,
             answer: None,
             is_unsent: true,
-            is_unexecuted: true
+            is_unexecuted: true,
+            ..
         }]
     ));
     assert!(sim.attempts.is_empty());
 }
 
+#[test]
+fn relay_runs_a_query_whose_message_arrives_twice_once() {
+    let mut sim = simulation(&gathering_front(30), |_, _| {
+        (5, CallResult::Done(record(1)))
+    });
+    let mut out = Vec::new();
+    for _ in 0..2 {
+        let request = relayed_request(1);
+        on_relay_request(&mut sim.gateway, sim.now, &request, None, &mut out);
+    }
+    sim.apply_effects(out);
+    assert_eq!(sim.attempts.len(), 30);
+    assert_eq!(sim.peer_messages.len(), 1);
+}
+
+#[test]
+fn a_query_that_has_ended_waits_for_no_reply() {
+    let mut sim = simulation(&gathering_front(30), |_, _| {
+        (5, CallResult::Done(record(1)))
+    });
+    sim.gateway.relay_candidates = vec![relay_address()];
+    let caller = sim.send_request();
+    let [Message::Relay(relayed)] = &sim.peer_messages[..] else {
+        panic!("expected one relay message, got {:?}", sim.peer_messages);
+    };
+    let number = relayed.relay_id;
+    assert!(relayed_exchange(&sim.gateway, number).is_some());
+    sim.disconnect(caller);
+    assert!(relayed_exchange(&sim.gateway, number).is_none());
+}
+
 #[test]
 fn cancelled_query_ends_at_the_relay() {
     let mut sim = simulation(&gathering_front(30), |_, _| (0, CallResult::NoReply));
--- a/crates/gateway/src/tests/relay_allowance.rs
+++ b/crates/gateway/src/tests/relay_allowance.rs
@@ -17,7 +17,7 @@
 use rstest::rstest;
 use slotmap::SlotMap;
 
-use super::fixture::{FrontSpec, gathering_front, record, records, settings};
+use super::fixture::{FrontSpec, gathering_front, record, records, relayed_exchange, settings};
 use crate::{
     Gateway, RelayAnswer, new_state, on_attempt_failure, on_attempt_reply, on_exchange_timer,
     on_relay_accepted, on_relay_answer, on_relay_cancel, on_relay_granted, on_relay_request,
@@ -240,7 +240,11 @@
     let gateway = &mut fleet.gateways[index];
     match message {
         Message::Relay(relayed) => on_relay_request(gateway, now, relayed, None, out),
-        Message::RelayTaken { relay_id } => on_relay_accepted(gateway, *relay_id, out),
+        Message::RelayTaken { relay_id, .. } => {
+            if let Some(key) = relayed_exchange(gateway, *relay_id) {
+                on_relay_accepted(gateway, key, out);
+            }
+        }
         Message::RelayGranted { reply_to, relay_id } => {
             on_relay_granted(gateway, now, *reply_to, *relay_id, out);
         }
@@ -252,13 +256,16 @@
             answer,
             is_unsent,
             is_unexecuted,
+            ..
         } => {
             let answer = RelayAnswer {
                 merged: answer.as_ref(),
                 is_unsent: *is_unsent,
                 is_unexecuted: *is_unexecuted,
             };
-            on_relay_answer(gateway, now, *relay_id, &answer, out);
+            if let Some(key) = relayed_exchange(gateway, *relay_id) {
+                on_relay_answer(gateway, now, key, &answer, out);
+            }
         }
         _ => {}
     }
--- a/crates/model/src/message.rs
+++ b/crates/model/src/message.rs
@@ -111,7 +111,7 @@
 pub struct Digest {
     /// The sender.
     pub from: MemberRow,
-    /// Correlates a reply with its digest; also the sending time, for measuring the round trip.
+    /// Number by which a reply is matched with its digest; 0 if no reply is wanted.
     pub sequence: u64,
     /// Whether the receiver should reply with a digest of its own.
     pub wants_reply: bool,
@@ -131,7 +131,7 @@
 pub struct ForwardedRequest {
     /// Peer address of the sender, to which the answer is sent.
     pub reply_to: SocketAddr,
-    /// Correlation number, chosen by the sender.
+    /// Number that the answer repeats.
     pub forward_id: u64,
     /// Request identifier, as the caller sent it.
     pub request_id: String,
@@ -156,7 +156,7 @@
 pub struct RelayedRequest {
     /// Peer address of the sender, to which the answer is sent.
     pub reply_to: SocketAddr,
-    /// Correlation number, chosen by the sender.
+    /// Number that the answer repeats.
     pub relay_id: u64,
     /// Version of the configuration by which the sender selected the front.
     pub version: u64,
@@ -219,8 +219,10 @@
     Forward(ForwardedRequest),
     /// The owner's answer to a forwarded request.
     ForwardAnswer {
-        /// Correlation number of the forwarded request.
+        /// Number of the forwarded request.
         forward_id: u64,
+        /// Peer address of the sender; `None` from a sender of an earlier version.
+        answered_by: Option<SocketAddr>,
         /// The answer.
         answer: Box<Answer>,
     },
@@ -228,27 +230,31 @@
     Relay(RelayedRequest),
     /// The larger instance has started the relayed query.
     RelayTaken {
-        /// Correlation number of the relayed query.
+        /// Number of the relayed query.
         relay_id: u64,
+        /// Peer address of the sender; `None` from a sender of an earlier version.
+        answered_by: Option<SocketAddr>,
     },
     /// Hands over the rest of a relayed query's attempts: the sender will run no part itself.
     RelayGranted {
         /// Peer address of the instance that relayed the query.
         reply_to: SocketAddr,
-        /// Correlation number of the relayed query.
+        /// Number of the relayed query.
         relay_id: u64,
     },
     /// Cancels a relayed query that is no longer needed.
     RelayCancel {
         /// Peer address of the instance that relayed the query.
         reply_to: SocketAddr,
-        /// Correlation number of the relayed query.
+        /// Number of the relayed query.
         relay_id: u64,
     },
     /// The larger instance's answer to a relayed query.
     RelayAnswer {
-        /// Correlation number of the relayed query.
+        /// Number of the relayed query.
         relay_id: u64,
+        /// Peer address of the sender; `None` from a sender of an earlier version.
+        answered_by: Option<SocketAddr>,
         /// The answer; `None` if the query was not run or failed.
         answer: Option<MergedAnswer>,
         /// Whether no target can have received any call of the query.
--- a/crates/model/src/request.rs
+++ b/crates/model/src/request.rs
@@ -16,7 +16,7 @@
     Peer {
         /// Its peer address.
         address: SocketAddr,
-        /// Correlation number that it chose for the request.
+        /// Number that the answer repeats; unique over all processes at the address.
         forward_id: u64,
     },
 }
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -30,5 +30,5 @@
     quarantine_update, quarantine_updates, record_execution, strikes_count, struck_services_count,
 };
 pub use redeem::{TicketDecision, add_waiter, issue, redeem};
-pub use state::{OnceState, TicketEntry, TicketState, Waiter, new_state};
+pub use state::{Forward, OnceState, TicketEntry, TicketState, Waiter, new_state, remove_waiter};
 pub use ticket::{MacKey, Owner, Ticket};
--- a/crates/once/src/state.rs
+++ b/crates/once/src/state.rs
@@ -3,7 +3,8 @@
 use std::{collections::BTreeMap, net::SocketAddr, time::Instant};
 
 use model::{Answer, CallKey, Requester, WaitKey};
-use rand::{Rng, SeedableRng};
+use pending::{Requests, Table};
+use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 use slotmap::SlotMap;
@@ -19,10 +20,8 @@
     /// Key that authenticates this process's tickets; a new one at every start.
     #[serde(skip)]
     pub mac_key: MacKey,
-    /// Random offset added to wait keys to form the correlation numbers of forwarded requests, so
-    /// that an answer meant for an earlier process at the same address matches no waiting request.
-    #[serde(skip)]
-    pub correlation_base: u64,
+    /// Requests forwarded to the owners of their tickets.
+    pub forwards: Requests<WaitKey>,
     /// When the first ticket was issued; `None` before that.
     #[serde(skip)]
     pub epoch: Option<Instant>,
@@ -94,9 +93,27 @@
     pub requester: Requester,
     /// Request identifier that the answer repeats.
     pub request_id: String,
-    /// Peer address of the owner that the request was forwarded to; `None` if this instance is the
-    /// owner.
-    pub forwarded_to: Option<SocketAddr>,
+    /// The forwarded request; `None` if this instance is the owner of the ticket.
+    pub forward: Option<Forward>,
+}
+
+/// A request forwarded to the owner of its ticket.
+#[derive(Clone, Copy, Debug)]
+#[derive(Serialize)]
+pub struct Forward {
+    /// Peer address of the owner.
+    pub owner: SocketAddr,
+    /// Number in [`OnceState::forwards`].
+    pub number: u64,
+}
+
+/// Removes a requester that waits for the outcome of a ticket.
+pub fn remove_waiter(once: &mut OnceState, key: WaitKey) -> Option<Waiter> {
+    let waiter = once.waiters.remove(key)?;
+    if let Some(forward) = &waiter.forward {
+        pending::remove(&mut once.forwards, forward.number);
+    }
+    Some(waiter)
 }
 
 /// Returns the initial state of an instance.
@@ -107,7 +124,7 @@
     OnceState {
         owner,
         mac_key: generate_mac_key(&mut rng),
-        correlation_base: rng.next_u64(),
+        forwards: pending::new_requests(seed, Table::Forwards),
         epoch: None,
         next_serial: 0,
         forgotten_below: 0,
--- a/crates/tier/src/completion.rs
+++ b/crates/tier/src/completion.rs
@@ -1,6 +1,6 @@
 //! Completion of queries: answers are sent and queued queries are started.
 
-use std::time::Instant;
+use std::{net::SocketAddr, time::Instant};
 
 use admit::Dequeued;
 use model::{Answer, Counter, Effect, Message, NotRunReason, Requester};
@@ -34,11 +34,19 @@
 /// Answers a query and, if it has a ticket, every waiting resend of it.
 pub(crate) fn answer_query(state: &mut State, finished: FinishedQuery, out: &mut Vec<Effect>) {
     ticket::store_query_outcome(state, &finished, out);
-    send_answer(finished.requester, finished.answer, out);
+    let own_address = state.settings.listen.peers;
+    send_answer(own_address, finished.requester, finished.answer, out);
 }
 
 /// Sends an answer to the caller or to the instance that forwarded the request.
-pub(crate) fn send_answer(requester: Requester, answer: Answer, out: &mut Vec<Effect>) {
+///
+/// `answered_by` is the peer address of this instance.
+pub(crate) fn send_answer(
+    answered_by: SocketAddr,
+    requester: Requester,
+    answer: Answer,
+    out: &mut Vec<Effect>,
+) {
     let answer = Box::new(answer);
     match requester {
         Requester::Caller(caller) => out.push(Effect::Answer { caller, answer }),
@@ -46,7 +54,11 @@
             address,
             forward_id,
         } => {
-            let message = Message::ForwardAnswer { forward_id, answer };
+            let message = Message::ForwardAnswer {
+                forward_id,
+                answered_by: Some(answered_by),
+                answer,
+            };
             out.push(Effect::Send { address, message });
         }
     }
--- a/crates/tier/src/forward.rs
+++ b/crates/tier/src/forward.rs
@@ -9,7 +9,7 @@
     Answer, Effect, ExecutionKind, ForwardedRequest, Message, Outcome, RequestView, Requester,
     UnknownReason, WaitKey,
 };
-use slotmap::{Key, KeyData};
+use once::Forward;
 
 use crate::{State, completion, request, ticket};
 
@@ -33,18 +33,21 @@
         // are forwarded only to known members.
         let outcome = Outcome::Unknown(UnknownReason::OwnerGone);
         completion::send_answer(
+            state.settings.listen.peers,
             requester,
             ticket::answer_without_results(request.request_id, outcome),
             out,
         );
         return;
     }
-    let wait = ticket::register_wait(state, requester, request, Some(owner), out);
+    let wait = ticket::register_wait(state, requester, request, out);
+    let number = pending::register(&mut state.once.forwards, owner, wait);
+    state.once.waiters[wait].forward = Some(Forward { owner, number });
     let settings = &state.settings.query;
     let timeout = request.timeout.min(settings.timeout_max);
     let message = Message::Forward(ForwardedRequest {
         reply_to: state.settings.listen.peers,
-        forward_id: forward_id(state, wait),
+        forward_id: number,
         request_id: request.request_id.to_owned(),
         front: request.front.to_owned(),
         service: request.service.map(str::to_owned),
@@ -84,48 +87,27 @@
     request::on_request(state, now, requester, &request, out);
 }
 
-/// Passes the owner's answer to the requester, unless the wait has already ended.
-pub(crate) fn on_answer(
-    state: &mut State,
-    forward_id: u64,
-    answer: &Answer,
-    out: &mut Vec<Effect>,
-) {
-    let key = wait_key(state, forward_id);
-    let is_forwarded = |waiter: &once::Waiter| waiter.forwarded_to.is_some();
-    if !state.once.waiters.get(key).is_some_and(is_forwarded) {
-        completion::count_stale_reply(out);
-        return;
-    }
-    let Some(waiter) = state.once.waiters.remove(key) else {
+/// Passes the owner's answer to the requester that waits for it.
+pub(crate) fn on_answer(state: &mut State, wait: WaitKey, answer: &Answer, out: &mut Vec<Effect>) {
+    let Some(waiter) = once::remove_waiter(&mut state.once, wait) else {
         return;
     };
     let answer = Answer {
         request_id: waiter.request_id,
         ..answer.clone()
     };
-    completion::send_answer(waiter.requester, answer, out);
+    completion::send_answer(state.settings.listen.peers, waiter.requester, answer, out);
 }
 
 /// Ends every wait for an owner that cannot be reached.
 pub(crate) fn on_owner_unreachable(state: &mut State, owner: SocketAddr, out: &mut Vec<Effect>) {
     let waiters = &state.once.waiters;
-    let lost = waiters
-        .iter()
-        .filter(|(_, waiter)| waiter.forwarded_to == Some(owner));
+    let lost = waiters.iter().filter(|(_, waiter)| {
+        let forward = waiter.forward.as_ref();
+        forward.is_some_and(|forward| forward.owner == owner)
+    });
     let lost: Vec<WaitKey> = lost.map(|(key, _)| key).collect();
     for key in lost {
         ticket::end_wait(state, key, out);
     }
 }
-
-fn forward_id(state: &State, wait: WaitKey) -> u64 {
-    state
-        .once
-        .correlation_base
-        .wrapping_add(wait.data().as_ffi())
-}
-
-fn wait_key(state: &State, forward_id: u64) -> WaitKey {
-    KeyData::from_ffi(forward_id.wrapping_sub(state.once.correlation_base)).into()
-}
--- a/crates/tier/src/peer.rs
+++ b/crates/tier/src/peer.rs
@@ -2,9 +2,10 @@
 
 use std::{net::SocketAddr, time::Instant};
 
-use model::{Effect, Message};
+use model::{Effect, Level, LogLine, Message};
+use pending::Requests;
 
-use crate::{State, forward, gateway, observations, platform};
+use crate::{State, completion, forward, gateway, observations, platform};
 
 /// Handles one message.
 pub(crate) fn on_message(
@@ -40,8 +41,14 @@
             }
         }
         Message::Forward(forwarded) => forward::on_forwarded_request(state, now, forwarded, out),
-        Message::ForwardAnswer { forward_id, answer } => {
-            forward::on_answer(state, *forward_id, answer, out);
+        Message::ForwardAnswer {
+            forward_id,
+            answered_by,
+            answer,
+        } => {
+            if let Some(wait) = accept(&state.once.forwards, *answered_by, *forward_id, out) {
+                forward::on_answer(state, wait, answer, out);
+            }
         }
         Message::Relay(request) => gateway::on_relay_request(state, now, request, out),
         Message::RelayTaken { .. }
@@ -53,12 +60,36 @@
     }
 }
 
+/// Returns what waits for a reply. A late, doubled or foreign reply is counted and logged.
+fn accept<T: Copy>(
+    requests: &Requests<T>,
+    answered_by: Option<SocketAddr>,
+    number: u64,
+    out: &mut Vec<Effect>,
+) -> Option<T> {
+    let waiting = pending::accept(requests, answered_by, number).copied();
+    if waiting.is_none() {
+        completion::count_stale_reply(out);
+        let sender = answered_by.map_or_else(String::new, |address| address.to_string());
+        let line = LogLine::new(Level::Debug, "reply-unmatched").with("instance", sender.as_str());
+        out.push(Effect::Log(line.with("number", number)));
+    }
+    waiting
+}
+
 fn on_relay_message(state: &mut State, now: Instant, message: &Message, out: &mut Vec<Effect>) {
     let Some(gateway) = &mut state.gateway else {
         return;
     };
     match message {
-        Message::RelayTaken { relay_id } => ::gateway::on_relay_accepted(gateway, *relay_id, out),
+        Message::RelayTaken {
+            relay_id,
+            answered_by,
+        } => {
+            if let Some(key) = accept(&gateway.relays, *answered_by, *relay_id, out) {
+                ::gateway::on_relay_accepted(gateway, key, out);
+            }
+        }
         Message::RelayGranted { reply_to, relay_id } => {
             ::gateway::on_relay_granted(gateway, now, *reply_to, *relay_id, out);
         }
@@ -67,6 +98,7 @@
         }
         Message::RelayAnswer {
             relay_id,
+            answered_by,
             answer,
             is_unsent,
             is_unexecuted,
@@ -76,7 +108,9 @@
                 is_unsent: *is_unsent,
                 is_unexecuted: *is_unexecuted,
             };
-            ::gateway::on_relay_answer(gateway, now, *relay_id, &answer, out);
+            if let Some(key) = accept(&gateway.relays, *answered_by, *relay_id, out) {
+                ::gateway::on_relay_answer(gateway, now, key, &answer, out);
+            }
         }
         _ => {}
     }
--- a/crates/tier/src/state.rs
+++ b/crates/tier/src/state.rs
@@ -66,7 +66,7 @@
         last_activity_at: None,
         targets_probed_at: None,
         can_call_targets: false,
-        fleet: fleet::new_state(&settings, incarnation),
+        fleet: fleet::new_state(&settings, incarnation, seed),
         routes: Routes {
             settings: route_settings(&settings),
             ..Routes::default()
--- a/crates/tier/src/tests.rs
+++ b/crates/tier/src/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the whole reducer.
 
+mod answers_across_restarts;
 mod configuration_series;
 mod crashing_request;
 mod exhaustive_schedules;
--- a/crates/tier/src/tests/extreme_messages.rs
+++ b/crates/tier/src/tests/extreme_messages.rs
@@ -164,7 +164,12 @@
             body: Bytes::from_static(b"{}"),
         }),
         relayed().prop_map(Message::Relay),
-        number().prop_map(|relay_id| Message::RelayTaken { relay_id }),
+        (number(), option::of(address())).prop_map(|(relay_id, answered_by)| {
+            Message::RelayTaken {
+                relay_id,
+                answered_by,
+            }
+        }),
         (address(), number())
             .prop_map(|(reply_to, relay_id)| Message::RelayGranted { reply_to, relay_id }),
         (address(), number())
@@ -172,6 +177,7 @@
         (number(), option::of(answer), any::<bool>(), any::<bool>()).prop_map(
             |(relay_id, answer, is_unsent, is_unexecuted)| Message::RelayAnswer {
                 relay_id,
+                answered_by: None,
                 answer,
                 is_unsent,
                 is_unexecuted,
--- a/crates/tier/src/tests/fixture.rs
+++ b/crates/tier/src/tests/fixture.rs
@@ -3,8 +3,9 @@
 use std::time::{Duration, Instant};
 
 use model::{
-    CallKey, CallerKey, Effect, Event, ExecutionKind, LoadReport, Priority, ReplyStatus, ReplyView,
-    RequestView, TargetCall, TargetPhase,
+    CallKey, CallerKey, Digest, Effect, Event, ExecutionKind, InstanceId, LoadReport, MemberRow,
+    MemberState, Message, Observations, Priority, ReplyStatus, ReplyView, RequestView, TargetCall,
+    TargetPhase,
 };
 use settings::Settings;
 use slotmap::KeyData;
@@ -153,3 +154,26 @@
     })
     .to_string()
 }
+
+/// Returns a digest of a live instance that carries nothing else.
+pub(crate) fn digest_of(zone: &str, name: &str, capacity_millicores: u32) -> Message {
+    Message::Digest(Digest {
+        from: MemberRow {
+            id: InstanceId {
+                name: name.to_owned(),
+                incarnation: 1,
+            },
+            address: ([10, 0, 9, 1], 9_000).into(),
+            zone: zone.to_owned(),
+            capacity_millicores,
+            counter: 0,
+            state: MemberState::Alive,
+        },
+        sequence: 0,
+        wants_reply: false,
+        revision: 0,
+        freshness_age: Duration::ZERO,
+        members: Vec::new(),
+        observations: Observations::default(),
+    })
+}
--- a/crates/tier/src/tests/freshness.rs
+++ b/crates/tier/src/tests/freshness.rs
@@ -1,11 +1,18 @@
 //! Confinement of calls to zones once the configuration may be stale.
 
-use std::time::Duration;
+use std::{
+    borrow::Cow,
+    time::{Duration, Instant},
+};
+
+use model::{Digest, Effect, Event, Message, Timer};
 
 use super::{
+    fixture::{Fixture, digest_of, feed, settings},
     membership::converged_network,
     network::{Network, run_for, send_request},
 };
+use crate::new_state;
 
 /// Index of an instance in the zone `west`, which has no target of its own.
 const WEST: usize = 2;
@@ -93,3 +100,51 @@
         assert!(age >= Duration::from_secs(25), "{age:?}");
     }
 }
+
+/// Guards against a reply to a probe of an earlier process that confirms the configuration of the
+/// current one.
+#[test]
+fn a_reply_to_an_earlier_process_confirms_nothing() {
+    let earlier_number = first_probe_number(&mut instance(1));
+    let mut current = instance(2);
+    let number = first_probe_number(&mut current);
+    for (number, is_confirmed) in [(earlier_number, false), (number, true)] {
+        let message = Cow::Owned(digest_of_peer(number));
+        feed(&mut current, Event::Peer { message });
+        let peer = &current.state.fleet.members["south-1"];
+        assert_eq!(peer.confirmed_at.is_some(), is_confirmed);
+    }
+}
+
+/// Returns an instance that knows one other.
+fn instance(seed: u64) -> Fixture {
+    let mut instance = Fixture {
+        state: new_state(settings(), seed, seed),
+        now: Instant::now(),
+        out: Vec::new(),
+    };
+    let message = Cow::Owned(digest_of_peer(0));
+    feed(&mut instance, Event::Peer { message });
+    instance
+}
+
+/// Lets an instance probe the other one; returns the number of the probe.
+fn first_probe_number(instance: &mut Fixture) -> u64 {
+    feed(instance, Event::Timer(Timer::Tick));
+    let mut effects = instance.out.iter();
+    let number = effects.find_map(|effect| match effect {
+        Effect::Send {
+            message: Message::Digest(digest),
+            ..
+        } if digest.wants_reply => Some(digest.sequence),
+        _ => None,
+    });
+    number.expect("the other instance is probed")
+}
+
+fn digest_of_peer(sequence: u64) -> Message {
+    let Message::Digest(digest) = digest_of("south", "south-1", 0) else {
+        unreachable!("it returns a digest");
+    };
+    Message::Digest(Digest { sequence, ..digest })
+}
--- a/crates/tier/src/tests/gateway.rs
+++ b/crates/tier/src/tests/gateway.rs
@@ -8,15 +8,15 @@
 
 use bytes::Bytes;
 use model::{
-    AttemptCall, AttemptReply, CallFailure, CallerKey, Configuration, Destination, Digest, Effect,
-    Event, FrontEntry, HttpRequest, HttpResponse, InstanceId, MemberRow, MemberState, Message,
-    NotRunReason, Observations, Outcome, QuarantineUpdate, Registration, ReplyStatus, ServiceEntry,
-    StoreArea, StoreFailure, StoreRead, StoreRecord, TargetReport, Timer,
+    AttemptCall, AttemptReply, CallFailure, CallerKey, Configuration, Destination, Effect, Event,
+    FrontEntry, HttpRequest, HttpResponse, Message, NotRunReason, Outcome, QuarantineUpdate,
+    Registration, ReplyStatus, ServiceEntry, StoreArea, StoreFailure, StoreRead, StoreRecord,
+    TargetReport, Timer,
 };
 use rstest::rstest;
 use slotmap::KeyData;
 
-use super::fixture::settings;
+use super::fixture::{digest_of, settings};
 use crate::{State, is_draining_callers, is_ready, new_state, reduce, revision};
 
 /// Time from the start of the shutdown until the process is killed.
@@ -363,28 +363,6 @@
     digest_of(&settings().instance.zone, name, capacity_millicores)
 }
 
-fn digest_of(zone: &str, name: &str, capacity_millicores: u32) -> Message {
-    Message::Digest(Digest {
-        from: MemberRow {
-            id: InstanceId {
-                name: name.to_owned(),
-                incarnation: 1,
-            },
-            address: ([10, 0, 9, 1], 9_000).into(),
-            zone: zone.to_owned(),
-            capacity_millicores,
-            counter: 0,
-            state: MemberState::Alive,
-        },
-        sequence: 0,
-        wants_reply: false,
-        revision: 0,
-        freshness_age: Duration::ZERO,
-        members: Vec::new(),
-        observations: Observations::default(),
-    })
-}
-
 /// Returns a watch answer that adds a sixth target.
 fn watch_answer(is_behind: bool) -> Event<'static> {
     Event::StoreAnswered {
--- a/crates/tier/src/tests/gateway_fleet.rs
+++ b/crates/tier/src/tests/gateway_fleet.rs
@@ -106,6 +106,25 @@
     pub(crate) request_id: String,
 }
 
+/// Processor time of the instances.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Layout {
+    /// All instances are alike and share the zones out.
+    Equal,
+    /// All instances are in one zone; those with an even index are large, the others relay to them.
+    Relays,
+}
+
+/// How messages travel between instances.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Link {
+    pub(crate) delay_max: Duration,
+    /// Share of the messages that arrive twice, each copy after its own delay.
+    pub(crate) duplicate_ratio: f64,
+    /// Whether replies state their sender; those of an earlier version do not.
+    pub(crate) states_sender: bool,
+}
+
 enum Scheduled {
     Start,
     Request(CallerKey, HttpRequest),
@@ -115,13 +134,21 @@
     PeerUnreachable(SocketAddr),
     Store(StoreRead, Vec<StoreRecord>, u64),
     Arrive(AttemptCall),
-    Reply(AttemptKey, ReplyStatus, Option<f64>),
+    Reply(AttemptKey, ReplyStatus, TargetAnswer),
     Fail(AttemptKey, CallFailure),
     Crash(usize, u64),
     Lapse(usize, u64),
     Restart(usize),
 }
 
+/// What a target answers.
+#[derive(Clone, Debug, Default)]
+struct TargetAnswer {
+    rate_limit_per_s: Option<f64>,
+    /// `REQUEST/TARGET`, so that an answer shows whose parts it contains.
+    proof: String,
+}
+
 pub(crate) struct Fleet {
     pub(crate) instances: Vec<Instance>,
     pub(crate) targets: Vec<Target>,
@@ -132,6 +159,10 @@
     pub(crate) crashes: Vec<(Instant, usize)>,
     pub(crate) responses: HashMap<CallerKey, HttpResponse>,
     pub(crate) rng: ChaCha8Rng,
+    pub(crate) link: Link,
+    /// Request identifier of each caller's request.
+    pub(crate) request_ids: HashMap<CallerKey, String>,
+    layout: Layout,
     services_count: usize,
     attempts_max_count: u32,
     history: Vec<(u64, StoreRecord)>,
@@ -152,8 +183,13 @@
     pub(crate) attempts_max_count: u32,
 }
 
-/// Returns a fleet whose instances know their configuration and each other.
+/// Returns a fleet of equal instances that know their configuration and each other.
 pub(crate) fn fleet(size: Size, seed: u64) -> Fleet {
+    fleet_with_layout(size, Layout::Equal, seed)
+}
+
+/// Returns a fleet whose instances know their configuration and each other.
+pub(crate) fn fleet_with_layout(size: Size, layout: Layout, seed: u64) -> Fleet {
     let Size {
         instances_count,
         services_count,
@@ -162,7 +198,7 @@
     } = size;
     let now = Instant::now();
     let instances = (0..instances_count).map(|index| Instance {
-        state: instance_state(instances_count, index, 1, seed),
+        state: instance_state(layout, instances_count, index, 1, seed),
         is_up: true,
         partition: 0,
         paused_until: None,
@@ -186,6 +222,13 @@
         crashes: Vec::new(),
         responses: HashMap::new(),
         rng: ChaCha8Rng::seed_from_u64(seed),
+        link: Link {
+            delay_max: PEER_DELAY_MAX,
+            duplicate_ratio: 0.0,
+            states_sender: true,
+        },
+        request_ids: HashMap::new(),
+        layout,
         services_count,
         attempts_max_count,
         history: Vec::new(),
@@ -207,7 +250,7 @@
 pub(crate) fn restart_instance(fleet: &mut Fleet, index: usize) {
     let run = fleet.instances[index].run + 1;
     let seed = fleet.rng.random();
-    let state = instance_state(fleet.instances.len(), index, run, seed);
+    let state = instance_state(fleet.layout, fleet.instances.len(), index, run, seed);
     let instance = &mut fleet.instances[index];
     instance.state = state;
     instance.run = run;
@@ -246,6 +289,8 @@
         timeout: Some(Duration::from_millis(1_200)),
         ..HttpRequest::default()
     };
+    let request_id = request.request_id.clone();
+    fleet.request_ids.insert(caller, request_id);
     let event = Scheduled::Request(caller, request);
     schedule(fleet, Duration::ZERO, index, event);
     caller
@@ -306,11 +351,22 @@
     fleet.now = end;
 }
 
-fn instance_state(instances_count: usize, index: usize, run: u64, seed: u64) -> State {
+fn instance_state(
+    layout: Layout,
+    instances_count: usize,
+    index: usize,
+    run: u64,
+    seed: u64,
+) -> State {
     let mut settings = settings();
-    settings.instance.zone = ZONES[index % ZONES.len()].to_owned();
-    settings.instance.name = format!("{}-{index}", settings.instance.zone);
-    settings.instance.capacity_millicores = 250;
+    let (zone, capacity_millicores) = match layout {
+        Layout::Equal => (ZONES[index % ZONES.len()], 250),
+        Layout::Relays if index.is_multiple_of(2) => (ZONES[0], 500),
+        Layout::Relays => (ZONES[0], 120),
+    };
+    settings.instance.zone = zone.to_owned();
+    settings.instance.name = format!("{zone}-{index}");
+    settings.instance.capacity_millicores = capacity_millicores;
     settings.listen.peers = peer_address(index);
     settings.once.strikes_max_count = 3;
     let seeds_count = instances_count.min(SEEDS_MAX_COUNT);
@@ -402,15 +458,15 @@
             };
             step(fleet, index, event);
         }
-        Scheduled::Reply(attempt, status, rate_limit_per_s) => {
+        Scheduled::Reply(attempt, status, answer) => {
             let reply = AttemptReply {
                 status,
                 code: 200,
-                proof: Some("proof"),
+                proof: Some(&answer.proof),
                 headers: Cow::Borrowed(&[]),
                 body: Bytes::new(),
                 report: TargetReport {
-                    rate_limit_per_s,
+                    rate_limit_per_s: answer.rate_limit_per_s,
                     ..TargetReport::default()
                 },
             };
@@ -455,15 +511,30 @@
     }
 }
 
-fn send_message(fleet: &mut Fleet, from: usize, address: SocketAddr, message: Message) {
+fn send_message(fleet: &mut Fleet, from: usize, address: SocketAddr, mut message: Message) {
+    if !fleet.link.states_sender
+        && let Message::RelayTaken { answered_by, .. } | Message::RelayAnswer { answered_by, .. } =
+            &mut message
+    {
+        *answered_by = None;
+    }
     let to = usize::from(address.port() - FIRST_PEER_PORT);
     if !fleet.instances[to].is_up {
         let event = Scheduled::PeerUnreachable(address);
         return schedule(fleet, PEER_DELAY_MAX, from, event);
     }
-    if fleet.instances[to].partition == fleet.instances[from].partition {
-        let delay = PEER_DELAY_MAX.mul_f64(fleet.rng.random_range(0.3..1.0));
-        schedule(fleet, delay, to, Scheduled::Message(message));
+    if fleet.instances[to].partition != fleet.instances[from].partition {
+        return;
+    }
+    let Link {
+        delay_max,
+        duplicate_ratio,
+        ..
+    } = fleet.link;
+    let is_doubled = duplicate_ratio > 0.0 && fleet.rng.random_bool(duplicate_ratio);
+    for _ in 0..1 + usize::from(is_doubled) {
+        let delay = delay_max.mul_f64(fleet.rng.random_range(0.3..1.0));
+        schedule(fleet, delay, to, Scheduled::Message(message.clone()));
     }
 }
 
@@ -482,7 +553,8 @@
         return;
     }
     if *call.target_id != *target_id(target, fleet.targets[target].run) {
-        let event = Scheduled::Reply(attempt, ReplyStatus::Misdirected, None);
+        let answer = TargetAnswer::default();
+        let event = Scheduled::Reply(attempt, ReplyStatus::Misdirected, answer);
         return schedule(fleet, TARGET_DELAY, index, event);
     }
     fleet.arrivals.push(Arrival {
@@ -502,8 +574,11 @@
     let event = match fleet.rng.random_bool(behaviour.lost_ratio) {
         true => Scheduled::Fail(attempt, CallFailure::ConnectionLost),
         false => {
-            let rate_limit_per_s = fleet.targets[target].rate_limit_per_s;
-            Scheduled::Reply(attempt, ReplyStatus::Done, rate_limit_per_s)
+            let answer = TargetAnswer {
+                rate_limit_per_s: fleet.targets[target].rate_limit_per_s,
+                proof: format!("{}/{}", call.request.request_id, call.target_id),
+            };
+            Scheduled::Reply(attempt, ReplyStatus::Done, answer)
         }
     };
     schedule(fleet, behaviour.work + TARGET_DELAY, index, event);
--- a/crates/tier/src/ticket.rs
+++ b/crates/tier/src/ticket.rs
@@ -50,18 +50,21 @@
                 request_id: request_id.to_owned(),
                 ..held.clone()
             };
-            completion::send_answer(requester, answer, out);
+            completion::send_answer(state.settings.listen.peers, requester, answer, out);
         }
         TicketDecision::Running => {
-            let wait = register_wait(state, requester, request, None, out);
+            let wait = register_wait(state, requester, request, out);
             once::add_waiter(&mut state.once, ticket, wait);
         }
         TicketDecision::ForwardTo(owner) => {
             forward::send_to_owner(state, requester, request, ticket, owner, out)
         }
-        TicketDecision::Refuse(outcome) => {
-            completion::send_answer(requester, answer_without_results(request_id, outcome), out)
-        }
+        TicketDecision::Refuse(outcome) => completion::send_answer(
+            state.settings.listen.peers,
+            requester,
+            answer_without_results(request_id, outcome),
+            out,
+        ),
     }
     false
 }
@@ -76,29 +79,29 @@
     let settings = &state.settings.once;
     let waiters = once::store_outcome(&mut state.once, settings, ticket, answer);
     for key in waiters {
-        let Some(waiter) = state.once.waiters.remove(key) else {
+        let Some(waiter) = once::remove_waiter(&mut state.once, key) else {
             continue;
         };
         let answer = Answer {
             request_id: waiter.request_id,
             ..answer.clone()
         };
-        completion::send_answer(waiter.requester, answer, out);
+        completion::send_answer(state.settings.listen.peers, waiter.requester, answer, out);
     }
 }
 
-/// Registers a requester that waits for a ticket's outcome, and sets its deadline timer.
+/// Registers a requester that waits for the outcome of a ticket of this instance, and sets its
+/// deadline timer.
 pub(crate) fn register_wait(
     state: &mut State,
     requester: Requester,
     request: &RequestView<'_>,
-    forwarded_to: Option<std::net::SocketAddr>,
     out: &mut Vec<Effect>,
 ) -> WaitKey {
     let key = state.once.waiters.insert(Waiter {
         requester,
         request_id: request.request_id.to_owned(),
-        forwarded_to,
+        forward: None,
     });
     let query = &state.settings.query;
     let timeout = request.timeout.min(query.timeout_max);
@@ -111,15 +114,15 @@
 
 /// Ends a wait without the outcome: at its deadline, or when the ticket's owner cannot be reached.
 pub(crate) fn end_wait(state: &mut State, key: WaitKey, out: &mut Vec<Effect>) {
-    let Some(waiter) = state.once.waiters.remove(key) else {
+    let Some(waiter) = once::remove_waiter(&mut state.once, key) else {
         return;
     };
-    let reason = match waiter.forwarded_to {
+    let reason = match waiter.forward {
         Some(_) => UnknownReason::OwnerGone,
         None => UnknownReason::InProgress,
     };
     let answer = answer_without_results(&waiter.request_id, Outcome::Unknown(reason));
-    completion::send_answer(waiter.requester, answer, out);
+    completion::send_answer(state.settings.listen.peers, waiter.requester, answer, out);
 }
 
 /// Returns an answer that has an outcome but neither results nor coverage.
--- a/crates/wire/src/decode.rs
+++ b/crates/wire/src/decode.rs
@@ -49,6 +49,7 @@
         frame::Message::Forward(forward) => Message::Forward(decode_forward(forward)?),
         frame::Message::ForwardAnswer(forward) => Message::ForwardAnswer {
             forward_id: forward.forward_id,
+            answered_by: decode_sender(forward.answered_by.as_deref())?,
             answer: Box::new(decode_answer(
                 forward.answer.ok_or(DecodeError::Missing("answer"))?,
             )?),
@@ -61,6 +62,7 @@
             },
             None => Message::RelayTaken {
                 relay_id: taken.relay_id,
+                answered_by: decode_sender(taken.answered_by.as_deref())?,
             },
         },
         frame::Message::RelayCancel(cancel) => Message::RelayCancel {
@@ -69,6 +71,7 @@
         },
         frame::Message::RelayAnswer(answer) => Message::RelayAnswer {
             relay_id: answer.relay_id,
+            answered_by: decode_sender(answer.answered_by.as_deref())?,
             answer: answer.answer.map(|answer| MergedAnswer {
                 proofs: answer.proofs.into_iter().map(Arc::from).collect(),
                 missing_count: answer.missing_count,
@@ -264,6 +267,11 @@
     variant_from_name(text).ok_or(DecodeError::Invalid(field))
 }
 
+fn decode_sender(text: Option<&str>) -> Result<Option<SocketAddr>, DecodeError> {
+    let address = text.map(|text| decode_address(text, "answered_by"));
+    address.transpose()
+}
+
 fn decode_address(text: &str, field: &'static str) -> Result<SocketAddr, DecodeError> {
     text.parse().map_err(|_| DecodeError::Invalid(field))
 }
--- a/crates/wire/src/encode.rs
+++ b/crates/wire/src/encode.rs
@@ -28,21 +28,29 @@
             body: body.clone(),
         }),
         Message::Forward(request) => frame::Message::Forward(encode_forward(request)),
-        Message::ForwardAnswer { forward_id, answer } => {
-            frame::Message::ForwardAnswer(generated::ForwardAnswer {
-                forward_id: *forward_id,
-                answer: Some(encode_answer(answer)),
-            })
-        }
+        Message::ForwardAnswer {
+            forward_id,
+            answered_by,
+            answer,
+        } => frame::Message::ForwardAnswer(generated::ForwardAnswer {
+            forward_id: *forward_id,
+            answered_by: answered_by.map(|address| address.to_string()),
+            answer: Some(encode_answer(answer)),
+        }),
         Message::Relay(relay) => frame::Message::Relay(encode_relay(relay)),
-        Message::RelayTaken { relay_id } => frame::Message::RelayTaken(generated::RelayTaken {
+        Message::RelayTaken {
+            relay_id,
+            answered_by,
+        } => frame::Message::RelayTaken(generated::RelayTaken {
             relay_id: *relay_id,
             granted_by: None,
+            answered_by: answered_by.map(|address| address.to_string()),
         }),
         Message::RelayGranted { reply_to, relay_id } => {
             frame::Message::RelayTaken(generated::RelayTaken {
                 relay_id: *relay_id,
                 granted_by: Some(reply_to.to_string()),
+                answered_by: None,
             })
         }
         Message::RelayCancel { reply_to, relay_id } => {
@@ -53,11 +61,13 @@
         }
         Message::RelayAnswer {
             relay_id,
+            answered_by,
             answer,
             is_unsent,
             is_unexecuted,
         } => frame::Message::RelayAnswer(generated::RelayAnswer {
             relay_id: *relay_id,
+            answered_by: answered_by.map(|address| address.to_string()),
             answer: answer.as_ref().map(|answer| generated::MergedAnswer {
                 proofs: answer
                     .proofs
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -147,6 +147,9 @@
     pub forward_id: u64,
     #[prost(message, optional, tag = "2")]
     pub answer: ::core::option::Option<Answer>,
+    /// Peer address of the sender; absent from an instance of an earlier version.
+    #[prost(string, optional, tag = "3")]
+    pub answered_by: ::core::option::Option<::prost::alloc::string::String>,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Answer {
@@ -232,6 +235,9 @@
     /// Peer address of the sender of the query.
     #[prost(string, optional, tag = "2")]
     pub granted_by: ::core::option::Option<::prost::alloc::string::String>,
+    /// Peer address of the sender of the confirmation; absent from an instance of an earlier version.
+    #[prost(string, optional, tag = "3")]
+    pub answered_by: ::core::option::Option<::prost::alloc::string::String>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct RelayCancel {
@@ -250,6 +256,9 @@
     pub is_unsent: bool,
     #[prost(bool, tag = "4")]
     pub is_unexecuted: bool,
+    /// Peer address of the sender; absent from an instance of an earlier version.
+    #[prost(string, optional, tag = "5")]
+    pub answered_by: ::core::option::Option<::prost::alloc::string::String>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct MergedAnswer {
--- a/crates/wire/src/tests.rs
+++ b/crates/wire/src/tests.rs
@@ -10,6 +10,7 @@
     StoreChanges, StrikeUpdate, UnknownReason,
 };
 use proptest::{collection::vec, option, prelude::*, sample::select, test_runner::RngSeed};
+use prost::Message as _;
 
 use crate::{decode, encode};
 
@@ -51,6 +52,44 @@
     }
 }
 
+/// A confirmation of a relayed query, as an earlier version defines it.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+struct EarlierFrame {
+    #[prost(message, optional, tag = "7")]
+    relay_taken: Option<EarlierRelayTaken>,
+}
+
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+struct EarlierRelayTaken {
+    #[prost(uint64, tag = "1")]
+    relay_id: u64,
+    #[prost(string, optional, tag = "2")]
+    granted_by: Option<String>,
+}
+
+/// Guards against a fleet that loses replies while its instances are replaced by a newer version.
+#[test]
+fn replies_are_read_by_and_from_an_earlier_version() {
+    let earlier = EarlierFrame {
+        relay_taken: Some(EarlierRelayTaken {
+            relay_id: u64::MAX,
+            granted_by: None,
+        }),
+    };
+    let decoded = Message::RelayTaken {
+        relay_id: u64::MAX,
+        answered_by: None,
+    };
+    assert_eq!(decode(&earlier.encode_to_vec()), Ok(decoded));
+    let current = encode(&Message::RelayTaken {
+        relay_id: u64::MAX,
+        answered_by: Some(([10, 0, 0, 1], 7000).into()),
+    });
+    assert_eq!(EarlierFrame::decode(&current[..]), Ok(earlier));
+}
+
 fn any_message() -> impl Strategy<Value = Message> {
     let body = || vec(any::<u8>(), 0..64).prop_map(Bytes::from);
     prop_oneof![
@@ -63,32 +102,41 @@
         }),
         (any::<u64>(), body()).prop_map(|(revision, body)| Message::Note { revision, body }),
         any_forwarded_request().prop_map(Message::Forward),
-        (any::<u64>(), any_answer()).prop_map(|(forward_id, answer)| {
-            Message::ForwardAnswer {
+        (any::<u64>(), option::of(any_address()), any_answer()).prop_map(
+            |(forward_id, answered_by, answer)| Message::ForwardAnswer {
                 forward_id,
+                answered_by,
                 answer: Box::new(answer),
             }
-        }),
+        ),
         any_relayed_request().prop_map(Message::Relay),
-        any::<u64>().prop_map(|relay_id| Message::RelayTaken { relay_id }),
+        (any::<u64>(), option::of(any_address())).prop_map(|(relay_id, answered_by)| {
+            Message::RelayTaken {
+                relay_id,
+                answered_by,
+            }
+        }),
         (any_address(), any::<u64>())
             .prop_map(|(reply_to, relay_id)| Message::RelayGranted { reply_to, relay_id }),
         (any_address(), any::<u64>())
             .prop_map(|(reply_to, relay_id)| Message::RelayCancel { reply_to, relay_id }),
         (
-            any::<u64>(),
+            (any::<u64>(), option::of(any_address())),
             option::of(any_merged_answer()),
             any::<bool>(),
             any::<bool>()
         )
-            .prop_map(|(relay_id, answer, is_unsent, is_unexecuted)| {
-                Message::RelayAnswer {
-                    relay_id,
-                    answer,
-                    is_unsent,
-                    is_unexecuted,
+            .prop_map(
+                |((relay_id, answered_by), answer, is_unsent, is_unexecuted)| {
+                    Message::RelayAnswer {
+                        relay_id,
+                        answered_by,
+                        answer,
+                        is_unsent,
+                        is_unexecuted,
+                    }
                 }
-            }),
+            ),
         any_store_changes().prop_map(Message::StoreChanges),
     ]
 }
--- a/xtask/src/check.rs
+++ b/xtask/src/check.rs
@@ -22,6 +22,8 @@
 
 /// Seed of the soak run that is part of CI.
 const SOAK_SEED: &str = "1";
+/// Options that select the layouts of the soak that is part of CI.
+const SOAK_LAYOUTS: [&[&str]; 2] = [&[], &["--relays"]];
 
 /// Checks formatting, generated code, protocol names and lints, then runs tests and a short soak.
 pub fn ci() -> Result<(), TaskError> {
@@ -46,12 +48,16 @@
         arguments.extend(["--skip", test]);
     }
     run_cargo(&arguments)?;
-    run_soak(&parse_known_failures(&known_failures, FINDING_PREFIX))
+    let known_findings = parse_known_failures(&known_failures, FINDING_PREFIX);
+    for layout_options in SOAK_LAYOUTS {
+        run_soak(layout_options, &known_findings)?;
+    }
+    Ok(())
 }
 
 /// Runs the soak. A run whose findings are all known passes, and the findings are printed.
-fn run_soak(known_findings: &[&str]) -> Result<(), TaskError> {
-    let arguments = [
+fn run_soak(layout_options: &[&str], known_findings: &[&str]) -> Result<(), TaskError> {
+    let mut arguments = vec![
         "run",
         "--locked",
         "--package",
@@ -62,6 +68,7 @@
         "--seconds",
         "6",
     ];
+    arguments.extend(layout_options);
     let command_line = format!("cargo {}", arguments.join(" "));
     println!("== {command_line}");
     let mut command = Command::new("cargo");
--- a/xtask/src/slopes/frames.rs
+++ b/xtask/src/slopes/frames.rs
@@ -125,6 +125,7 @@
         body: Bytes::from_static(REPLY_BODY),
     };
     Message::ForwardAnswer {
+        answered_by: None,
         forward_id: request.forward_id,
         answer: Box::new(Answer {
             request_id: request.request_id,
