Bound durations where they are decoded, and end the process when a vital task panics

Callers of every instance got nothing from the moment at which another writer left a registration with ColdLeftMs in the store, and nothing after it was removed: ports closed, processes alive, SIGTERM without effect.

Cause: the decoder took any number of milliseconds that fits a Duration, which reaches twice as far as an Instant, and the sum with the clock panicked in the reducer. The panic ended the task of the actor only; the rest of the process stayed and sent to nobody.

--- a/crates/balsamd/src/attempts.rs
+++ b/crates/balsamd/src/attempts.rs
@@ -16,6 +16,7 @@
     client::{self, ClientConfig, ClientError, Connection, Relation, Response},
     gateway_messages::AttemptEnded,
     shell::Shell,
+    supervise::{self, OnPanic},
 };
 
 /// Margin by which an idle connection is closed before the target's idle time-out, so that no
@@ -106,6 +107,7 @@
     let sender = queue.clone();
     let task = actix_rt::spawn(async move {
         let address = attempt.call.address;
+        let guard = report_on_panic(&shell, &attempt.call);
         let connection = match client::open(address, config).await {
             Ok(connection) => connection,
             Err(error) => {
@@ -115,6 +117,7 @@
         };
         // From here on only the shell's handle keeps the connection open.
         drop(sender);
+        drop(guard);
         run(shell, connection, receiver, attempt).await;
     });
     ConnectionHandle {
@@ -131,6 +134,7 @@
     mut attempt: OutgoingAttempt,
 ) {
     loop {
+        let guard = report_on_panic(&shell, &attempt.call);
         let (response, returned) = match send_attempt(connection, &attempt).await {
             Ok(sent) => sent,
             Err(error) => return report(&shell, &attempt.call, Err(classify(&error)), false),
@@ -144,6 +148,7 @@
             platform::decode_reply(&response.head, response.body, attempt.call.returns_headers);
         let result = reply.map_err(|_| CallFailure::Truncated);
         report(&shell, &attempt.call, result, is_reusable);
+        drop(guard);
         if !is_reusable {
             return;
         }
@@ -183,6 +188,20 @@
     client::exchange(connection, head, Some(headers), &request.body, relation).await
 }
 
+/// Returns a guard that reports an attempt as lost if the task that holds it panics.
+fn report_on_panic(shell: &Addr<Shell>, call: &AttemptCall) -> OnPanic<impl FnOnce() + use<>> {
+    let shell = shell.clone();
+    let (attempt, target) = (call.attempt, call.target);
+    supervise::on_panic(move || {
+        shell.do_send(AttemptEnded {
+            attempt,
+            target,
+            result: Err(CallFailure::ConnectionLost),
+            is_reusable: false,
+        });
+    })
+}
+
 fn report(
     shell: &Addr<Shell>,
     call: &AttemptCall,
--- a/crates/balsamd/src/calls.rs
+++ b/crates/balsamd/src/calls.rs
@@ -16,7 +16,10 @@
 use slotmap::Key;
 use tokio::task::JoinHandle;
 
-use crate::shell::{CallEnded, ProbeEnded, Shell};
+use crate::{
+    shell::{CallEnded, ProbeEnded, Shell},
+    supervise,
+};
 
 /// Header with the id of a call: `instance:incarnation:number`.
 const CALL_ID_HEADER: &str = "balsam-call-id";
@@ -90,6 +93,13 @@
     let shell = shell.clone();
     let key = call.call;
     actix_rt::spawn(async move {
+        let _guard = supervise::on_panic({
+            let shell = shell.clone();
+            move || {
+                let result = Err(CallFailure::ConnectionLost);
+                shell.do_send(CallEnded { call: key, result });
+            }
+        });
         let result = sending.await;
         shell.do_send(CallEnded { call: key, result });
     })
@@ -142,6 +152,13 @@
         let request = pool.client.get(format!("http://{}/v1/load", pool.address));
         let shell = shell.clone();
         actix_rt::spawn(async move {
+            let _guard = supervise::on_panic({
+                let shell = shell.clone();
+                move || {
+                    let result = Err(CallFailure::ConnectionLost);
+                    shell.do_send(ProbeEnded { target, result });
+                }
+            });
             let result = match request.timeout(PROBE_TIMEOUT).send().await {
                 Ok(mut response) => match response.json::<LoadReport>().await {
                     Ok(report) => Ok(report),
--- a/crates/balsamd/src/effects.rs
+++ b/crates/balsamd/src/effects.rs
@@ -8,7 +8,7 @@
 use crate::{
     attempts, calls, metrics, peers, platform_reads,
     shell::{CallEnded, ReplySender, Shell},
-    store_reads,
+    store_reads, supervise,
 };
 
 /// Time after the close signal in which callers whose connections have been accepted may still
@@ -154,6 +154,7 @@
     let system = System::current();
     let connections = shell.connections.clone();
     actix_rt::spawn(async move {
+        let _guard = supervise::exit_on_panic();
         actix_rt::time::sleep(EXIT_DELAY_MIN).await;
         let rest = EXIT_DELAY_MAX - EXIT_DELAY_MIN;
         // Elapses if connections are idle.
--- a/crates/balsamd/src/http.rs
+++ b/crates/balsamd/src/http.rs
@@ -12,7 +12,7 @@
     sync::watch,
 };
 
-use crate::error::StartError;
+use crate::{error::StartError, supervise};
 
 /// Idle time after which a caller's connection is closed; longer than the time for which callers
 /// keep idle connections, so that callers close first.
@@ -112,6 +112,7 @@
     S: Service<TcpStream> + 'static,
 {
     actix_rt::spawn(async move {
+        let _guard = supervise::exit_on_panic();
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
--- a/crates/balsamd/src/main.rs
+++ b/crates/balsamd/src/main.rs
@@ -6,6 +6,7 @@
 //!
 //! Invariants:
 //! - one actor owns the reducer's state, and no lock or borrow is held across an await;
+//! - a panic ends the process or one connection, call or read, never something in between;
 //! - idle tasks block in the operating system; nothing polls in a loop;
 //! - messages are encoded and decoded (HTTP, JSON, protobuf) in the modules that own the
 //!   connections.
@@ -29,6 +30,7 @@
 mod reports;
 mod shell;
 mod store_reads;
+mod supervise;
 mod timers;
 
 use std::process::ExitCode;
--- a/crates/balsamd/src/peers.rs
+++ b/crates/balsamd/src/peers.rs
@@ -13,10 +13,12 @@
     sync::mpsc::{self, Receiver, Sender, error::TrySendError},
 };
 use tokio_util::codec::{FramedRead, FramedWrite};
+use wire::DecodeError;
 
 use crate::{
     http::ACCEPT_RETRY_DELAY,
-    shell::{PeerMessage, PeerUnreachable, Shell},
+    shell::{InputRefused, PeerMessage, PeerUnreachable, Shell},
+    supervise,
 };
 
 /// Capacity of the send queue of a connection; messages are dropped while it is full.
@@ -39,6 +41,7 @@
 /// Starts the accept loop for connections from other instances.
 pub fn spawn_listener(shell: Addr<Shell>, listener: TcpListener) {
     actix_rt::spawn(async move {
+        let _guard = supervise::exit_on_panic();
         loop {
             let Ok((stream, _)) = listener.accept().await else {
                 actix_rt::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -89,6 +92,10 @@
 
 /// Opens a connection and writes queued frames until it fails or its queue is dropped.
 async fn write_frames(shell: Addr<Shell>, address: SocketAddr, mut receiver: Receiver<Bytes>) {
+    let _guard = supervise::on_panic({
+        let shell = shell.clone();
+        move || shell.do_send(PeerUnreachable(address))
+    });
     let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     // Nagle's algorithm would delay a small message until the previous one is acknowledged.
     let stream = match connecting {
@@ -125,11 +132,19 @@
 async fn read_frames(shell: Addr<Shell>, stream: TcpStream) {
     let mut frames = FramedRead::new(stream, wire::framing());
     while let Some(Ok(frame)) = frames.next().await {
-        // A frame that cannot be decoded closes the connection, since later frames cannot be
-        // trusted.
-        let Ok(message) = wire::decode(&frame) else {
-            return;
-        };
-        shell.do_send(PeerMessage(message));
+        match wire::decode(&frame) {
+            Ok(message) => shell.do_send(PeerMessage(message)),
+            Err(error) => {
+                shell.do_send(InputRefused {
+                    event: "peer-message-refused",
+                    reason: error.to_string(),
+                });
+                // After bytes that are no frame, later ones cannot be trusted either. A value that
+                // is missing or out of range spoils its own message only.
+                if matches!(error, DecodeError::Protobuf(_)) {
+                    return;
+                }
+            }
+        }
     }
 }
--- a/crates/balsamd/src/platform_reads.rs
+++ b/crates/balsamd/src/platform_reads.rs
@@ -7,7 +7,10 @@
 use awc::Client;
 use model::{PlatformFailure, PlatformRead};
 
-use crate::shell::{PlatformReadEnded, PlatformValue, Shell};
+use crate::{
+    shell::{PlatformReadEnded, PlatformValue, Shell},
+    supervise,
+};
 
 /// Time limit of a read, in addition to the watch time-out of a long poll.
 const READ_TIMEOUT: Duration = Duration::from_secs(3);
@@ -28,6 +31,13 @@
     let address = settings.address;
     let watch_timeout = settings.watch_timeout;
     actix_rt::spawn(async move {
+        let _guard = supervise::on_panic({
+            let shell = shell.clone();
+            move || {
+                let result = Err(PlatformFailure::Unreachable);
+                shell.do_send(PlatformReadEnded { read, result });
+            }
+        });
         let result = fetch(&client, address, watch_timeout, read).await;
         shell.do_send(PlatformReadEnded { read, result });
     });
--- a/crates/balsamd/src/shell.rs
+++ b/crates/balsamd/src/shell.rs
@@ -17,8 +17,9 @@
 use awc::{Client, http::header::USER_AGENT};
 use bytes::Bytes;
 use model::{
-    AttemptKey, CallFailure, CallKey, CallerKey, Effect, Event, ExecutionKind, HttpResponse, Level,
-    LoadReport, LogLine, PlatformFailure, PlatformRead, ReplyView, RequestView, TargetKey, Timer,
+    AttemptKey, CallFailure, CallKey, CallerKey, Counter, Effect, Event, ExecutionKind,
+    HttpResponse, Level, LoadReport, LogLine, PlatformFailure, PlatformRead, ReplyView,
+    RequestView, TargetKey, Timer,
 };
 use rand::{TryRng, rngs::SysRng};
 use settings::Settings;
@@ -46,6 +47,7 @@
     operators,
     peers::{self, SendQueues},
     readiness::{self, ReadyWaiters},
+    supervise::{self, OnPanic},
     timers::{self, TimerSender},
 };
 
@@ -80,6 +82,8 @@
     pub(crate) attempts: SecondaryMap<AttemptKey, ConnectionHandle>,
     /// Empty buffer, kept for its capacity; see [`dispatch`].
     effects: Vec<Effect>,
+    /// Ends the process with the actor: its ports would stay open and serve nothing.
+    _exit_on_panic: OnPanic<fn()>,
 }
 
 /// Runs the instance until the reducer returns [`Effect::Exit`].
@@ -90,6 +94,7 @@
 /// if the event loop fails.
 pub fn run(settings: Settings, settings_path: PathBuf) -> Result<(), StartError> {
     logs::init();
+    supervise::log_panics();
     let system = System::new();
     system.block_on(start(settings, settings_path))?;
     let result = system.run().map_err(StartError::Serve);
@@ -137,6 +142,7 @@
         connections: connections.clone(),
         attempts: SecondaryMap::new(),
         effects: Vec::new(),
+        _exit_on_panic: supervise::exit_on_panic(),
     };
     let address = shell.start();
     if let Some(callers) = listen.callers {
@@ -205,7 +211,10 @@
     let mut terminate = signal(SignalKind::terminate()).map_err(StartError::Serve)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(StartError::Serve)?;
     let mut hangup = signal(SignalKind::hangup()).map_err(StartError::Serve)?;
+    #[cfg(debug_assertions)]
+    spawn_panic_injection(shell.clone())?;
     actix_rt::spawn(async move {
+        let _guard = supervise::exit_on_panic();
         loop {
             tokio::select! {
                 _ = terminate.recv() => shell.do_send(ShutdownRequested),
@@ -217,6 +226,37 @@
     Ok(())
 }
 
+/// Makes the actor panic at SIGUSR1 and a vital task at SIGUSR2, for tests of debug builds.
+#[cfg(debug_assertions)]
+fn spawn_panic_injection(shell: actix::Addr<Shell>) -> Result<(), StartError> {
+    let mut of_actor = signal(SignalKind::user_defined1()).map_err(StartError::Serve)?;
+    let mut of_task = signal(SignalKind::user_defined2()).map_err(StartError::Serve)?;
+    actix_rt::spawn(async move {
+        let _guard = supervise::exit_on_panic();
+        tokio::select! {
+            _ = of_actor.recv() => shell.do_send(InjectedPanic),
+            _ = of_task.recv() => panic!("injected into a task"),
+        }
+    });
+    Ok(())
+}
+
+/// Makes the actor panic.
+#[cfg(debug_assertions)]
+#[derive(Debug)]
+#[derive(Message)]
+#[rtype(result = "()")]
+struct InjectedPanic;
+
+#[cfg(debug_assertions)]
+impl Handler<InjectedPanic> for Shell {
+    type Result = ();
+
+    fn handle(&mut self, _: InjectedPanic, _: &mut Self::Context) {
+        panic!("injected into the actor");
+    }
+}
+
 /// Reads the settings file again; if that fails, the old settings stay in force.
 fn reload(shell: &actix::Addr<Shell>, path: &Path) {
     match fs::read_to_string(path) {
@@ -509,6 +549,27 @@
     }
 }
 
+/// A message or item from outside that was refused.
+#[derive(Debug)]
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct InputRefused {
+    /// Event of the log line.
+    pub event: &'static str,
+    /// Why it was refused.
+    pub reason: String,
+}
+
+impl Handler<InputRefused> for Shell {
+    type Result = ();
+
+    fn handle(&mut self, message: InputRefused, _: &mut Self::Context) {
+        let line = LogLine::new(Level::Warn, message.event);
+        logs::write(&line.with("reason", message.reason.as_str()));
+        metrics::add(&mut self.metrics, Counter::RefusedInputs, 1);
+    }
+}
+
 /// A request to shut down, by SIGTERM or SIGINT.
 #[derive(Debug)]
 #[derive(Message)]
--- a/crates/balsamd/src/store_reads.rs
+++ b/crates/balsamd/src/store_reads.rs
@@ -13,6 +13,7 @@
     client::{self, ClientConfig, Relation},
     gateway_messages::StoreReadEnded,
     shell::Shell,
+    supervise,
 };
 
 /// Time limit of a read, in addition to the time that a watch waits for a change.
@@ -28,6 +29,13 @@
     let shell = shell.clone();
     let config = config.clone();
     actix_rt::spawn(async move {
+        let _guard = supervise::on_panic({
+            let (shell, read) = (shell.clone(), read.clone());
+            move || {
+                let result = Err(StoreFailure::Unreachable);
+                shell.do_send(StoreReadEnded { read, result });
+            }
+        });
         let timeout = match &read {
             StoreRead::Watch { wait, .. } => *wait + ANSWER_TIMEOUT,
             StoreRead::List { .. } => ANSWER_TIMEOUT,
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -120,7 +120,7 @@
     let is_own_incarnation = row.id.incarnation == fleet.id.incarnation;
     let own = own_row(fleet);
     if is_own_incarnation && is_superseded_by(&own, row) {
-        fleet.counter = row.counter + 1;
+        fleet.counter = row.counter.saturating_add(1);
     }
 }
 
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -150,7 +150,7 @@
     };
     let age_ms = now.saturating_duration_since(at).as_secs_f64() * 1000.0;
     let weight = (1.0 - age_ms / LOAD_REPORT_MAX_AGE_MS).max(0.0);
-    own_count.max(f64::from(load.running_count + load.waiting_count) * weight)
+    own_count.max(f64::from(load.running_count.saturating_add(load.waiting_count)) * weight)
 }
 
 /// Returns the penalty for late replies of a target; it grows with the lateness of the oldest one.
--- a/crates/model/src/effect.rs
+++ b/crates/model/src/effect.rs
@@ -87,6 +87,9 @@
     StrikesCleared,
     /// Requests refused because they are quarantined.
     QuarantineRefusals,
+    /// Items and messages from outside that were refused because they could not be read or were out
+    /// of range.
+    RefusedInputs,
     /// Parts that were not sent to any target because of the rate limits that targets name.
     RateLimitedParts,
 }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -22,6 +22,7 @@
 mod message;
 mod outcome;
 mod request;
+mod span;
 mod store;
 mod timer;
 mod variant_name;
@@ -44,6 +45,7 @@
 };
 pub use outcome::{NotRunReason, Outcome, UnknownReason};
 pub use request::{ExecutionKind, Priority, RequestView, Requester};
+pub use span::{SPAN_MAX, clamped_span_from_ms, span_from_ms};
 pub use store::{
     Configuration, Destination, FrontEntry, Registration, ServiceEntry, StoreArea, StoreFailure,
     StoreRead, StoreRecord,
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -30,6 +30,10 @@
     Stop,
     /// SIGCONT: resumes a paused process.
     Continue,
+    /// SIGUSR1: makes the actor of a debug build panic.
+    PanicActor,
+    /// SIGUSR2: makes another vital task of a debug build panic.
+    PanicTask,
 }
 
 /// A running child process.
@@ -111,6 +115,8 @@
         Signal::Kill => rustix::process::Signal::KILL,
         Signal::Stop => rustix::process::Signal::STOP,
         Signal::Continue => rustix::process::Signal::CONT,
+        Signal::PanicActor => rustix::process::Signal::USR1,
+        Signal::PanicTask => rustix::process::Signal::USR2,
     };
     rustix::process::kill_process(pid, signal)
         .map_err(|error| RigError::Io("send a signal", error.into()))
--- a/crates/route/src/observe.rs
+++ b/crates/route/src/observe.rs
@@ -54,7 +54,9 @@
     };
     target.in_flight_count += 1;
     reachability::record_call_sent(target, now);
-    let calls_count = target.in_flight_count + target.others_in_flight_count;
+    let calls_count = target
+        .in_flight_count
+        .saturating_add(target.others_in_flight_count);
     calls_count.div_ceil(target.slots_count.max(1))
 }
 
--- a/crates/route/src/select.rs
+++ b/crates/route/src/select.rs
@@ -86,7 +86,10 @@
     let Some(target) = routes.targets.get(key) else {
         return false;
     };
-    target.in_flight_count + target.others_in_flight_count < target.slots_count * CALLS_PER_SLOT
+    target
+        .in_flight_count
+        .saturating_add(target.others_in_flight_count)
+        < target.slots_count.saturating_mul(CALLS_PER_SLOT)
 }
 
 /// Returns whether this instance has more calls in flight to a cold target than its ramp limit.
@@ -132,7 +135,7 @@
 /// This instance may use the capacity that other instances leave unused, and at least an equal
 /// share of the whole, but never more than its connections.
 fn in_flight_limit(routes: &Routes, target: &Target) -> u32 {
-    let total_count = target.slots_count * CALLS_PER_SLOT;
+    let total_count = target.slots_count.saturating_mul(CALLS_PER_SLOT);
     let equal_count = total_count.div_ceil(routes.division.instances_count.max(1));
     let unused_count = total_count.saturating_sub(target.others_in_flight_count);
     unused_count.max(equal_count).min(target.share_count)
@@ -145,7 +148,10 @@
         Duration::ZERO => OTHER_ZONE_INITIAL_LATENCY,
         known => known,
     };
-    let load_count = target.in_flight_count + target.others_in_flight_count + 1;
+    let calls_count = target
+        .in_flight_count
+        .saturating_add(target.others_in_flight_count);
+    let load_count = calls_count.saturating_add(1);
     let late_factor = 1 + target.cold_start.late_count;
     mean_latency * late_factor * load_count.max(target.slots_count) / target.slots_count.max(1)
 }
--- a/crates/tier/src/gateway.rs
+++ b/crates/tier/src/gateway.rs
@@ -434,6 +434,15 @@
         };
         out.push(Effect::Log(line));
     }
+    let unreadable = changes.iter();
+    let unreadable = unreadable.filter(|change| matches!(change, Change::Unreadable { .. }));
+    let unreadable_count = unreadable.count() as u64;
+    if unreadable_count > 0 {
+        out.push(Effect::Count {
+            counter: Counter::RefusedInputs,
+            amount_count: unreadable_count,
+        });
+    }
     let unlogged_count = changes.len().saturating_sub(CHANGES_LOGGED_MAX_COUNT);
     if unlogged_count > 0 {
         let line = LogLine::new(Level::Info, "more-changes");
--- a/crates/wire/src/decode.rs
+++ b/crates/wire/src/decode.rs
@@ -1,19 +1,22 @@
 //! Decodes messages from protobuf frames.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc};
 
 use displaydoc::Display;
 use model::{
     Answer, Coverage, Digest, ForwardedRequest, Header, HttpRequest, InstanceId, MemberRow,
     MemberState, MergedAnswer, Message, Missing, Observations, Outcome, Priority, QuarantineUpdate,
     RateLimitUpdate, RelayedRequest, ShardResult, StoreArea, StoreChanges, StrikeUpdate,
-    variant_from_name,
+    clamped_span_from_ms, variant_from_name,
 };
 use prost::Message as _;
 use serde::Deserialize;
 
 use crate::generated::{self, frame};
 
+/// Highest incarnation or counter of an instance; far above any that a clock or a count yields.
+const COUNTER_MAX: u64 = 1 << 62;
+
 /// Why a frame could not be decoded.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Display)]
@@ -103,10 +106,10 @@
             host: request.host,
             path: request.path,
             headers: headers.collect(),
-            timeout: request.timeout_ms.map(Duration::from_millis),
+            timeout: request.timeout_ms.map(clamped_span_from_ms),
             body: request.body,
         }),
-        goal: relay.goal_ms.map(Duration::from_millis),
+        goal: relay.goal_ms.map(clamped_span_from_ms),
         attempts_max_count: relay.attempts_max_count,
     })
 }
@@ -132,7 +135,7 @@
         sequence: digest.sequence,
         wants_reply: digest.wants_reply,
         revision: digest.revision,
-        freshness_age: Duration::from_millis(digest.freshness_age_ms),
+        freshness_age: clamped_span_from_ms(digest.freshness_age_ms),
         members: members?,
         observations: Observations {
             quarantine: digest
@@ -160,22 +163,30 @@
     Ok(MemberRow {
         id: InstanceId {
             name: member.name,
-            incarnation: member.incarnation,
+            incarnation: decode_counter(member.incarnation, "incarnation")?,
         },
         address: decode_address(&member.address, "address")?,
         zone: member.zone,
         capacity_millicores: member.capacity_millicores,
-        counter: member.counter,
+        counter: decode_counter(member.counter, "counter")?,
         state,
     })
 }
 
+/// Decodes a number that the instance which it belongs to must be able to exceed.
+fn decode_counter(counter: u64, field: &'static str) -> Result<u64, DecodeError> {
+    match counter <= COUNTER_MAX {
+        true => Ok(counter),
+        false => Err(DecodeError::Invalid(field)),
+    }
+}
+
 fn decode_quarantine(row: generated::Quarantine) -> QuarantineUpdate {
     QuarantineUpdate {
         fingerprint: row.fingerprint,
         strikes_count: row.strikes_count,
         is_quarantined: row.is_quarantined,
-        remaining: Duration::from_millis(row.remaining_ms),
+        remaining: clamped_span_from_ms(row.remaining_ms),
         strikes: row.strikes.into_iter().map(decode_strike).collect(),
     }
 }
@@ -184,7 +195,7 @@
     RateLimitUpdate {
         target_id: row.target_id,
         limit_per_1000_s: row.limit_per_1000_s,
-        heard_age: Duration::from_millis(row.heard_age_ms),
+        heard_age: clamped_span_from_ms(row.heard_age_ms),
     }
 }
 
@@ -192,8 +203,8 @@
     StrikeUpdate {
         id: strike.id,
         service: strike.service,
-        sent_age: Duration::from_millis(strike.sent_age_ms),
-        lost_age: Duration::from_millis(strike.lost_age_ms),
+        sent_age: clamped_span_from_ms(strike.sent_age_ms),
+        lost_age: clamped_span_from_ms(strike.lost_age_ms),
         is_cleared: strike.is_cleared,
     }
 }
@@ -213,7 +224,7 @@
         service: forward.service,
         priority,
         ticket: forward.ticket,
-        timeout: Duration::from_millis(forward.timeout_ms),
+        timeout: clamped_span_from_ms(forward.timeout_ms),
         body: forward.body,
     })
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Invariants:
 //! - decoding an encoded message yields the same message, with durations truncated to whole
-//!   milliseconds;
+//!   milliseconds and to [`model::SPAN_MAX`];
 //! - no input makes the decoder panic; a missing required field is an error;
 //! - the codec neither sends nor accepts a frame larger than [`MAX_FRAME_BYTES`].
 
--- a/crates/wire/src/tests.rs
+++ b/crates/wire/src/tests.rs
@@ -6,13 +6,13 @@
 use model::{
     Answer, Coverage, Digest, ForwardedRequest, Header, HttpRequest, InstanceId, MemberRow,
     MemberState, MergedAnswer, Message, Missing, MissingReason, NotRunReason, Observations,
-    Outcome, Priority, QuarantineUpdate, RateLimitUpdate, RelayedRequest, ShardResult, StoreArea,
-    StoreChanges, StrikeUpdate, UnknownReason,
+    Outcome, Priority, QuarantineUpdate, RateLimitUpdate, RelayedRequest, SPAN_MAX, ShardResult,
+    StoreArea, StoreChanges, StrikeUpdate, UnknownReason,
 };
 use proptest::{collection::vec, option, prelude::*, sample::select, test_runner::RngSeed};
 use prost::Message as _;
 
-use crate::{decode, encode};
+use crate::{DecodeError, decode, encode, generated};
 
 proptest! {
     #![proptest_config(ProptestConfig {
@@ -52,6 +52,49 @@
     }
 }
 
+/// Guards against arithmetic on times that an instance of any version may state.
+#[test]
+fn durations_beyond_the_bound_are_clamped() {
+    for ms in [u64::MAX, 1 << 40] {
+        let forward = generated::Forward {
+            reply_to: "10.0.0.1:7000".to_owned(),
+            priority: generated::Priority::Normal.into(),
+            timeout_ms: ms,
+            ..generated::Forward::default()
+        };
+        let frame = generated::Frame {
+            message: Some(generated::frame::Message::Forward(forward)),
+        };
+        let Ok(Message::Forward(forward)) = decode(&frame.encode_to_vec()) else {
+            panic!("the frame is valid");
+        };
+        assert_eq!(forward.timeout, SPAN_MAX);
+    }
+}
+
+/// Guards against a row that its owner cannot refute.
+#[test]
+fn a_counter_that_its_owner_cannot_exceed_is_refused() {
+    for (incarnation, counter) in [(u64::MAX, 0), (0, u64::MAX)] {
+        let from = generated::Member {
+            incarnation,
+            counter,
+            address: "10.0.0.1:7000".to_owned(),
+            state: generated::MemberState::Alive.into(),
+            ..generated::Member::default()
+        };
+        let digest = generated::Digest {
+            from: Some(from),
+            ..generated::Digest::default()
+        };
+        let frame = generated::Frame {
+            message: Some(generated::frame::Message::Digest(digest)),
+        };
+        let decoded = decode(&frame.encode_to_vec());
+        assert!(matches!(decoded, Err(DecodeError::Invalid(_))));
+    }
+}
+
 /// A confirmation of a relayed query, as an earlier version defines it.
 #[derive(Clone, PartialEq)]
 #[derive(prost::Message)]
@@ -209,7 +252,12 @@
 }
 
 fn any_duration() -> impl Strategy<Value = Duration> {
-    any::<u32>().prop_map(|ms| Duration::from_millis(ms.into()))
+    (0..=SPAN_MAX.as_secs()).prop_map(Duration::from_secs)
+}
+
+/// Numbers that an instance can still exceed.
+fn any_counter() -> impl Strategy<Value = u64> {
+    0..=1_u64 << 62
 }
 
 fn any_member() -> impl Strategy<Value = MemberRow> {
@@ -221,10 +269,10 @@
     ];
     (
         ".{0,12}",
-        any::<u64>(),
+        any_counter(),
         any_address(),
         ".{0,12}",
-        any::<u64>(),
+        any_counter(),
         select(states.to_vec()),
     )
         .prop_map(|(name, incarnation, address, zone, counter, state)| {
