Bound the memory that received bytes take, not their count

Cause: 32 MB over all exchanges bounded the bytes received, but each chunk was kept as a handle of 32 bytes in a growing list and kept the buffer it was read into: six bytes on the wire, up to fifty in memory.

Change: chunks are copied together as they are decoded, the capacity of the buffers is what is bounded, and a response with more framing than body, beyond 64 KiB, is given up.

--- a/crates/balsamd/src/client.rs
+++ b/crates/balsamd/src/client.rs
@@ -26,11 +26,13 @@
 const BODY_MAX_BYTES: usize = 16 * 1024 * 1024;
 /// Upper limit of the bytes received in an exchange: a body with the overhead of small chunks.
 const RECEIVED_MAX_BYTES: usize = 2 * BODY_MAX_BYTES;
-/// Upper limit of the bytes received in all exchanges in progress together, beyond which only those
-/// up to [`RECEIVED_USUAL_BYTES`] go on.
-const RECEIVED_TOTAL_MAX_BYTES: usize = 32 * 1024 * 1024;
-/// Bytes that an exchange with a usual response receives.
-const RECEIVED_USUAL_BYTES: usize = 64 * 1024;
+/// Upper limit of the memory that what all exchanges in progress have received takes, beyond which
+/// only those up to [`HELD_USUAL_BYTES`] go on.
+const HELD_TOTAL_MAX_BYTES: usize = 32 * 1024 * 1024;
+/// Memory that a usual response takes.
+const HELD_USUAL_BYTES: usize = 64 * 1024;
+/// Framing of chunks beyond which it may not take more bytes than the body itself.
+const FRAMING_MAX_BYTES: usize = 64 * 1024;
 /// Responses skipped before the exchange fails: informational ones, and stray ones such as those to
 /// earlier requests.
 const STRAY_RESPONSES_MAX_COUNT: usize = 2;
@@ -39,8 +41,8 @@
 pub struct Connection {
     stream: TcpStream,
     codec: ClientCodec,
-    /// Bytes that the exchanges of all connections have received.
-    received_count: Rc<Cell<usize>>,
+    /// Memory that what the exchanges of all connections have received takes.
+    held_bytes: Rc<Cell<usize>>,
     /// Whether it has carried an exchange, so that a late copy of its response may arrive.
     is_used: bool,
 }
@@ -86,15 +88,15 @@
 #[derive(Clone)]
 pub struct ClientConfig {
     service: ServiceConfig,
-    /// Bytes that the exchanges in progress have received.
-    received_count: Rc<Cell<usize>>,
+    /// Memory that what the exchanges in progress have received takes.
+    held_bytes: Rc<Cell<usize>>,
 }
 
 /// Returns the configuration that all connections share.
 pub fn config() -> ClientConfig {
     ClientConfig {
         service: ServiceConfig::default(),
-        received_count: Rc::default(),
+        held_bytes: Rc::default(),
     }
 }
 
@@ -114,7 +116,7 @@
     Ok(Connection {
         stream,
         codec: ClientCodec::new(config.service),
-        received_count: config.received_count,
+        held_bytes: config.held_bytes,
         is_used: false,
     })
 }
@@ -152,7 +154,7 @@
     let Connection {
         mut stream,
         mut codec,
-        received_count,
+        held_bytes,
         is_used,
     } = connection;
     let size = match (body.len(), &head.method) {
@@ -170,7 +172,9 @@
         reader: &mut reader,
         buffer: BytesMut::with_capacity(BUFFER_BYTES),
         bytes_count: 0,
-        received_count: &received_count,
+        body: Body::default(),
+        held_bytes: 0,
+        total_held_bytes: &held_bytes,
     };
     let mut is_written = false;
     let received = {
@@ -196,24 +200,63 @@
     let connection = Connection {
         stream,
         codec,
-        received_count,
+        held_bytes,
         is_used: true,
     };
     Ok((response, connection))
 }
 
-/// Receiving side of an exchange; `bytes_count` is the number of bytes read in it so far.
+/// Receiving side of an exchange.
 struct Incoming<'a> {
     reader: &'a mut ReadHalf<'a>,
     buffer: BytesMut,
+    /// Bytes read in the exchange so far.
     bytes_count: usize,
-    received_count: &'a Cell<usize>,
+    /// The part of the current response's body that has been decoded.
+    body: Body,
+    /// Memory of `buffer` and `body` that is counted in `total_held_bytes`.
+    held_bytes: usize,
+    total_held_bytes: &'a Cell<usize>,
 }
 
 impl Drop for Incoming<'_> {
     fn drop(&mut self) {
-        let received_count = self.received_count.get();
-        self.received_count.set(received_count - self.bytes_count);
+        let total_bytes = self.total_held_bytes.get();
+        self.total_held_bytes.set(total_bytes - self.held_bytes);
+    }
+}
+
+/// The chunks of a body. A single one is not copied; several are copied together, because the
+/// handle of a chunk takes more memory than a small chunk and keeps the buffer it was read into.
+#[derive(Default)]
+struct Body {
+    only_chunk: Bytes,
+    joined: BytesMut,
+}
+
+fn append(body: &mut Body, chunk: Bytes) {
+    if body.only_chunk.is_empty() && body.joined.is_empty() {
+        body.only_chunk = chunk;
+        return;
+    }
+    let first = std::mem::take(&mut body.only_chunk);
+    body.joined.extend_from_slice(&first);
+    body.joined.extend_from_slice(&chunk);
+}
+
+fn body_length(body: &Body) -> usize {
+    body.only_chunk.len() + body.joined.len()
+}
+
+fn body_capacity(body: &Body) -> usize {
+    body.only_chunk.len() + body.joined.capacity()
+}
+
+fn take_body(body: &mut Body) -> Bytes {
+    let Body { only_chunk, joined } = std::mem::take(body);
+    match joined.is_empty() {
+        true => only_chunk,
+        false => joined.freeze(),
     }
 }
 
@@ -295,16 +338,15 @@
     codec: ClientCodec,
 ) -> Result<(Bytes, ClientCodec), ClientError> {
     let mut codec = codec.into_payload_codec();
-    let mut chunks: Vec<Bytes> = Vec::new();
-    let mut bytes_count = 0;
+    incoming.body = Body::default();
+    let head_bytes = incoming.bytes_count - incoming.buffer.len();
     loop {
         match codec.decode(&mut incoming.buffer) {
             Ok(Some(Some(chunk))) => {
-                bytes_count += chunk.len();
-                if bytes_count > BODY_MAX_BYTES {
+                if body_length(&incoming.body) + chunk.len() > BODY_MAX_BYTES {
                     return Err(ClientError::Malformed("response body too large".to_owned()));
                 }
-                chunks.push(chunk);
+                append(&mut incoming.body, chunk);
                 continue;
             }
             Ok(Some(None)) => break,
@@ -312,13 +354,15 @@
             Err(PayloadError::Io(error)) => return Err(ClientError::Truncated(error)),
             Err(error) => return Err(ClientError::Malformed(error.to_string())),
         }
+        let decoded_bytes = incoming.bytes_count - incoming.buffer.len() - head_bytes;
+        let body_bytes = body_length(&incoming.body);
+        if decoded_bytes - body_bytes > FRAMING_MAX_BYTES.max(body_bytes) {
+            let message = "response has more framing than body".to_owned();
+            return Err(ClientError::Malformed(message));
+        }
         read_more(incoming).await.map_err(ClientError::Truncated)?;
     }
-    let body = match &chunks[..] {
-        [] => Bytes::new(),
-        [only] => only.clone(),
-        _ => Bytes::from(chunks.concat()),
-    };
+    let body = take_body(&mut incoming.body);
     Ok((body, codec.into_message_codec()))
 }
 
@@ -344,17 +388,19 @@
 
 /// Reads what has arrived and returns its length, 0 at the end of the connection.
 ///
-/// Fails if the exchange has received too much. While all exchanges together have, those fail that
-/// are beyond what a usual response takes, so that peers that send without end use up the memory
-/// of no other.
+/// Fails if the exchange has received too much. While all exchanges together hold too much memory,
+/// those fail that hold more than a usual response takes, so that peers that send without end use
+/// up the memory of no other.
 async fn read_some(incoming: &mut Incoming<'_>) -> io::Result<usize> {
     let bytes_count = incoming.reader.read_buf(&mut incoming.buffer).await?;
     incoming.bytes_count += bytes_count;
-    let received_count = incoming.received_count.get() + bytes_count;
-    incoming.received_count.set(received_count);
-    let is_crowded = received_count > RECEIVED_TOTAL_MAX_BYTES;
-    let is_too_much = incoming.bytes_count > RECEIVED_MAX_BYTES
-        || (is_crowded && incoming.bytes_count > RECEIVED_USUAL_BYTES);
+    let held_bytes = incoming.buffer.capacity() + body_capacity(&incoming.body);
+    let total_bytes = incoming.total_held_bytes.get() - incoming.held_bytes + held_bytes;
+    incoming.held_bytes = held_bytes;
+    incoming.total_held_bytes.set(total_bytes);
+    let is_crowded = total_bytes > HELD_TOTAL_MAX_BYTES;
+    let is_too_much =
+        incoming.bytes_count > RECEIVED_MAX_BYTES || (is_crowded && held_bytes > HELD_USUAL_BYTES);
     match is_too_much {
         true => Err(io::ErrorKind::InvalidData.into()),
         false => Ok(bytes_count),
--- a/crates/balsamd/src/client/tests.rs
+++ b/crates/balsamd/src/client/tests.rs
@@ -398,7 +398,7 @@
                 let (request, body) = (Rc::new(RequestHead::default()), Bytes::new());
                 let pending = exchange(connection, request, None, &body, relation);
                 let result = actix_rt::time::timeout(TEST_TIMEOUT, pending).await;
-                peak_bytes.set(peak_bytes.get().max(config.received_count.get()));
+                peak_bytes.set(peak_bytes.get().max(config.held_bytes.get()));
                 result.expect("the exchange ends in time").is_err()
             })
         });
@@ -415,8 +415,45 @@
                 "a body without end was accepted"
             );
         }
-        let usual_bytes = ENDLESS_PEERS_COUNT * super::RECEIVED_USUAL_BYTES;
-        assert!(peak_bytes.get() <= super::RECEIVED_TOTAL_MAX_BYTES + 2 * usual_bytes);
-        assert_eq!(config.received_count.get(), 0);
+        let usual_bytes = ENDLESS_PEERS_COUNT * super::HELD_USUAL_BYTES;
+        assert!(peak_bytes.get() <= super::HELD_TOTAL_MAX_BYTES + 2 * usual_bytes);
+        assert_eq!(config.held_bytes.get(), 0);
     });
 }
+
+/// Peers that send chunks of one byte without end at the same time.
+const CHUNKING_PEERS_COUNT: usize = 12;
+
+/// Guards against memory that is many times the bytes received: a handle for each small chunk.
+#[rstest]
+#[case::of_one_byte(b"1\r\nk\r\n")]
+#[case::with_less_framing_than_body(b"8\r\nkkkkkkkk\r\n")]
+fn small_chunks_take_no_more_memory_than_is_bounded(#[case] chunk: &'static [u8]) {
+    let head = b"HTTP/1.1 200 OK\r\nrequest-id: r-1\r\ntransfer-encoding: chunked\r\n\r\n";
+    let allocations = allocation_counter::measure(|| {
+        actix_rt::System::new().block_on(async {
+            let config = config();
+            let exchanges = (0..CHUNKING_PEERS_COUNT).map(|_| {
+                let config = config.clone();
+                actix_rt::spawn(async move {
+                    let chunks = chunk.repeat(2_000);
+                    let address = spawn_endless_peer(head, chunks).await;
+                    let connection = open(address, config).await.expect("a connection");
+                    let (request, body) = (Rc::new(RequestHead::default()), Bytes::new());
+                    exchange(connection, request, None, &body, relation)
+                        .await
+                        .is_err()
+                })
+            });
+            let exchanges: Vec<_> = exchanges.collect();
+            for exchange in exchanges {
+                assert!(exchange.await.expect("no panic"), "a body was accepted");
+            }
+            assert_eq!(config.held_bytes.get(), 0);
+        });
+    });
+    // A buffer that grows holds its old and its new memory for a moment.
+    let limit_bytes = 3 * super::HELD_TOTAL_MAX_BYTES as u64;
+    let peak_bytes = allocations.bytes_max;
+    assert!(peak_bytes <= limit_bytes, "{peak_bytes} bytes");
+}
