Take a later incarnation than an earlier process whose clock was ahead

An instance that was restarted after its clock had been set back was ignored by the others until they restarted: its incarnation, the time of the start, was lower than that of its earlier process. They shared the limits of targets without it, so that all shares grew.

Change: an instance that hears of a later incarnation at its own address takes a later one still.

Test: an_instance_whose_clock_was_set_back_is_seen_again fails before (suspected by all five others) and passes now; the suite of the reducer passes.

--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -116,7 +116,14 @@
 }
 
 /// Refutes a newer row about this incarnation by raising this instance's counter above the row's.
+///
+/// A later incarnation at this address is that of an earlier process, after which the clock was set
+/// back; the others would ignore this one until they restart, so it takes a later one still.
 fn refute(fleet: &mut FleetState, row: &MemberRow) {
+    if row.id.incarnation > fleet.id.incarnation && row.address == fleet.address {
+        fleet.id.incarnation = row.id.incarnation.saturating_add(1);
+        return;
+    }
     let is_own_incarnation = row.id.incarnation == fleet.id.incarnation;
     let own = own_row(fleet);
     if is_own_incarnation && is_superseded_by(&own, row) {
--- a/crates/tier/src/tests/membership.rs
+++ b/crates/tier/src/tests/membership.rs
@@ -119,6 +119,29 @@
     );
 }
 
+/// Guards against an instance that the others ignore because its clock was set back before its
+/// restart, so that its incarnation is lower than that of its earlier process.
+#[test]
+fn an_instance_whose_clock_was_set_back_is_seen_again() {
+    let mut net = converged_network(6, 10);
+    net.nodes[2].state.fleet.id.incarnation += 1_000;
+    // The digests of this process carry the later incarnation to the others.
+    run_for(&mut net, Duration::from_secs(5));
+    start(&mut net, 2);
+    run_for(&mut net, Duration::from_secs(10));
+    assert_eq!(member_states(&net, 2), [MemberState::Alive; 5]);
+    let name = &net.nodes[2].state.fleet.id.name;
+    for node in net
+        .nodes
+        .iter()
+        .enumerate()
+        .filter(|(index, _)| *index != 2)
+    {
+        let member = &node.1.state.fleet.members[name];
+        assert_eq!(member.row.id, net.nodes[2].state.fleet.id);
+    }
+}
+
 #[test]
 fn the_revision_survives_a_rolling_replacement_of_all_instances() {
     let mut net = converged_network(6, 5);
