--- a/crates/balsamd/src/peers.rs
+++ b/crates/balsamd/src/peers.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     http::ACCEPT_RETRY_DELAY,
-    shell::{InputRefused, PeerMessage, PeerUnreachable, Shell},
+    shell::{PeerMessage, PeerMessageRefused, PeerUnreachable, Shell},
     supervise,
 };
 
@@ -135,10 +135,7 @@
         match wire::decode(&frame) {
             Ok(message) => shell.do_send(PeerMessage(message)),
             Err(error) => {
-                shell.do_send(InputRefused {
-                    event: "peer-message-refused",
-                    reason: error.to_string(),
-                });
+                shell.do_send(PeerMessageRefused(error.to_string()));
                 // After bytes that are no frame, later ones cannot be trusted either. A value that
                 // is missing or out of range spoils its own message only.
                 if matches!(error, DecodeError::Protobuf(_)) {
--- a/crates/balsamd/src/shell.rs
+++ b/crates/balsamd/src/shell.rs
@@ -549,23 +549,18 @@
     }
 }
 
-/// A message or item from outside that was refused.
+/// A message from another instance that was refused, and why.
 #[derive(Debug)]
 #[derive(Message)]
 #[rtype(result = "()")]
-pub struct InputRefused {
-    /// Event of the log line.
-    pub event: &'static str,
-    /// Why it was refused.
-    pub reason: String,
-}
+pub struct PeerMessageRefused(pub String);
 
-impl Handler<InputRefused> for Shell {
+impl Handler<PeerMessageRefused> for Shell {
     type Result = ();
 
-    fn handle(&mut self, message: InputRefused, _: &mut Self::Context) {
-        let line = LogLine::new(Level::Warn, message.event);
-        logs::write(&line.with("reason", message.reason.as_str()));
+    fn handle(&mut self, message: PeerMessageRefused, _: &mut Self::Context) {
+        let line = LogLine::new(Level::Warn, "peer-message-refused");
+        logs::write(&line.with("reason", message.0.as_str()));
         metrics::add(&mut self.metrics, Counter::RefusedInputs, 1);
     }
 }
