--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -374,13 +374,11 @@
         return;
     };
     if !is_unsent {
-        let exchange = &gateway.exchanges[key];
-        send_cancel(gateway, exchange, &relay, out);
-        let exchange = &mut gateway.exchanges[key];
         exchange.evidence.lost_count += 1;
         for part in &mut exchange.parts {
             part.sent_count = relay.attempts_count;
         }
+        send_cancel(gateway, &gateway.exchanges[key], &relay, out);
     }
     run_locally(gateway, now, key, out);
 }
