Count shared store changes that cannot be read

The counter of refused inputs is documented to count refused messages of other instances; changes of the store that a zone's reader shares and that cannot be read were only logged.

--- a/crates/balsamd/src/gateway_messages.rs
+++ b/crates/balsamd/src/gateway_messages.rs
@@ -10,14 +10,14 @@
 use actix::{Context, Handler, Message};
 use bytes::Bytes;
 use model::{
-    AttemptKey, AttemptReply, CallFailure, CallerKey, Event, HttpRequest, HttpResponse, Level,
-    LogLine, StoreChanges, StoreFailure, StoreRead, TargetKey,
+    AttemptKey, AttemptReply, CallFailure, CallerKey, Counter, Event, HttpRequest, HttpResponse,
+    Level, LogLine, StoreChanges, StoreFailure, StoreRead, TargetKey,
 };
 use platform::{Reply, StoreResponse};
 use tokio::sync::oneshot;
 
 use crate::{
-    attempts,
+    attempts, metrics,
     shell::{ReplySender, Shell, dispatch},
 };
 
@@ -140,6 +140,7 @@
             Err(_) => {
                 let line = LogLine::new(Level::Warn, "shared-changes-unreadable");
                 logs::write(&line.with("revision", changes.revision));
+                metrics::add(&mut shell.metrics, Counter::RefusedInputs, 1);
                 return;
             }
         },
