Answer requests that nothing is under way for

Attempts at a process that the store showed to be replaced, and connections that no one accepts, were waited for likewise. A request that waited for a connection was kept until its time limit.

Ruled out: ending an exchange as soon as its targets are silent. A slow target may still reply, and a caller that retries costs it another execution.

Change: a denied attempt of a request to a single service is tried again every 50 ms, as a retry if its targets are silent. Attempts at a replaced process, and at a silent one whose registration is gone, end as lost. A connection to a target has to open within 300 ms. A request that no target has is refused as not run after a quarter of the time until its goal.

--- a/crates/balsamd/src/client.rs
+++ b/crates/balsamd/src/client.rs
@@ -18,8 +18,11 @@
 };
 use tokio_util::codec::{Decoder, Encoder};
 
-/// Time limit for opening a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time limit for opening a connection to the store.
+const STORE_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time limit for opening a connection to a target, which takes a few milliseconds at one that lives.
+/// A dropped opening packet is repeated after a second, when most callers' time is over.
+const TARGET_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Initial capacity of the buffers: enough for a response's head and a small body.
 const BUFFER_BYTES: usize = 2 * 1024;
 /// Upper limit of a response body.
@@ -88,18 +91,29 @@
 #[derive(Clone)]
 pub struct ClientConfig {
     service: ServiceConfig,
+    /// Time limit for opening a connection.
+    connect_timeout: Duration,
     /// Memory that what the exchanges in progress have received takes.
     held_bytes: Rc<Cell<usize>>,
 }
 
-/// Returns the configuration that all connections share.
+/// Returns the configuration that all connections to targets share.
 pub fn config() -> ClientConfig {
     ClientConfig {
         service: ServiceConfig::default(),
+        connect_timeout: TARGET_CONNECT_TIMEOUT,
         held_bytes: Rc::default(),
     }
 }
 
+/// Returns the configuration of a connection to the store, which may be slow to accept one.
+pub fn for_store(config: ClientConfig) -> ClientConfig {
+    ClientConfig {
+        connect_timeout: STORE_CONNECT_TIMEOUT,
+        ..config
+    }
+}
+
 /// Opens a connection.
 ///
 /// # Errors
@@ -107,7 +121,7 @@
 /// Returns an error if the peer refuses the connection or does not accept it in time.
 pub async fn open(address: SocketAddr, config: ClientConfig) -> Result<Connection, ClientError> {
     let connecting = TcpStream::connect(address);
-    let stream = match actix_rt::time::timeout(CONNECT_TIMEOUT, connecting).await {
+    let stream = match actix_rt::time::timeout(config.connect_timeout, connecting).await {
         Ok(stream) => stream.map_err(ClientError::Connect)?,
         Err(_) => return Err(ClientError::Connect(io::ErrorKind::TimedOut.into())),
     };
--- a/crates/balsamd/src/store_reads.rs
+++ b/crates/balsamd/src/store_reads.rs
@@ -59,6 +59,7 @@
     let host = header::HeaderValue::from_str(&address.to_string());
     let host = host.map_err(|_| StoreFailure::Unreachable)?;
     head.headers.insert(header::HOST, host);
+    let config = client::for_store(config);
     let connection = client::open(address, config).await.map_err(unreachable)?;
     let no_body = Bytes::new();
     let exchange = client::exchange(connection, Rc::new(head), None, &no_body, |_| Relation::Own);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -23,6 +23,10 @@
 /// Length of a window over which the longest timeout of callers is taken.
 const TIMEOUT_WINDOW: Duration = Duration::from_secs(10);
 
+/// Fraction of the time until the goal for which a request waits for a connection here. The rest is
+/// left to another instance, which has connections of its own.
+const QUEUE_GOAL_DIVISOR: u32 = 4;
+
 /// Handles a caller's request: refuses it, relays it to a larger instance, or sends its parts.
 pub fn on_request(
     gateway: &mut Gateway,
@@ -182,6 +186,9 @@
         parts_min_count,
         arrived_at: now,
         goal_at,
+        queue_until: goal_at.map_or(now + time_left, |at| {
+            now + at.saturating_duration_since(now) / QUEUE_GOAL_DIVISOR
+        }),
         deadline: now + time_left,
         due_at: None,
         pending_count: u32::try_from(parts.len()).unwrap_or(u32::MAX),
--- a/crates/gateway/src/respond.rs
+++ b/crates/gateway/src/respond.rs
@@ -172,9 +172,19 @@
     is_untouched && exchange.answered_count == 0 && exchange.relay.is_none()
 }
 
+/// Returns whether an exchange waits for a connection and no part of it has been sent.
+pub(crate) fn is_queued(exchange: &Exchange) -> bool {
+    is_unsent(exchange) && exchange.pending_count > 0
+}
+
+/// Returns whether an exchange has waited long enough for a connection.
+pub(crate) fn is_queue_expired(exchange: &Exchange, now: Instant) -> bool {
+    is_queued(exchange) && now >= exchange.queue_until
+}
+
 fn outcome(exchange: &Exchange, now: Instant) -> Outcome {
     if is_unsent(exchange) {
-        let reason = if now >= exchange.deadline {
+        let reason = if now >= exchange.deadline || exchange.pending_count > 0 {
             NotRunReason::Overloaded
         } else if exchange.is_rate_limited {
             NotRunReason::RateLimited
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -142,6 +142,9 @@
     /// front has no goal or the goal has passed.
     #[serde(skip)]
     pub goal_at: Option<Instant>,
+    /// Until when it waits for a connection if no part of it has been sent.
+    #[serde(skip)]
+    pub queue_until: Instant,
     /// When the exchange is answered at the latest, whatever has arrived.
     #[serde(skip)]
     pub deadline: Instant,
--- a/crates/gateway/src/tick.rs
+++ b/crates/gateway/src/tick.rs
@@ -5,11 +5,11 @@
     time::{Duration, Instant},
 };
 
-use model::{AttemptKey, Effect, TargetKey};
+use model::{AttemptKey, CallFailure, Effect, TargetKey};
 
 use crate::{
     Gateway,
-    completion::send_queued_parts,
+    completion::{on_attempt_failure, send_queued_parts},
     health, isolation,
     log_line::{elapsed_ms, target_log_line},
     rate_limit,
@@ -54,22 +54,60 @@
     rate_limit::update_shares(gateway, now);
     isolation::update(gateway, now, out);
     let expired = catalog::remove_expired_targets(&mut gateway.catalog, now);
-    remove_targets(gateway, &expired, out);
+    remove_expired_targets(gateway, now, &expired, out);
     gateway
         .front_stats
         .retain(|front, _| gateway.catalog.fronts.contains_key(front));
     send_queued_parts(gateway, now, out);
 }
 
-/// Removes the health of targets that are no longer registered and closes their idle connections;
-/// attempts in flight end by themselves.
-pub fn remove_targets(gateway: &mut Gateway, removed: &[TargetKey], out: &mut Vec<Effect>) {
+/// Ends the attempts at targets whose process has been replaced, removes the targets' health and
+/// closes their idle connections.
+pub fn remove_targets(
+    gateway: &mut Gateway,
+    now: Instant,
+    removed: &[TargetKey],
+    out: &mut Vec<Effect>,
+) {
     for &target in removed {
-        gateway.health.remove(target);
-        out.push(Effect::Disconnect { target });
+        end_attempts(gateway, now, target, out);
+        forget_target(gateway, target, out);
     }
 }
 
+/// Removes targets whose registration is gone. One that only leaves may still reply to what is in
+/// flight; the attempts at one that is silent end.
+fn remove_expired_targets(
+    gateway: &mut Gateway,
+    now: Instant,
+    expired: &[TargetKey],
+    out: &mut Vec<Effect>,
+) {
+    for &target in expired {
+        if unresolved::is_silent(gateway, now, target) {
+            end_attempts(gateway, now, target, out);
+        }
+        forget_target(gateway, target, out);
+    }
+}
+
+/// Ends the attempts in flight at a target as lost, so that their requests are sent again or
+/// answered.
+fn end_attempts(gateway: &mut Gateway, now: Instant, target: TargetKey, out: &mut Vec<Effect>) {
+    let attempts = gateway.attempts.iter();
+    let lost = attempts.filter(|(_, attempt)| attempt.target == target);
+    let lost: Vec<AttemptKey> = lost.map(|(key, _)| key).collect();
+    for attempt in lost {
+        out.push(Effect::DropAttempt { attempt, target });
+        on_attempt_failure(gateway, now, attempt, CallFailure::ConnectionLost, out);
+    }
+}
+
+fn forget_target(gateway: &mut Gateway, target: TargetKey, out: &mut Vec<Effect>) {
+    gateway.health.remove(target);
+    out.push(Effect::Disconnect { target });
+}
+
 /// Records that the process has resumed from a pause.
 pub fn on_pause(gateway: &mut Gateway, now: Instant) {
     gateway.resumed_at = Some(now);
--- a/crates/gateway/src/timer.rs
+++ b/crates/gateway/src/timer.rs
@@ -8,8 +8,8 @@
     Exchange, Gateway, PartState,
     budget::ExtraCall,
     relay,
-    respond::{finish, finish_if_decided},
-    send::{SendOutcome, try_send},
+    respond::{self, finish, finish_if_decided},
+    send::{Denial, SendOutcome, try_send},
 };
 
 /// Delay of a timer from which on the process is assumed to have paused. Replies may have arrived
@@ -26,6 +26,10 @@
 const TIMER_RESOLUTION: Duration = Duration::from_millis(1);
 /// Time after which a hedge is tried again if no connection was free.
 const HEDGE_RECHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Time after which a request to a single service that has got no reply is tried again if the retry
+/// budget or the lack of a target denied another attempt: short compared with the goals of such
+/// requests.
+const DENIED_RECHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Handles the timer of an exchange: sends the hedges that are due, ends the exchange if it should
 /// be answered now, and sets the timer again otherwise.
@@ -61,6 +65,10 @@
         }
         return;
     }
+    if respond::is_queue_expired(exchange, now) {
+        finish(gateway, now, key, out);
+        return;
+    }
     let is_timer_late = due_at.is_some_and(|due_at| now >= due_at + TIMER_LATE_THRESHOLD);
     if is_timer_late {
         for part in &mut exchange.parts {
@@ -121,8 +129,10 @@
     let pending = pending.filter(|part| matches!(part.state, PartState::Pending));
     let hedges = pending.filter_map(|part| part.hedge_at);
     let goal = exchange.goal_at.filter(|&goal_at| goal_at > now);
+    let queue_end = respond::is_queued(exchange).then_some(exchange.queue_until);
     hedges
         .chain(goal)
+        .chain(queue_end)
         .min()
         .unwrap_or(exchange.deadline)
         .min(exchange.deadline)
@@ -145,12 +155,32 @@
     });
     let due: Vec<usize> = due.map(|(index, _)| index).collect();
     for part_index in due {
-        let send_outcome = try_send(gateway, now, key, part_index, Some(ExtraCall::Hedge), out);
-        let part = &mut gateway.exchanges[key].parts[part_index];
+        let kind = extra_call_kind(gateway, key, part_index);
+        let send_outcome = try_send(gateway, now, key, part_index, Some(kind), out);
+        let exchange = &mut gateway.exchanges[key];
+        // An answer can do without some of the parts of a query, but not without its only one.
+        let is_indispensable = exchange.records_count.is_none();
+        let part = &mut exchange.parts[part_index];
         part.hedge_at = match send_outcome {
             SendOutcome::Sent => part.hedge_at,
             SendOutcome::Busy => Some(now + HEDGE_RECHECK_INTERVAL),
+            SendOutcome::Denied(Denial::Budget) | SendOutcome::NoTarget if is_indispensable => {
+                Some(now + DENIED_RECHECK_INTERVAL)
+            }
             SendOutcome::Denied(_) | SendOutcome::NoTarget => None,
         };
     }
 }
+
+/// Returns what another attempt of a part counts as: a retry if every target that has it is silent,
+/// so that no reply is expected, and a hedge otherwise.
+fn extra_call_kind(gateway: &Gateway, key: ExchangeKey, part_index: usize) -> ExtraCall {
+    let in_flight = &gateway.exchanges[key].parts[part_index].in_flight;
+    let mut attempts = in_flight
+        .iter()
+        .filter_map(|&attempt| gateway.attempts.get(attempt));
+    match attempts.all(|attempt| attempt.is_silence_noted) {
+        true => ExtraCall::Retry,
+        false => ExtraCall::Hedge,
+    }
+}
--- a/crates/gateway/src/unresolved.rs
+++ b/crates/gateway/src/unresolved.rs
@@ -80,6 +80,21 @@
     }
 }
 
+/// Returns whether a target has left the oldest of its attempts without a reply for long, and has not
+/// replied to any other since.
+pub(crate) fn is_silent(gateway: &Gateway, now: Instant, target: TargetKey) -> bool {
+    let in_flight = gateway.attempts.values();
+    let oldest_at = in_flight
+        .filter(|attempt| attempt.target == target)
+        .map(|attempt| attempt.sent_at)
+        .min();
+    let health = gateway.health.get(target);
+    let last_reply_at = health.and_then(|health| health.last_reply_at);
+    oldest_at.is_some_and(|sent_at| {
+        now >= sent_at + SILENCE_MIN && last_reply_at.is_none_or(|at| at < sent_at)
+    })
+}
+
 /// Returns whether a target has not replied to a request, nor to any other since.
 pub fn has_silent_target(gateway: &Gateway, now: Instant, fingerprint: u64) -> bool {
     let is_silent = |target: TargetKey, sent_at: Instant| {
--- a/crates/tier/src/gateway.rs
+++ b/crates/tier/src/gateway.rs
@@ -385,7 +385,7 @@
             } => {
                 strikes::record_ended_target(state, now, replaced, out);
                 if let Some(gateway) = &mut state.gateway {
-                    gateway::remove_targets(gateway, &[replaced], out);
+                    gateway::remove_targets(gateway, now, &[replaced], out);
                 }
             }
             Change::TargetLeaving {
