Authenticate callers by the keys of organisations

Cause: the configuration can name organisations and their keys, but the gateway served everybody and passed credentials to targets.

Change: the crate organisation holds the table, which knows keys only by a SipHash with a random key of the process. The store's codec decodes organisations and public routes; an invalid item is refused alone, reported and counted, and numbers of organisations and keys are bounded. A caller needs a valid key unless the front is public, before anything else is decided; targets and relays receive the organisation and not the key. A newer configuration ends queued requests that it does not admit with 401. A relay hands back an unsent query whose organisation has lost a key. Relayed queries hold credentials as headers, so that both versions that run side by side in an upgrade read them.

--- a/crates/balsamd/src/effects.rs
+++ b/crates/balsamd/src/effects.rs
@@ -1,6 +1,6 @@
 //! Execution of the effects that the reducer returns.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use actix::{Addr, System};
 use model::Effect;
@@ -87,8 +87,11 @@
         }
         Effect::Send {
             address: peer,
-            message,
+            mut message,
         } => {
+            if let model::Message::Relay(relay) = &mut message {
+                relay.request = Arc::new(platform::encode_relayed(&relay.request));
+            }
             peers::send(&mut shell.send_queues, address, peer, &message);
         }
         Effect::Reconnect { address: peer } => peers::disconnect(&mut shell.send_queues, peer),
--- a/crates/balsamd/src/metrics.rs
+++ b/crates/balsamd/src/metrics.rs
@@ -64,7 +64,7 @@
 
 /// Creates the gauges; [`set_gauges`] updates them at each scrape.
 pub fn create_gauges(metrics: &Metrics) -> Gauges {
-    let values: [(&str, ReadStatus); 10] = [
+    let values: [(&str, ReadStatus); 12] = [
         ("revision", |status| status.revision),
         ("confirmed_ms", |status| {
             status.confirmed_ms.unwrap_or(NEVER_CONFIRMED_MS)
@@ -76,6 +76,8 @@
         ("calls_in_flight", |status| status.calls_count),
         ("members", |status| status.members_count),
         ("targets", |status| status.targets_count),
+        ("organisations", |status| status.organisations_count),
+        ("organisation_keys", |status| status.keys_count),
         ("targets_unreachable", |status| {
             status.unreachable_targets_count
         }),
--- a/crates/balsamd/src/shell.rs
+++ b/crates/balsamd/src/shell.rs
@@ -483,7 +483,10 @@
 impl Handler<PeerMessage> for Shell {
     type Result = ();
 
-    fn handle(&mut self, message: PeerMessage, context: &mut Self::Context) {
+    fn handle(&mut self, mut message: PeerMessage, context: &mut Self::Context) {
+        if let model::Message::Relay(relay) = &mut message.0 {
+            platform::separate_relayed(Arc::make_mut(&mut relay.request));
+        }
         if let model::Message::StoreChanges(changes) = &message.0 {
             gateway_messages::dispatch_shared_changes(self, context, changes);
             return;
--- a/crates/catalog/src/apply.rs
+++ b/crates/catalog/src/apply.rs
@@ -177,6 +177,7 @@
             timeout: entry.timeout,
             latency_goal: entry.goal,
             shedding_rank: entry.rank,
+            is_public: entry.is_public,
             attempts_max_count: entry.attempts_max_count.max(1),
             route: resolve_route(catalog, &entry.destination),
         };
@@ -194,6 +195,12 @@
     catalog.front_names.retain(|_, key| kept.contains(key));
     rebuild_host_index(catalog);
     remove_unused_services(catalog);
+    let configured = &configuration.organisations;
+    organisation::replace(
+        &mut catalog.organisations,
+        configuration.version,
+        configured,
+    );
     Change::Configuration { from }
 }
 
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -1,4 +1,5 @@
-//! Local replica of the metadata store: fronts, services, targets and evacuated zones.
+//! Local replica of the metadata store: fronts, services, targets,
+//! organisations and evacuated zones.
 //!
 //! [`sync`] replicates the store by a list of each area followed by watches. [`Catalog`] resolves
 //! the front of a request, and [`eligibility()`] returns which requests a target may receive.
@@ -24,4 +25,4 @@
     AreaProgress, Role, SharedChanges, Stage, StoreAnswer, SyncState, area_progress,
     new_sync_state, on_read_failure, on_shared_changes, on_store_answer, start, start_next_read,
 };
-pub use table::{Catalog, Front, Route, Service, Target, find_front};
+pub use table::{Catalog, Front, Route, Service, Target, find_front, new_catalog};
--- a/crates/catalog/src/table.rs
+++ b/crates/catalog/src/table.rs
@@ -8,6 +8,7 @@
 };
 
 use model::{FrontKey, ServiceKey, TargetKey};
+use organisation::Organisations;
 use serde::Serialize;
 use slotmap::SlotMap;
 
@@ -36,6 +37,8 @@
     /// unreachable. Absent until the first recovery of the store.
     #[serde(skip)]
     pub lapse_window_until: Option<Instant>,
+    /// Organisations whose callers may send requests, and their keys.
+    pub organisations: Organisations,
     /// Evacuated zones, whose targets receive no requests.
     pub zones_out: BTreeSet<String>,
 }
@@ -60,6 +63,8 @@
     /// Priority for load shedding; 0 is the highest.
     #[serde(rename = "rank")]
     pub shedding_rank: u32,
+    /// Whether callers need no key although the configuration names organisations.
+    pub is_public: bool,
     /// Limit of attempts per request and service, at least 1.
     pub attempts_max_count: u32,
     /// Services that receive the requests.
@@ -134,6 +139,14 @@
     pub has_lapsed: bool,
 }
 
+/// Returns an empty catalog; `seed` determines the key by which it hashes callers' keys.
+pub fn new_catalog(seed: u64) -> Catalog {
+    Catalog {
+        organisations: organisation::new_table(seed),
+        ..Catalog::default()
+    }
+}
+
 /// Returns the front of the host with the longest prefix of the path; query and fragment are
 /// ignored.
 pub fn find_front(catalog: &Catalog, host: &str, path: &str) -> Option<FrontKey> {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,9 @@
 //! - a part is sent to at most as many targets as its front allows;
 //! - extra calls, requests to targets in cold start or with a rate limit, and connections stay
 //!   within this instance's share of the limits that all instances have in common;
+//! - if the configuration names organisations, a request is sent to its first target only if the
+//!   configuration in force admits its caller, and neither targets nor other instances receive the
+//!   caller's key;
 //! - a merged answer contains only complete replies of services that a single version of the
 //!   configuration names, at most one per service, and counts the other services as missing.
 
@@ -39,6 +42,7 @@
 #[cfg(test)]
 mod tests;
 
+pub use access::{is_authenticated, on_configuration};
 pub use budget::{RetryBudget, allows_extra_call};
 pub use completion::{on_attempt_failure, on_attempt_reply, on_caller_gone, on_quarantined};
 pub use health::{Health, is_in_backoff};
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -19,7 +19,7 @@
 use rand::seq::IndexedRandom;
 
 use crate::{
-    Exchange, Gateway, Relay,
+    Exchange, Gateway, Relay, access,
     completion::{cancel_exchange, send_queued_parts},
     request::{GoalSource, NewExchange, create_exchange, run_locally},
     respond::{finish, record_end, refuse_relayed, remove_exchange, respond},
@@ -266,10 +266,12 @@
     let front = catalog::find_front(&gateway.catalog, &request.host, &request.path);
     let front = front.filter(|_| refusal.is_none() && is_same_version);
     let key = front.and_then(|front| {
+        let request = access::accept_relayed(gateway, front, request).ok()?;
         let new = NewExchange {
             requester,
             front,
-            request,
+            request: &request,
+            key_hash: None,
             goal: GoalSource::Relayed(relayed.goal.map(|goal| now + goal)),
             attempts_max_count: relayed.attempts_max_count,
         };
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -11,6 +11,7 @@
     ServiceKey,
 };
 use once::Evidence;
+use organisation::KeyHash;
 use rand::RngExt;
 
 use crate::{
@@ -39,15 +40,20 @@
         counter: Counter::Requests,
         amount_count: 1,
     });
-    if !crate::is_known(gateway) {
+    if gateway.catalog.version == 0 {
         let reason = NotRunReason::NoConfiguration;
         return refuse(gateway, caller, &request, reason, out);
     }
+    let key_hash = access::key_hash(&gateway.catalog, &request);
     let front = catalog::find_front(&gateway.catalog, &request.host, &request.path);
     let request = match access::authenticate(gateway, front, request.clone()) {
         Ok(request) => request,
         Err(reason) => return refuse(gateway, caller, &request, reason, out),
     };
+    if !crate::is_known(gateway) {
+        let reason = NotRunReason::NoConfiguration;
+        return refuse(gateway, caller, &request, reason, out);
+    }
     let Some(front) = front else {
         let reason = NotRunReason::UnknownFront;
         return refuse(gateway, caller, &request, reason, out);
@@ -59,6 +65,7 @@
         requester: Requester::Caller(caller),
         front,
         request: &request,
+        key_hash,
         goal: GoalSource::Front,
         attempts_max_count: None,
     };
@@ -112,6 +119,8 @@
     pub front: FrontKey,
     /// The request.
     pub request: &'a Arc<HttpRequest>,
+    /// Hash of the caller's key, if this instance has read one.
+    pub key_hash: Option<KeyHash>,
     /// Source of the latency goal.
     pub goal: GoalSource,
     /// Number of targets that each part may be sent to at first; `None` for the front's limit.
@@ -177,6 +186,14 @@
         fingerprint: fingerprint(request),
         front: front_key,
         version: gateway.catalog.version,
+        rank: access::effective_rank(
+            &gateway.catalog,
+            request.organisation.as_deref(),
+            front.shedding_rank,
+        ),
+        organisation: request.organisation.clone(),
+        key_hash: new.key_hash,
+        is_revoked: false,
         is_idempotent: front.is_idempotent,
         is_quarantined: false,
         is_rate_limited: false,
--- a/crates/gateway/src/respond.rs
+++ b/crates/gateway/src/respond.rs
@@ -12,7 +12,7 @@
 use rand::RngExt;
 
 use crate::{
-    Exchange, Gateway, PartState, completion::abandon_attempts, log_line::elapsed_ms,
+    Exchange, Gateway, PartState, access, completion::abandon_attempts, log_line::elapsed_ms,
     merge::greatest_records, rate_limit, relay, stated_backoff,
 };
 
@@ -38,12 +38,16 @@
         counter: Counter::Refusals,
         amount_count: 1,
     });
-    let line = LogLine::new(Level::Info, "request-refused")
+    let mut line = LogLine::new(Level::Info, "request-refused")
         .with("request_id", request.request_id.as_str())
         .with("host", request.host.as_str())
         .with("path", request.path.as_str())
         .with("version", gateway.catalog.version)
         .with("reason", variant_name(&reason).as_str());
+    if reason == NotRunReason::Unauthenticated {
+        access::count_unauthenticated(out);
+        line = line.with("key", access::key_fault(request));
+    }
     out.push(Effect::Log(line));
     let response = outcome_response(gateway, Outcome::NotRun(reason));
     send_response(gateway, Requester::Caller(caller), response, true, out);
@@ -167,7 +171,7 @@
 }
 
 /// Returns whether no target can have received any part of an exchange.
-fn is_unsent(exchange: &Exchange) -> bool {
+pub(crate) fn is_unsent(exchange: &Exchange) -> bool {
     let is_untouched = exchange.parts.iter().all(|part| part.sent_count == 0);
     is_untouched && exchange.answered_count == 0 && exchange.relay.is_none()
 }
@@ -184,7 +188,9 @@
 
 fn outcome(exchange: &Exchange, now: Instant) -> Outcome {
     if is_unsent(exchange) {
-        let reason = if now >= exchange.deadline || exchange.pending_count > 0 {
+        let reason = if exchange.is_revoked {
+            NotRunReason::Unauthenticated
+        } else if now >= exchange.deadline || exchange.pending_count > 0 {
             NotRunReason::Overloaded
         } else if exchange.is_rate_limited {
             NotRunReason::RateLimited
@@ -327,6 +333,13 @@
         .with("parts_count", exchange.parts.len() as u64)
         .with("missing_count", u64::from(missing_count))
         .with("extra_count", u64::from(exchange.extra_count));
+    if exchange.is_revoked {
+        line = line.with("is_revoked", 1);
+        let is_callers = matches!(exchange.requester, Requester::Caller(_));
+        if is_callers && is_unsent(exchange) {
+            access::count_unauthenticated(out);
+        }
+    }
     if exchange.is_rate_limited {
         line = line.with("is_rate_limited", 1);
     }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -28,7 +28,8 @@
 /// is likely to miss the goal.
 const SLOW_GOAL_RATIO: f64 = 0.5;
 
-/// Sends every part of an exchange to its first target, unless the request is quarantined.
+/// Sends every part of an exchange to its first target, unless the request is quarantined or its
+/// caller no longer admitted.
 ///
 /// An answer can do without the parts above the minimum. The timeout of at most that many slow
 /// attempts, slowest first, ends at the goal instead of the deadline. An overloaded target then
@@ -42,7 +43,7 @@
 ) {
     let front = gateway.exchanges[key].front;
     let parts_count = gateway.exchanges[key].parts.len();
-    if gateway.exchanges[key].is_quarantined {
+    if gateway.exchanges[key].is_quarantined || gateway.exchanges[key].is_revoked {
         (0..parts_count).for_each(|part_index| mark_missing(gateway, key, part_index));
         return;
     }
@@ -164,6 +165,8 @@
     NotIdempotent,
     /// The request is quarantined because it is suspected of crashing its targets.
     Quarantined,
+    /// The configuration in force no longer admits the caller.
+    Revoked,
     /// This instance's share of the rate limits of the other targets is used up.
     RateLimited,
     /// No other target is usable.
@@ -206,6 +209,10 @@
     if exchange.is_quarantined {
         return SendOutcome::Denied(Denial::Quarantined);
     }
+    let is_untouched = exchange.parts.iter().all(|part| part.sent_count == 0);
+    if exchange.is_revoked && is_untouched {
+        return SendOutcome::Denied(Denial::Revoked);
+    }
     let is_extra = part.sent_count > 0;
     if part.sent_count >= exchange.attempts_max_count {
         return match exchange.attempts_withheld_count {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -13,6 +13,7 @@
     AttemptKey, ExchangeKey, FrontKey, HttpRequest, ProxiedReply, Requester, ServiceKey, TargetKey,
 };
 use once::Evidence;
+use organisation::KeyHash;
 use pending::{Requests, Table};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -120,6 +121,16 @@
     pub front: FrontKey,
     /// Version of the configuration that the services were taken from.
     pub version: u64,
+    /// Priority rank: that of the organisation, or else of the front; 0 is the highest.
+    pub rank: u32,
+    /// Organisation of the caller; `None` if it belongs to none.
+    pub organisation: Option<Arc<str>>,
+    /// Hash of the caller's key; `None` if it sent none, or if another instance relayed the query.
+    #[serde(skip)]
+    pub key_hash: Option<KeyHash>,
+    /// Whether the configuration in force no longer admits the caller: nothing is sent unless a
+    /// target may have received the request before.
+    pub is_revoked: bool,
     /// Whether a request may be executed more than once.
     pub is_idempotent: bool,
     /// Whether the request is quarantined: nothing more is sent for it.
@@ -260,7 +271,7 @@
 pub fn new_state(settings: &settings::Gateway, seed: u64) -> Gateway {
     Gateway {
         settings: settings.clone(),
-        catalog: Catalog::default(),
+        catalog: catalog::new_catalog(seed),
         sync: catalog::new_sync_state(),
         exchanges: SlotMap::with_key(),
         relays: pending::new_requests(seed, Table::Relays),
--- a/crates/gateway/src/tests.rs
+++ b/crates/gateway/src/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway: requests are simulated on a virtual clock, and the responses to callers and
 //! the attempts at targets are checked.
 
+mod access;
 mod busy_instance;
 mod early_ends;
 mod fixture;
--- a/crates/model/src/effect.rs
+++ b/crates/model/src/effect.rs
@@ -90,6 +90,8 @@
     /// Items and messages from outside that were refused because they could not be read or were out
     /// of range.
     RefusedInputs,
+    /// Requests refused because they carry no valid key of an organisation.
+    UnauthenticatedRequests,
     /// Parts that were not sent to any target because of the rate limits that targets name.
     RateLimitedParts,
 }
--- a/crates/model/src/message.rs
+++ b/crates/model/src/message.rs
@@ -1,6 +1,6 @@
 //! Messages between instances.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -182,7 +182,7 @@
 }
 
 /// Changes of a store area, as a watch returned them.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct StoreChanges {
     /// The area.
@@ -195,6 +195,19 @@
     pub body: Bytes,
 }
 
+/// The answer holds callers' keys, so only its length is shown.
+impl fmt::Debug for StoreChanges {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("StoreChanges")
+            .field("area", &self.area)
+            .field("after_revision", &self.after_revision)
+            .field("revision", &self.revision)
+            .field("body_bytes", &self.body.len())
+            .finish()
+    }
+}
+
 /// A message from one instance to another.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/model/src/store.rs
+++ b/crates/model/src/store.rs
@@ -111,6 +111,9 @@
 }
 
 /// An organisation whose callers authenticate with its keys.
+///
+/// An entry without keys, and perhaps without a name, stands for an item that was refused: nobody
+/// belongs to it, but callers of the configuration need keys.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct OrganisationEntry {
--- a/crates/tier/src/gateway.rs
+++ b/crates/tier/src/gateway.rs
@@ -53,7 +53,13 @@
     out: &mut Vec<Effect>,
 ) {
     shutdown::record_activity(state, now);
-    let refusal = if shutdown::is_refusing_requests(state, now) {
+    // The gateway refuses an unauthenticated request before anything else is decided about it.
+    let gateway = state.gateway.as_ref();
+    let is_authenticated =
+        gateway.is_none_or(|gateway| gateway::is_authenticated(gateway, &request));
+    let refusal = if !is_authenticated {
+        None
+    } else if shutdown::is_refusing_requests(state, now) {
         Some(NotRunReason::Leaving)
     } else if is_http_request_quarantined(state, now, &request) {
         Some(NotRunReason::Quarantined)
@@ -392,6 +398,11 @@
                 target,
                 is_registration_missing: true,
             } => strikes::record_ended_target(state, now, target, out),
+            Change::Configuration { .. } => {
+                if let Some(gateway) = &mut state.gateway {
+                    gateway::on_configuration(gateway, now, out);
+                }
+            }
             _ => {}
         }
     }
@@ -405,7 +416,15 @@
             Change::Configuration { from } => LogLine::new(Level::Info, "configuration-in-force")
                 .with("version", gateway.catalog.version)
                 .with("from_version", *from)
-                .with("fronts_count", gateway.catalog.fronts.len() as u64),
+                .with("fronts_count", gateway.catalog.fronts.len() as u64)
+                .with(
+                    "organisations_count",
+                    gateway.catalog.organisations.entries.len() as u64,
+                )
+                .with(
+                    "keys_count",
+                    organisation::keys_count(&gateway.catalog.organisations) as u64,
+                ),
             Change::OldConfiguration { version } => {
                 LogLine::new(Level::Info, "configuration-not-newer")
                     .with("version", *version)
--- a/crates/tier/src/status.rs
+++ b/crates/tier/src/status.rs
@@ -36,6 +36,10 @@
     pub targets_count: u64,
     /// Unreachable targets; with a gateway, targets that are replaced or in backoff.
     pub unreachable_targets_count: u64,
+    /// Organisations of the configuration; 0 without a gateway.
+    pub organisations_count: u64,
+    /// Keys of all organisations together.
+    pub keys_count: u64,
 }
 
 /// Returns the status of an instance.
@@ -64,6 +68,8 @@
         members_count: state.fleet.members.len() as u64,
         targets_count: state.routes.targets.len() as u64,
         unreachable_targets_count: unreachable.count() as u64,
+        organisations_count: 0,
+        keys_count: 0,
     }
 }
 
@@ -88,6 +94,8 @@
         members_count: state.fleet.members.len() as u64,
         targets_count: gateway.catalog.targets.len() as u64,
         unreachable_targets_count: unreachable.count() as u64,
+        organisations_count: gateway.catalog.organisations.entries.len() as u64,
+        keys_count: organisation::keys_count(&gateway.catalog.organisations) as u64,
     }
 }
 
