Lead from a 401 to its cause

Cause: a caller that was refused with 401 left no trace of why, and operators could see neither the organisations in force nor the number of their keys.

Change: the line of a refusal says whether the key was absent, malformed or unknown; the line of a request whose key was removed while it waited says so; balsamctl explain ends with the cause in one sentence and shows the refused items of the configuration. Tests through the reducer: authentication precedes quarantine and leaving, invalid items are refused alone, and no effect, log line or dump shows a key.

--- a/crates/balsamctl/src/explain.rs
+++ b/crates/balsamctl/src/explain.rs
@@ -20,6 +20,12 @@
     "zone-changed",
 ];
 
+/// Event of an item of the store that was refused; shown for requests without a valid key, which
+/// the item may hold.
+const REFUSED_ITEM_EVENT: &str = "item-unreadable";
+/// Maximum number of those lines from each log.
+const REFUSED_ITEMS_MAX_COUNT: usize = 4;
+
 /// One line of a log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Line<'a> {
@@ -38,6 +44,8 @@
     /// up to then about each target whose answer was missing, and of each event in [`STATE_EVENTS`].
     /// Ordered by timestamp.
     pub state_lines: Vec<Line<'a>>,
+    /// The cause in one sentence, where the lines tell it.
+    pub conclusion: Option<String>,
 }
 
 /// Prints the explanation of a request.
@@ -60,6 +68,7 @@
         let document = json!({
             "request": texts(&explanation.request_lines),
             "beliefs": texts(&explanation.state_lines),
+            "conclusion": explanation.conclusion,
         });
         println!("{document:#}");
     } else {
@@ -90,7 +99,10 @@
             .iter()
             .filter_map(|line| field(line, "missing"));
         let targets: Vec<&str> = missing.flat_map(missing_targets).collect();
-        let state_lines = latest_state_lines(text, ended_at, &targets);
+        let mut state_lines = latest_state_lines(text, ended_at, &targets);
+        if request_lines.iter().any(|line| is_unauthenticated(line)) {
+            state_lines.extend(latest_refused_items(text, ended_at));
+        }
         let line = |text| Line { log, text };
         explanation
             .request_lines
@@ -99,6 +111,8 @@
             .state_lines
             .extend(state_lines.into_iter().map(line));
     }
+    let mut lines = explanation.request_lines.iter();
+    explanation.conclusion = lines.find_map(|line| conclusion(line.text));
     for lines in [&mut explanation.request_lines, &mut explanation.state_lines] {
         lines.sort_by_key(|line| field(line.text, "ts"));
     }
@@ -120,6 +134,45 @@
     about_targets.chain(about_instance).copied().collect()
 }
 
+/// Returns the last lines up to a time about items of the store that were refused.
+fn latest_refused_items<'a>(log: &'a str, ended_at: &str) -> Vec<&'a str> {
+    let lines = log.lines().rev();
+    let refused = lines.filter(|line| {
+        let is_in_time = field(line, "ts").is_some_and(|ts| ts <= ended_at);
+        is_in_time && field(line, "event") == Some(REFUSED_ITEM_EVENT)
+    });
+    refused.take(REFUSED_ITEMS_MAX_COUNT).collect()
+}
+
+fn is_unauthenticated(line: &str) -> bool {
+    field(line, "reason") == Some("unauthenticated")
+}
+
+/// Returns the cause of a request's end in one sentence, if its line tells it.
+fn conclusion(line: &str) -> Option<String> {
+    if !is_unauthenticated(line) {
+        return None;
+    }
+    let version = field(line, "version").unwrap_or("unknown");
+    let text = match (field(line, "event")?, field(line, "key")) {
+        ("request-refused", Some("absent")) => {
+            "the caller sent no key, and the front is not public".to_owned()
+        }
+        ("request-refused", Some("malformed")) => {
+            "the caller's credential does not have the form \"Bearer KEY\"".to_owned()
+        }
+        ("request-refused", _) => format!(
+            "no organisation of configuration {version} has the caller's key: it was never \
+             published, was removed, or stands in an item that was refused"
+        ),
+        ("request-ended", _) => "a newer configuration removed the caller's key while the \
+             request waited; no target received it"
+            .to_owned(),
+        _ => return None,
+    };
+    Some(text)
+}
+
 /// Returns the targets in the value of a field `missing`: `SERVICE:TARGET/TARGET,SERVICE:…`.
 fn missing_targets(missing: &str) -> impl Iterator<Item = &str> {
     let services = missing.split(',');
@@ -142,6 +195,9 @@
     for line in &explanation.request_lines {
         text += &format!("  {}: {}\n", line.log, line.text);
     }
+    if let Some(conclusion) = &explanation.conclusion {
+        text += &format!("conclusion: {conclusion}\n");
+    }
     text += "state when the request ended\n";
     for line in &explanation.state_lines {
         text += &format!("  {}: {}\n", line.log, line.text);
--- a/crates/balsamctl/src/tests.rs
+++ b/crates/balsamctl/src/tests.rs
@@ -128,6 +128,37 @@
     assert_eq!(times(&explanation.state_lines), expected(&state_lines));
 }
 
+/// Guards against a 401 whose cause is not said, and against a refused item that may hold the key
+/// and is not shown.
+#[rstest]
+#[case::absent(
+    "event=request-refused request_id=r1 version=4 reason=unauthenticated key=absent",
+    "no key"
+)]
+#[case::malformed(
+    "event=request-refused request_id=r1 version=4 reason=unauthenticated key=malformed",
+    "Bearer KEY"
+)]
+#[case::unknown(
+    "event=request-refused request_id=r1 version=4 reason=unauthenticated key=unknown",
+    "no organisation of configuration 4"
+)]
+#[case::removed(
+    "event=request-ended request_id=r1 version=4 end=ended reason=unauthenticated",
+    "a newer configuration removed"
+)]
+fn an_explanation_of_a_missing_key_names_the_cause(#[case] line: &str, #[case] expected: &str) {
+    let refused = "ts=2026-01-01T00:00:02.0Z level=warn event=item-unreadable key=configuration";
+    let later = "ts=2026-01-01T00:00:09.0Z level=warn event=item-unreadable key=configuration";
+    let line = format!("ts=2026-01-01T00:00:05.0Z level=info {line}");
+    let logs = vec![("a".to_owned(), format!("{refused}\n{line}\n{later}\n"))];
+    let explanation = explain("r1", &logs);
+    let state_lines = explanation.state_lines.iter().map(|line| line.text);
+    assert_eq!(state_lines.collect::<Vec<&str>>(), [refused]);
+    let conclusion = explanation.conclusion.expect("the cause is known");
+    assert!(conclusion.contains(expected), "{conclusion}");
+}
+
 #[test]
 fn a_request_that_no_log_mentions_has_an_empty_explanation() {
     assert_eq!(explain("r", &logs()), Explanation::default());
--- a/crates/gateway/src/respond.rs
+++ b/crates/gateway/src/respond.rs
@@ -333,10 +333,9 @@
         .with("parts_count", exchange.parts.len() as u64)
         .with("missing_count", u64::from(missing_count))
         .with("extra_count", u64::from(exchange.extra_count));
-    if exchange.is_revoked {
-        line = line.with("is_revoked", 1);
-        let is_callers = matches!(exchange.requester, Requester::Caller(_));
-        if is_callers && is_unsent(exchange) {
+    if exchange.is_revoked && is_unsent(exchange) {
+        line = line.with("reason", "unauthenticated");
+        if matches!(exchange.requester, Requester::Caller(_)) {
             access::count_unauthenticated(out);
         }
     }
--- a/crates/tier/src/tests.rs
+++ b/crates/tier/src/tests.rs
@@ -15,6 +15,7 @@
 mod network;
 mod note_acceptance;
 mod once;
+mod organisations;
 mod pause;
 mod propagation;
 mod quarantine;
