--- a/crates/balsamctl/src/explain.rs
+++ b/crates/balsamctl/src/explain.rs
@@ -7,7 +7,7 @@
 use crate::{error::CommandError, exit::ExitStatus};
 
 /// Events that report the state of the instance, its configuration or its connection to the store.
-const STATE_EVENTS: [&str; 10] = [
+const STATE_EVENTS: [&str; 13] = [
     "listening",
     "leaving",
     "process-paused",
@@ -15,6 +15,9 @@
     "isolation-over",
     "store-lost",
     "store-regained",
+    "store-restored",
+    "configuration-behind",
+    "configuration-caught-up",
     "catalog-known",
     "configuration-in-force",
     "zone-changed",
--- a/crates/balsamd/src/gateway_messages.rs
+++ b/crates/balsamd/src/gateway_messages.rs
@@ -97,6 +97,8 @@
 pub struct StoreReadEnded {
     /// The read.
     pub read: StoreRead,
+    /// Era of the store that the response states; 0 if there is none.
+    pub era: u64,
     /// The decoded value with the undecoded body, or the failure.
     pub result: Result<(StoreResponse, Bytes), StoreFailure>,
 }
@@ -109,13 +111,18 @@
         let event = match message.result {
             Ok((store_response, published)) => Event::StoreAnswered {
                 read,
+                era: message.era,
                 records: Cow::Owned(store_response.records),
                 revision: store_response.revision,
                 is_behind: store_response.is_behind,
                 next_page: store_response.next_page,
                 published,
             },
-            Err(failure) => Event::StoreFailed { read, failure },
+            Err(failure) => Event::StoreFailed {
+                read,
+                failure,
+                era: message.era,
+            },
         };
         dispatch(self, context, event);
     }
@@ -130,6 +137,7 @@
 ) {
     let read = StoreRead::Watch {
         area: changes.area,
+        era: changes.era,
         after_revision: changes.after_revision,
         wait: Duration::ZERO,
     };
@@ -147,6 +155,7 @@
     };
     let event = Event::SharedStoreChanges {
         area: changes.area,
+        era: changes.era,
         after_revision: changes.after_revision,
         revision: changes.revision,
         records: Cow::Owned(records),
--- a/crates/balsamd/src/metrics.rs
+++ b/crates/balsamd/src/metrics.rs
@@ -64,8 +64,15 @@
 
 /// Creates the gauges; [`set_gauges`] updates them at each scrape.
 pub fn create_gauges(metrics: &Metrics) -> Gauges {
-    let values: [(&str, ReadStatus); 12] = [
+    let values: [(&str, ReadStatus); 15] = [
         ("revision", |status| status.revision),
+        ("store_era", |status| status.store_era),
+        ("store_operators_revision", |status| {
+            status.store_operators_revision
+        }),
+        ("store_targets_revision", |status| {
+            status.store_targets_revision
+        }),
         ("confirmed_ms", |status| {
             status.confirmed_ms.unwrap_or(NEVER_CONFIRMED_MS)
         }),
--- a/crates/balsamd/src/store_reads.rs
+++ b/crates/balsamd/src/store_reads.rs
@@ -33,7 +33,11 @@
             let (shell, read) = (shell.clone(), read.clone());
             move || {
                 let result = Err(StoreFailure::Unreachable);
-                shell.do_send(StoreReadEnded { read, result });
+                shell.do_send(StoreReadEnded {
+                    read,
+                    era: 0,
+                    result,
+                });
             }
         });
         let timeout = match &read {
@@ -41,16 +45,24 @@
             StoreRead::List { .. } => ANSWER_TIMEOUT,
         };
         let answer = actix_rt::time::timeout(timeout, fetch(config, address, &read)).await;
-        let result = answer.unwrap_or(Err(StoreFailure::Unreachable));
-        shell.do_send(StoreReadEnded { read, result });
+        let (era, result) = match answer {
+            Ok(Ok((era, result))) => (era, result),
+            Ok(Err(failure)) => (0, Err(failure)),
+            Err(_) => (0, Err(StoreFailure::Unreachable)),
+        };
+        shell.do_send(StoreReadEnded { read, era, result });
     });
 }
 
+/// The decoded value of a response with its undecoded body, or why it holds none.
+type ReadResult = Result<(StoreResponse, Bytes), StoreFailure>;
+
+/// Reads the store, and returns the era that its response states with the result.
 async fn fetch(
     config: ClientConfig,
     address: SocketAddr,
     read: &StoreRead,
-) -> Result<(StoreResponse, Bytes), StoreFailure> {
+) -> Result<(u64, ReadResult), StoreFailure> {
     let unreachable = |_| StoreFailure::Unreachable;
     let mut head = RequestHead::default();
     head.uri = platform::encode_read(read)
@@ -64,7 +76,10 @@
     let no_body = Bytes::new();
     let exchange = client::exchange(connection, Rc::new(head), None, &no_body, |_| Relation::Own);
     let (response, _) = exchange.await.map_err(unreachable)?;
-    let store_response =
-        platform::decode_store_response(read, response.head.status.as_u16(), &response.body)?;
-    Ok((store_response, response.body))
+    // A refusal may be the first answer of an era.
+    let era = platform::decode_era(response.head.headers());
+    let code = response.head.status.as_u16();
+    let store_response = platform::decode_store_response(read, code, &response.body);
+    let result = store_response.map(|store_response| (store_response, response.body));
+    Ok((era, result))
 }
--- a/crates/catalog/src/apply.rs
+++ b/crates/catalog/src/apply.rs
@@ -11,7 +11,7 @@
     TargetKey,
 };
 
-use crate::{Catalog, Front, Route, Service, Target};
+use crate::{Catalog, Front, Route, Service, Target, restore};
 
 /// Time for which a leaving target may still receive requests that no other target can take.
 ///
@@ -64,6 +64,19 @@
         /// The target.
         target: TargetKey,
     },
+    /// A registration in a restored store is ignored until it is written again, because its process
+    /// has left or a later state of it is known.
+    TargetHeldBack {
+        /// Identifier of the target.
+        target_id: String,
+    },
+    /// A zone keeps its state for now, although the restored store says otherwise.
+    ZoneKept {
+        /// Name of the zone.
+        zone: String,
+        /// Whether the zone stays evacuated.
+        is_out: bool,
+    },
     /// A stored item could not be parsed and was ignored.
     Unreadable {
         /// Key of the item in the store.
@@ -131,11 +144,20 @@
     });
     let expired: Vec<TargetKey> = expired.map(|(key, _)| key).collect();
     for &key in &expired {
+        record_departure(catalog, now, key);
         remove_target(catalog, key);
     }
     expired
 }
 
+/// Records that the process of a target has left, unless its registration may have lapsed only.
+fn record_departure(catalog: &mut Catalog, now: Instant, key: TargetKey) {
+    let target = &catalog.targets[key];
+    if !target.has_lapsed {
+        restore::record_departure(&mut catalog.restore, now, &target.id, target.started_at_ms);
+    }
+}
+
 /// Returns whether a leaving target may still receive requests that no other target can take.
 pub(crate) fn is_in_grace_period(target: &Target, now: Instant) -> bool {
     let since = target
@@ -309,9 +331,11 @@
         return update_target(catalog, now, key, registration, cold_until);
     }
     if let Some(key) = known {
+        record_departure(catalog, now, key);
         remove_target(catalog, key);
     }
     let id: Arc<str> = target_id.into();
+    restore::record_registration(&mut catalog.restore, &id, registration.born_ms);
     let service = get_or_insert_service(catalog, &registration.service);
     let target = catalog.targets.insert(Target {
         id: id.clone(),
--- a/crates/catalog/src/sync.rs
+++ b/crates/catalog/src/sync.rs
@@ -1,7 +1,7 @@
 //! Replication of the store: a list of each area, then watches from the revision of the list.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::HashSet,
     time::{Duration, Instant},
 };
 
@@ -10,10 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 
-use crate::{
-    Catalog,
-    apply::{Change, apply, mark_unlisted_removed},
-};
+use crate::{Catalog, Change, listing, restore};
 
 /// Time after which the store ends a watch without changes.
 ///
@@ -79,14 +76,26 @@
 #[derive(Clone, Debug, Default)]
 #[derive(Serialize)]
 pub struct AreaProgress {
+    /// Latest era of the store that this instance has heard of, to which all revisions of the area
+    /// belong; 0 if the store states none.
+    pub era: u64,
     /// Current or next read.
     pub stage: Stage,
+    /// Whether the store was restored and the new list is not complete yet.
+    pub is_restoring: bool,
+    /// Revision of the list that followed the last restore; 0 if there was none. Shared changes from
+    /// before it may hold what the copy held, which does not count as written again.
+    pub restored_revision: u64,
     /// Whether a complete list has been read since the start.
     pub is_known: bool,
     /// Consecutive failed reads.
     pub failures_count: u32,
     /// Whether a read is in flight.
     pub is_reading: bool,
+    /// Era of the read in flight. Answers to reads of an earlier era are ignored, because another
+    /// read has replaced them.
+    #[serde(skip)]
+    read_era: u64,
     /// When the store last answered this instance.
     #[serde(skip)]
     pub answered_at: Option<Instant>,
@@ -134,7 +143,12 @@
     }
 }
 
-/// Starts the first list of each area.
+/// Returns the latest era of the store that this instance has heard of; 0 if there is none.
+pub fn era(sync: &SyncState) -> u64 {
+    sync.operators.era.max(sync.targets.era)
+}
+
+/// Starts the next read of each area unless one is in flight.
 pub fn start(sync: &mut SyncState, now: Instant, out: &mut Vec<Effect>) {
     for area in [StoreArea::Operators, StoreArea::Targets] {
         start_next_read(sync, now, area, out);
@@ -163,6 +177,8 @@
         return;
     }
     progress.is_reading = true;
+    progress.read_era = progress.era;
+    let era = progress.era;
     let has_recent_answer = progress.failures_count == 0
         && progress
             .answered_at
@@ -170,10 +186,12 @@
     let read = match &progress.stage {
         Stage::Listing { after, .. } => StoreRead::List {
             area,
+            era,
             after: after.clone(),
         },
         Stage::Watching { revision } => StoreRead::Watch {
             area,
+            era,
             after_revision: *revision,
             wait: match role {
                 _ if !has_recent_answer => RECOVERY_WATCH_WAIT,
@@ -185,11 +203,44 @@
     out.push(Effect::ReadStore(read));
 }
 
+/// Starts a new list of each area whose era is earlier than `era`.
+///
+/// A read in flight is replaced by that list, unless it is for the first page of one: its answer
+/// belongs to the new era, or is refused. A watch may last for seconds, and the restored store may
+/// accept its revision, which then stands for other changes.
+fn begin_era(
+    sync: &mut SyncState,
+    catalog: &mut Catalog,
+    now: Instant,
+    era: u64,
+    out: &mut Vec<Effect>,
+) {
+    for area in [StoreArea::Operators, StoreArea::Targets] {
+        let progress = area_progress_mut(sync, area);
+        if progress.era >= era {
+            continue;
+        }
+        progress.is_restoring |= progress.answered_at.is_some();
+        progress.era = era;
+        progress.restored_revision = 0;
+        progress.shared_at = None;
+        progress.listed_names.clear();
+        if progress.stage != Stage::default() {
+            progress.stage = Stage::default();
+            progress.is_reading = false;
+        }
+    }
+    restore::begin_era(&mut catalog.restore);
+    start(sync, now, out);
+}
+
 /// Changes sent by the reader of the zone.
 #[derive(Clone, Copy, Debug)]
 pub struct SharedChanges<'a> {
     /// Area that the changes belong to.
     pub area: StoreArea,
+    /// Era of the store that both revisions belong to.
+    pub era: u64,
     /// Revision that precedes the first change.
     pub after_revision: u64,
     /// Revision up to which all changes are included.
@@ -201,17 +252,29 @@
 /// Applies changes sent by the reader of the zone, and returns how they changed the catalog.
 ///
 /// Changes that would leave a gap after the known revision or are older than it are ignored; this
-/// instance's own reads obtain them.
+/// instance's own reads obtain them. Changes of an earlier era are ignored too; those of a later one
+/// start a new list, because the revisions of two eras cannot be compared.
 pub fn on_shared_changes(
     sync: &mut SyncState,
     catalog: &mut Catalog,
     now: Instant,
     shared: &SharedChanges<'_>,
+    out: &mut Vec<Effect>,
 ) -> Vec<Change> {
+    if shared.era > era(sync) {
+        begin_era(sync, catalog, now, shared.era, out);
+        return Vec::new();
+    }
     let progress = area_progress_mut(sync, shared.area);
     let Stage::Watching { revision } = progress.stage else {
         return Vec::new();
     };
+    if shared.era < progress.era {
+        return Vec::new();
+    }
+    if shared.after_revision < progress.restored_revision {
+        return Vec::new();
+    }
     if shared.after_revision > revision || shared.revision < revision {
         return Vec::new();
     }
@@ -219,10 +282,7 @@
     progress.stage = Stage::Watching {
         revision: shared.revision,
     };
-    let records = latest_records(shared.records);
-    records
-        .filter_map(|record| apply(catalog, now, record))
-        .collect()
+    listing::apply_written(catalog, now, shared.records)
 }
 
 /// Answer of the store to a read.
@@ -230,6 +290,8 @@
 pub struct StoreAnswer<'a> {
     /// Read that was answered.
     pub read: &'a StoreRead,
+    /// Era of the store; 0 if it states none.
+    pub era: u64,
     /// Items of the page of a list, or changes of a watch in revision order.
     pub records: &'a [StoreRecord],
     /// For a watch, the revision up to which all changes are included; for a page of a list, the
@@ -241,6 +303,12 @@
     pub next_page: Option<&'a str>,
 }
 
+/// Returns whether an answer belongs to an earlier era of the store than one already heard of, and
+/// is to be handled as a failure of the read.
+pub fn is_earlier_era(sync: &SyncState, answer: &StoreAnswer<'_>) -> bool {
+    answer.era < area_progress(sync, answer.read.area()).era
+}
+
 /// Applies an answer of the store, schedules the next read, and returns how the catalog changed.
 pub fn on_store_answer(
     sync: &mut SyncState,
@@ -250,6 +318,19 @@
     out: &mut Vec<Effect>,
 ) -> Vec<Change> {
     let area = answer.read.area();
+    let is_replaced = is_replaced(sync, answer.read);
+    let progress = area_progress_mut(sync, area);
+    // Keeps the new era from repeating the read: a first page that states it belongs to it.
+    let is_first_page = !is_replaced && matches!(answer.read, StoreRead::List { after: None, .. });
+    progress.is_reading = is_replaced || is_first_page;
+    if answer.era > progress.era {
+        begin_era(sync, catalog, now, answer.era, out);
+        if !is_first_page {
+            return Vec::new();
+        }
+    } else if is_replaced {
+        return Vec::new();
+    }
     let progress = area_progress_mut(sync, area);
     progress.is_reading = false;
     if progress.failures_count > 0 {
@@ -257,46 +338,9 @@
     }
     progress.failures_count = 0;
     progress.answered_at = Some(now);
-    // The zone's reader may have sent later changes while this read was in flight.
-    let known_revision = match (answer.read, &progress.stage) {
-        (StoreRead::Watch { .. }, Stage::Watching { revision }) => *revision,
-        _ => 0,
-    };
-    let mut changes: Vec<Change> = Vec::new();
-    if answer.revision >= known_revision {
-        let records = latest_records(answer.records);
-        changes.extend(records.filter_map(|record| apply(catalog, now, record)));
-    }
-    let progress = area_progress_mut(sync, area);
-    progress.stage = match (answer.read, &progress.stage) {
-        (StoreRead::Watch { .. }, _) => Stage::Watching {
-            revision: answer.revision.max(known_revision),
-        },
-        (StoreRead::List { .. }, stage) => {
-            progress
-                .listed_names
-                .extend(answer.records.iter().filter_map(listed_name));
-            // Pages are read one after another, so a change may fall between two of them. Watching
-            // from the first page's revision covers all such changes.
-            let first_revision = match stage {
-                Stage::Listing { revision, .. } => revision.unwrap_or(answer.revision),
-                Stage::Watching { revision } => *revision,
-            };
-            match answer.next_page {
-                Some(after) => Stage::Listing {
-                    after: Some(after.to_owned()),
-                    revision: Some(first_revision),
-                },
-                None => {
-                    let listed_names = std::mem::take(&mut progress.listed_names);
-                    progress.is_known = true;
-                    reconcile_listed(catalog, now, area, &listed_names, &mut changes);
-                    Stage::Watching {
-                        revision: first_revision,
-                    }
-                }
-            }
-        }
+    let changes = match answer.read {
+        StoreRead::Watch { .. } => apply_watch(progress, catalog, now, answer),
+        StoreRead::List { .. } => apply_list(progress, catalog, now, answer),
     };
     let is_up_to_date = is_watching(sync, area) && !answer.is_behind;
     if area == StoreArea::Targets && !answer.records.is_empty() && is_up_to_date {
@@ -310,29 +354,77 @@
     changes
 }
 
-/// Returns the records without those of targets that a later record of the answer replaces.
-///
-/// An answer may repeat changes from before the known revision. A target that has left would
-/// otherwise take part again, until the grace period of its removal is over once more.
-fn latest_records(records: &[StoreRecord]) -> impl Iterator<Item = &StoreRecord> {
-    let indices = records.iter().enumerate();
-    let last: HashMap<&str, usize> = indices
-        .filter_map(|(index, record)| Some((target_id(record)?, index)))
-        .collect();
-    let records = records.iter().enumerate();
-    records.filter_map(move |(index, record)| {
-        let is_last = target_id(record).is_none_or(|id| last.get(id) == Some(&index));
-        is_last.then_some(record)
-    })
+/// Applies the changes of a watch.
+fn apply_watch(
+    progress: &mut AreaProgress,
+    catalog: &mut Catalog,
+    now: Instant,
+    answer: &StoreAnswer<'_>,
+) -> Vec<Change> {
+    // The zone's reader may have sent later changes while this read was in flight.
+    let known_revision = match progress.stage {
+        Stage::Watching { revision } => revision,
+        Stage::Listing { .. } => 0,
+    };
+    progress.stage = Stage::Watching {
+        revision: answer.revision.max(known_revision),
+    };
+    if answer.revision < known_revision {
+        return Vec::new();
+    }
+    listing::apply_written(catalog, now, answer.records)
 }
 
-fn target_id(record: &StoreRecord) -> Option<&str> {
-    match record {
-        StoreRecord::Target { target_id, .. } | StoreRecord::TargetRemoved { target_id } => {
-            Some(target_id)
-        }
-        _ => None,
+/// Applies a page of a list, and what is missing from the list after its last page.
+fn apply_list(
+    progress: &mut AreaProgress,
+    catalog: &mut Catalog,
+    now: Instant,
+    answer: &StoreAnswer<'_>,
+) -> Vec<Change> {
+    let is_restoring = progress.is_restoring;
+    let listed_names = &mut progress.listed_names;
+    let mut changes = listing::apply_page(catalog, now, answer.records, is_restoring, listed_names);
+    // Pages are read one after another, so a change may fall between two of them. Watching from the
+    // first page's revision covers all such changes.
+    let first_revision = match progress.stage {
+        Stage::Listing { revision, .. } => revision.unwrap_or(answer.revision),
+        Stage::Watching { revision } => revision,
+    };
+    if let Some(after) = answer.next_page {
+        progress.stage = Stage::Listing {
+            after: Some(after.to_owned()),
+            revision: Some(first_revision),
+        };
+        return changes;
     }
+    let area = answer.read.area();
+    if is_restoring && area == StoreArea::Targets {
+        catalog.lapse_window_until = Some(now + LAPSE_WINDOW);
+    }
+    let listed_names = std::mem::take(&mut progress.listed_names);
+    listing::reconcile_listed(
+        catalog,
+        now,
+        area,
+        is_restoring,
+        &listed_names,
+        &mut changes,
+    );
+    if is_restoring {
+        progress.restored_revision = first_revision;
+    }
+    progress.is_known = true;
+    progress.is_restoring = false;
+    progress.stage = Stage::Watching {
+        revision: first_revision,
+    };
+    changes
+}
+
+/// Returns whether another read has replaced this one, whose end then means nothing.
+pub fn is_replaced(sync: &SyncState, read: &StoreRead) -> bool {
+    read.era() < area_progress(sync, read.area()).read_era
 }
 
 fn is_watching(sync: &SyncState, area: StoreArea) -> bool {
@@ -342,26 +434,48 @@
     )
 }
 
+/// A read of the store that failed.
+#[derive(Clone, Copy, Debug)]
+pub struct FailedRead<'a> {
+    /// The read.
+    pub read: &'a StoreRead,
+    /// Why it failed.
+    pub failure: StoreFailure,
+    /// Era of the store that the response states; 0 if there is none.
+    pub era: u64,
+}
+
 /// Records a failed read and schedules a retry with exponential backoff and jitter.
 ///
 /// A failed list starts again from its first page. A watch starts a new list only if the store no
-/// longer has the history after its revision.
+/// longer has the history after its revision, or states a later era.
 pub fn on_read_failure(
     sync: &mut SyncState,
+    catalog: &mut Catalog,
     rng: &mut ChaCha8Rng,
-    read: &StoreRead,
-    failure: StoreFailure,
+    now: Instant,
+    failed: &FailedRead<'_>,
     out: &mut Vec<Effect>,
 ) {
-    let area = read.area();
+    let area = failed.read.area();
+    let is_replaced = is_replaced(sync, failed.read);
     let progress = area_progress_mut(sync, area);
-    progress.is_reading = false;
-    if failure == StoreFailure::Compacted || matches!(read, StoreRead::List { .. }) {
+    if !is_replaced {
+        progress.is_reading = false;
+    }
+    if failed.era > progress.era {
+        return begin_era(sync, catalog, now, failed.era, out);
+    }
+    if is_replaced {
+        return;
+    }
+    let is_list = matches!(failed.read, StoreRead::List { .. });
+    if failed.failure == StoreFailure::Compacted || is_list {
         progress.stage = Stage::default();
         progress.listed_names.clear();
     }
     let doublings = progress.failures_count.min(RETRY_MAX_DOUBLINGS);
-    progress.failures_count += 1;
+    progress.failures_count = progress.failures_count.saturating_add(1);
     let delay = (RETRY_INITIAL_DELAY * 2_u32.pow(doublings)).min(RETRY_MAX_DELAY);
     out.push(Effect::SetTimer {
         timer: Timer::Store(area),
@@ -383,41 +497,3 @@
         StoreArea::Targets => &mut sync.targets,
     }
 }
-
-fn listed_name(record: &StoreRecord) -> Option<String> {
-    match record {
-        StoreRecord::Target {
-            target_id,
-            registration: Some(_),
-        } => Some(target_id.clone()),
-        StoreRecord::ZoneOut { zone, is_out: true } => Some(zone.clone()),
-        _ => None,
-    }
-}
-
-/// Marks targets as removed, or returns zones to service, that a complete list does not contain.
-fn reconcile_listed(
-    catalog: &mut Catalog,
-    now: Instant,
-    area: StoreArea,
-    listed_names: &HashSet<String>,
-    changes: &mut Vec<Change>,
-) {
-    match area {
-        StoreArea::Targets => mark_unlisted_removed(catalog, now, listed_names, changes),
-        StoreArea::Operators => {
-            let zones = catalog.zones_out.iter();
-            let returned_zones: Vec<String> = zones
-                .filter(|zone| !listed_names.contains(*zone))
-                .cloned()
-                .collect();
-            for zone in returned_zones {
-                let record = StoreRecord::ZoneOut {
-                    zone,
-                    is_out: false,
-                };
-                changes.extend(apply(catalog, now, &record));
-            }
-        }
-    }
-}
--- a/crates/catalog/src/table.rs
+++ b/crates/catalog/src/table.rs
@@ -7,6 +7,7 @@
     time::{Duration, Instant},
 };
 
+use crate::RestoreMemory;
 use model::{FrontKey, ServiceKey, TargetKey};
 use organisation::Organisations;
 use serde::Serialize;
@@ -41,6 +42,9 @@
     pub organisations: Organisations,
     /// Evacuated zones, whose targets receive no requests.
     pub zones_out: BTreeSet<String>,
+    /// What has ended, for the case that the store is restored from a copy that still contains it.
+    #[serde(skip)]
+    pub restore: RestoreMemory,
 }
 
 /// Routing rule for the requests to one host under one path prefix.
--- a/crates/catalog/src/tests.rs
+++ b/crates/catalog/src/tests.rs
@@ -3,4 +3,6 @@
 mod apply;
 mod differential;
 mod fixture;
+mod restored_store;
+mod restored_store_schedules;
 mod sync;
--- a/crates/catalog/src/tests/differential.rs
+++ b/crates/catalog/src/tests/differential.rs
@@ -8,13 +8,11 @@
 
 use model::{Registration, StoreArea, StoreFailure, StoreRead, StoreRecord};
 use proptest::{collection::vec, prelude::*, test_runner::RngSeed};
-use rand::SeedableRng;
-use rand_chacha::ChaCha8Rng;
 
-use super::fixture::{apply_answer, registration, removed, target, watch};
+use super::fixture::{apply_answer, fail_read, registration, removed, target, watch};
 use crate::{
-    Catalog, Role, SharedChanges, Stage, SyncState, new_sync_state, on_read_failure,
-    on_shared_changes, remove_expired_targets,
+    Catalog, FailedRead, Role, SharedChanges, Stage, SyncState, new_sync_state, on_shared_changes,
+    remove_expired_targets,
 };
 
 const TARGETS: StoreArea = StoreArea::Targets;
@@ -127,6 +125,7 @@
             });
             let read = StoreRead::List {
                 area: TARGETS,
+                era: 0,
                 after,
             };
             apply_answer(
@@ -168,7 +167,6 @@
     #[test]
     fn catalog_converges_to_store_content(steps in vec(any_step(), 1..60)) {
         let start = Instant::now();
-        let mut rng = ChaCha8Rng::seed_from_u64(1);
         let (mut sync, mut catalog) = (new_sync_state(), Catalog::default());
         sync.role = Role::Follower;
         let mut store = ReferenceStore::default();
@@ -183,23 +181,24 @@
                 Step::Fail | Step::Compact => {
                     let read = match stage {
                         Stage::Watching { revision } => watch(TARGETS, revision),
-                        Stage::Listing { after, .. } => StoreRead::List { area: TARGETS, after },
+                        Stage::Listing { after, .. } => StoreRead::List { area: TARGETS, era: 0, after },
                     };
                     let failure = match step {
                         Step::Compact => StoreFailure::Compacted,
                         _ => StoreFailure::Unreachable,
                     };
-                    on_read_failure(&mut sync, &mut rng, &read, failure, &mut Vec::new());
+                    let failed = FailedRead { read: &read, failure, era: 0 };
+                    fail_read(&mut sync, &mut catalog, now, &failed, &mut Vec::new());
                 }
                 Step::Share { back_count } => {
                     let after_revision = store.revision().saturating_sub(back_count.into());
                     let shared_changes = SharedChanges {
-                        area: TARGETS,
+                        area: TARGETS, era: 0,
                         after_revision,
                         revision: store.revision(),
                         records: store.changes_after(after_revision),
                     };
-                    on_shared_changes(&mut sync, &mut catalog, now, &shared_changes);
+                    on_shared_changes(&mut sync, &mut catalog, now, &shared_changes, &mut Vec::new());
                 }
                 Step::Write { .. } | Step::Remove { .. } => {}
             }
--- a/crates/catalog/src/tests/fixture.rs
+++ b/crates/catalog/src/tests/fixture.rs
@@ -3,11 +3,15 @@
 use std::time::{Duration, Instant};
 
 use model::{
-    Configuration, Destination, FrontEntry, Registration, ServiceEntry, StoreArea, StoreRead,
-    StoreRecord,
+    Configuration, Destination, Effect, FrontEntry, Registration, ServiceEntry, StoreArea,
+    StoreRead, StoreRecord,
 };
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 
-use crate::{Catalog, Change, StoreAnswer, SyncState, on_store_answer};
+use crate::{
+    Catalog, Change, FailedRead, StoreAnswer, SyncState, on_read_failure, on_store_answer,
+};
 
 /// Returns the registration of a target of service `shard-1` in zone `kranj`.
 pub(crate) fn registration(port: u16) -> Registration {
@@ -73,6 +77,7 @@
 pub(crate) fn watch(area: StoreArea, after_revision: u64) -> StoreRead {
     StoreRead::Watch {
         area,
+        era: 0,
         after_revision,
         wait: Duration::from_secs(5),
     }
@@ -82,6 +87,7 @@
 pub(crate) fn list(area: StoreArea, after: Option<&str>) -> StoreRead {
     StoreRead::List {
         area,
+        era: 0,
         after: after.map(str::to_owned),
     }
 }
@@ -98,6 +104,7 @@
 ) -> Vec<Change> {
     let answer = StoreAnswer {
         read,
+        era: read.era(),
         records,
         revision,
         is_behind: false,
@@ -105,3 +112,15 @@
     };
     on_store_answer(sync, catalog, now, &answer, &mut Vec::new())
 }
+
+/// Ends a read with a failure that states an era.
+pub(crate) fn fail_read(
+    sync: &mut SyncState,
+    catalog: &mut Catalog,
+    now: Instant,
+    failed: &FailedRead<'_>,
+    out: &mut Vec<Effect>,
+) {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    on_read_failure(sync, catalog, &mut rng, now, failed, out);
+}
--- a/crates/catalog/src/tests/sync.rs
+++ b/crates/catalog/src/tests/sync.rs
@@ -3,13 +3,13 @@
 use std::time::{Duration, Instant};
 
 use model::{Effect, StoreArea, StoreFailure, StoreRead, StoreRecord, Timer};
-use rand::SeedableRng;
-use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 
-use super::fixture::{apply_answer, configuration, list, registration, removed, target, watch};
+use super::fixture::{
+    apply_answer, configuration, fail_read, list, registration, removed, target, watch,
+};
 use crate::{
-    Catalog, Role, SharedChanges, Stage, StoreAnswer, SyncState, new_sync_state, on_read_failure,
+    Catalog, FailedRead, Role, SharedChanges, Stage, StoreAnswer, SyncState, new_sync_state,
     on_shared_changes, on_store_answer, start, start_next_read,
 };
 
@@ -63,15 +63,12 @@
 fn list_removes_unlisted_targets_and_zones() {
     let now = Instant::now();
     let (mut sync, mut catalog) = watching_catalog(now);
-    let mut rng = ChaCha8Rng::seed_from_u64(1);
-    let failure = StoreFailure::Compacted;
-    on_read_failure(
-        &mut sync,
-        &mut rng,
-        &watch(TARGETS, 10),
-        failure,
-        &mut Vec::new(),
-    );
+    let failed = FailedRead {
+        read: &watch(TARGETS, 10),
+        failure: StoreFailure::Compacted,
+        era: 0,
+    };
+    fail_read(&mut sync, &mut catalog, now, &failed, &mut Vec::new());
     assert_eq!(*stage(&sync), Stage::default());
     let records = [target("i-2", registration(81))];
     apply_answer(
@@ -98,13 +95,16 @@
 
 #[test]
 fn retry_delay_grows_up_to_its_maximum() {
-    let mut sync = new_sync_state();
-    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let (mut sync, mut catalog) = (new_sync_state(), Catalog::default());
     let mut delays = Vec::new();
     for _ in 0..8 {
         let mut out = Vec::new();
-        let read = list(TARGETS, None);
-        on_read_failure(&mut sync, &mut rng, &read, StoreFailure::Refused, &mut out);
+        let failed = FailedRead {
+            read: &list(TARGETS, None),
+            failure: StoreFailure::Refused,
+            era: 0,
+        };
+        fail_read(&mut sync, &mut catalog, Instant::now(), &failed, &mut out);
         let [
             Effect::SetTimer {
                 timer: Timer::Store(TARGETS),
@@ -135,11 +135,18 @@
     let (mut sync, mut catalog) = watching_catalog(now);
     let shared_changes = SharedChanges {
         area: TARGETS,
+        era: 0,
         after_revision,
         revision,
         records: &[removed("i-1")],
     };
-    let changes = on_shared_changes(&mut sync, &mut catalog, now, &shared_changes);
+    let changes = on_shared_changes(
+        &mut sync,
+        &mut catalog,
+        now,
+        &shared_changes,
+        &mut Vec::new(),
+    );
     assert_eq!(changes.len(), usize::from(expected.is_some()));
     let revision = expected.unwrap_or(10);
     assert_eq!(*stage(&sync), Stage::Watching { revision });
@@ -154,11 +161,18 @@
     sync.targets.is_reading = false;
     let shared_changes = SharedChanges {
         area: TARGETS,
+        era: 0,
         after_revision: 10,
         revision: 10,
         records: &[],
     };
-    on_shared_changes(&mut sync, &mut catalog, now, &shared_changes);
+    on_shared_changes(
+        &mut sync,
+        &mut catalog,
+        now,
+        &shared_changes,
+        &mut Vec::new(),
+    );
     let mut out = Vec::new();
     start_next_read(
         &mut sync,
@@ -186,11 +200,18 @@
     let (mut sync, mut catalog) = watching_catalog(now);
     let shared_changes = SharedChanges {
         area: TARGETS,
+        era: 0,
         after_revision: 10,
         revision: 15,
         records: &[target("i-2", registration(81))],
     };
-    on_shared_changes(&mut sync, &mut catalog, now, &shared_changes);
+    on_shared_changes(
+        &mut sync,
+        &mut catalog,
+        now,
+        &shared_changes,
+        &mut Vec::new(),
+    );
     let outdated = [removed("i-2")];
     let changes = apply_answer(
         &mut sync,
@@ -244,6 +265,7 @@
     let read = watch(TARGETS, 10);
     let answer = StoreAnswer {
         read: &read,
+        era: 0,
         records: &[target("i-2", registration(81))],
         revision: 12,
         is_behind,
@@ -260,10 +282,13 @@
     let now = Instant::now();
     let (mut sync, mut catalog) = watching_catalog(now);
     let read = watch(TARGETS, 10);
-    let mut rng = ChaCha8Rng::seed_from_u64(1);
     let mut out = Vec::new();
-    let failure = StoreFailure::Unreachable;
-    on_read_failure(&mut sync, &mut rng, &read, failure, &mut out);
+    let failed = FailedRead {
+        read: &read,
+        failure: StoreFailure::Unreachable,
+        era: 0,
+    };
+    fail_read(&mut sync, &mut catalog, now, &failed, &mut out);
     out.clear();
     start_next_read(&mut sync, now, TARGETS, &mut out);
     let wait_of = |out: &[Effect]| match out {
@@ -276,6 +301,7 @@
     out.clear();
     let answer = StoreAnswer {
         read: &read,
+        era: 0,
         records: &[],
         revision: 10,
         is_behind: false,
@@ -293,12 +319,19 @@
     sync.targets.is_reading = false;
     let shared_changes = SharedChanges {
         area: TARGETS,
+        era: 0,
         after_revision: 10,
         revision: 10,
         records: &[],
     };
     let last_shared_at = now + Duration::from_secs(20);
-    on_shared_changes(&mut sync, &mut catalog, last_shared_at, &shared_changes);
+    on_shared_changes(
+        &mut sync,
+        &mut catalog,
+        last_shared_at,
+        &shared_changes,
+        &mut Vec::new(),
+    );
     let silent_at = last_shared_at + Duration::from_secs(2);
     let mut out = Vec::new();
     start_next_read(&mut sync, silent_at, TARGETS, &mut out);
@@ -315,6 +348,7 @@
     assert!(wait_of(&read) <= Duration::from_secs(1));
     let answer = StoreAnswer {
         read: &read,
+        era: 0,
         records: &[],
         revision: 10,
         is_behind: false,
@@ -342,11 +376,12 @@
         true => {
             let shared = SharedChanges {
                 area: TARGETS,
+                era: 0,
                 after_revision: 6,
                 revision: 12,
                 records: &records,
             };
-            on_shared_changes(&mut sync, &mut catalog, now, &shared)
+            on_shared_changes(&mut sync, &mut catalog, now, &shared, &mut Vec::new())
         }
         false => {
             let read = watch(TARGETS, 10);
--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -181,6 +181,7 @@
         sequence: 0,
         wants_reply: false,
         revision: fleet.revision(),
+        version_in_force: fleet.version_in_force,
         freshness_age: freshness::freshness_age(fleet, now),
         members: select_rows(fleet, recipient),
         observations: observations.clone(),
--- a/crates/fleet/src/gossip.rs
+++ b/crates/fleet/src/gossip.rs
@@ -98,6 +98,7 @@
         member::merge_row(fleet, now, row);
     }
     record_contact(fleet, now, digest);
+    fleet.heard_version_in_force = fleet.heard_version_in_force.max(digest.version_in_force);
     if digest.revision >= fleet.heard_revision {
         fleet.heard_revision = digest.revision;
         fleet.heard_revision_at = Some(now);
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -37,6 +37,10 @@
     pub platform_version: u64,
     /// Findings of the last published configuration if it was rejected; empty otherwise.
     pub rejected: Findings,
+    /// Version of the store's configuration that this instance states to others; 0 if there is none.
+    pub version_in_force: u64,
+    /// Highest version of the store's configuration that another instance has stated; 0 if none has.
+    pub heard_version_in_force: u64,
     /// Whether the process is shutting down.
     pub is_leaving: bool,
     /// Other instances by name.
@@ -198,6 +202,8 @@
         note_body: Bytes::new(),
         platform_version: 0,
         rejected: Findings::default(),
+        version_in_force: 0,
+        heard_version_in_force: 0,
         is_leaving: false,
         members: BTreeMap::new(),
         // A gateway reads its configuration from the store only, so it does not wait for peers.
--- a/crates/model/src/event.rs
+++ b/crates/model/src/event.rs
@@ -236,6 +236,8 @@
     StoreAnswered {
         /// The read.
         read: StoreRead,
+        /// Era of the store; rises with each restore of the store from a copy, 0 if not stated.
+        era: u64,
         /// Items of the page, or changes in revision order.
         records: Cow<'a, [StoreRecord]>,
         /// Of a watch, the revision up to which all changes are included; of a page, the revision
@@ -252,6 +254,8 @@
     SharedStoreChanges {
         /// The area.
         area: StoreArea,
+        /// Era of the store that both revisions belong to.
+        era: u64,
         /// Revision that the changes follow.
         after_revision: u64,
         /// Revision up to which all changes are included.
@@ -265,6 +269,8 @@
         read: StoreRead,
         /// Why it failed.
         failure: StoreFailure,
+        /// Era of the store that the response states; 0 if there is none.
+        era: u64,
     },
     /// The settings file was read again.
     SettingsRead {
--- a/crates/model/src/message.rs
+++ b/crates/model/src/message.rs
@@ -117,6 +117,9 @@
     pub wants_reply: bool,
     /// Highest configuration revision that the sender has accepted.
     pub revision: Revision,
+    /// Version of the store's configuration that the sender has in force; 0 if there is none, or the
+    /// sender is of an earlier version.
+    pub version_in_force: u64,
     /// Age of the newest confirmation that the revision is current, own or relayed.
     pub freshness_age: Duration,
     /// Membership states that the sender relays in this round.
@@ -187,6 +190,8 @@
 pub struct StoreChanges {
     /// The area.
     pub area: StoreArea,
+    /// Era of the store that both revisions belong to; 0 from a sender of an earlier version.
+    pub era: u64,
     /// Revision that the changes follow.
     pub after_revision: u64,
     /// Revision up to which all changes are included.
--- a/crates/model/src/store.rs
+++ b/crates/model/src/store.rs
@@ -25,6 +25,8 @@
     List {
         /// The area.
         area: StoreArea,
+        /// Era of the store that the list belongs to; not sent.
+        era: u64,
         /// Key after which the page begins; `None` for the first page.
         after: Option<String>,
     },
@@ -32,6 +34,8 @@
     Watch {
         /// The area.
         area: StoreArea,
+        /// Era of the store that the revision belongs to; not sent.
+        era: u64,
         /// Revision after which changes are requested.
         after_revision: u64,
         /// Maximum time to wait for the first change.
@@ -46,6 +50,13 @@
             StoreRead::List { area, .. } | StoreRead::Watch { area, .. } => *area,
         }
     }
+
+    /// Returns the era of the store that the read belongs to.
+    pub fn era(&self) -> u64 {
+        match self {
+            StoreRead::List { era, .. } | StoreRead::Watch { era, .. } => *era,
+        }
+    }
 }
 
 /// Why a read of the store failed.
@@ -60,6 +71,8 @@
     /// The changes after the requested revision have been compacted.
     #[serde(rename = "history-gone")]
     Compacted,
+    /// The answer belongs to an earlier era of the store than one already heard of.
+    EarlierEra,
 }
 
 /// A decoded item of the store, or a change of one.
--- a/crates/tier/src/gateway.rs
+++ b/crates/tier/src/gateway.rs
@@ -6,7 +6,7 @@
 };
 
 use bytes::Bytes;
-use catalog::{Change, Role, SharedChanges, StoreAnswer};
+use catalog::{Change, FailedRead, Role, SharedChanges, StoreAnswer};
 use fleet::FleetState;
 use gateway::{Gateway, ShareHolder, ShareHolders};
 use model::{
@@ -16,7 +16,7 @@
 };
 use settings::Settings;
 
-use crate::{State, quarantine, shutdown, strikes};
+use crate::{State, quarantine, shutdown, store_era, strikes};
 
 /// Time since startup after which an instance that has heard of no other assumes that it is the
 /// only one.
@@ -63,6 +63,8 @@
         Some(NotRunReason::Leaving)
     } else if is_http_request_quarantined(state, now, &request) {
         Some(NotRunReason::Quarantined)
+    } else if store_era::is_behind(state) {
+        Some(NotRunReason::NoConfiguration)
     } else {
         None
     };
@@ -160,6 +162,18 @@
     published: &Bytes,
     out: &mut Vec<Effect>,
 ) {
+    let before = store_era::before(state);
+    let Some(gateway) = &state.gateway else {
+        return;
+    };
+    if catalog::is_earlier_era(&gateway.sync, answer) {
+        let failed = FailedRead {
+            read: answer.read,
+            failure: StoreFailure::EarlierEra,
+            era: answer.era,
+        };
+        return on_store_read_failure(state, now, &failed, out);
+    }
     share_with_zone(state, answer, published, out);
     let Some(gateway) = &mut state.gateway else {
         return;
@@ -175,6 +189,7 @@
     let sync = &mut gateway.sync;
     let changes = catalog::on_store_answer(sync, &mut gateway.catalog, now, answer, out);
     process_changes(state, now, &changes, out);
+    store_era::on_store_event(state, now, before, out);
     let Some(gateway) = &state.gateway else {
         return;
     };
@@ -193,11 +208,14 @@
     shared: &SharedChanges<'_>,
     out: &mut Vec<Effect>,
 ) {
+    let before = store_era::before(state);
     let Some(gateway) = &mut state.gateway else {
         return;
     };
-    let changes = catalog::on_shared_changes(&mut gateway.sync, &mut gateway.catalog, now, shared);
+    let sync = &mut gateway.sync;
+    let changes = catalog::on_shared_changes(sync, &mut gateway.catalog, now, shared, out);
     process_changes(state, now, &changes, out);
+    store_era::on_store_event(state, now, before, out);
 }
 
 /// Sends a watch answer to the other instances of the zone if this instance is their reader.
@@ -212,6 +230,7 @@
 ) {
     let StoreRead::Watch {
         area,
+        era,
         after_revision,
         ..
     } = answer.read
@@ -219,7 +238,11 @@
         return;
     };
     let gateway = state.gateway.as_ref();
-    if answer.is_behind || gateway.is_none_or(|gateway| gateway.sync.role != Role::Reader) {
+    // An answer of a new era holds changes after a revision of another one.
+    if answer.is_behind
+        || answer.era != *era
+        || gateway.is_none_or(|gateway| gateway.sync.role != Role::Reader)
+    {
         return;
     }
     let body = match answer.records.is_empty() {
@@ -229,6 +252,7 @@
     for address in fleet::zone_peer_addresses(&state.fleet) {
         let message = Message::StoreChanges(StoreChanges {
             area: *area,
+            era: *era,
             after_revision: *after_revision,
             revision: answer.revision,
             body: body.clone(),
@@ -240,16 +264,19 @@
 /// Handles a failed store read.
 pub(crate) fn on_store_read_failure(
     state: &mut State,
-    read: &StoreRead,
-    failure: StoreFailure,
+    now: Instant,
+    failed: &FailedRead<'_>,
     out: &mut Vec<Effect>,
 ) {
+    let before = store_era::before(state);
     let Some(gateway) = &mut state.gateway else {
         return;
     };
+    let FailedRead { read, failure, .. } = *failed;
     let failures_count = catalog::area_progress(&gateway.sync, read.area()).failures_count;
     // A lasting outage is logged at its first failure and whenever the failure count has doubled.
-    if (failures_count + 1).is_power_of_two() {
+    let is_counted = !catalog::is_replaced(&gateway.sync, read);
+    if is_counted && failures_count.saturating_add(1).is_power_of_two() {
         let line = LogLine::new(Level::Info, "store-lost")
             .with("area", variant_name(&read.area()).as_str())
             .with("reason", variant_name(&failure).as_str())
@@ -257,7 +284,9 @@
             .with("version", gateway.catalog.version);
         out.push(Effect::Log(line));
     }
-    catalog::on_read_failure(&mut gateway.sync, &mut gateway.rng, read, failure, out);
+    let (sync, catalog) = (&mut gateway.sync, &mut gateway.catalog);
+    catalog::on_read_failure(sync, catalog, &mut gateway.rng, now, failed, out);
+    store_era::on_store_event(state, now, before, out);
 }
 
 /// Updates the gateway's view of the fleet and runs its periodic work.
@@ -267,6 +296,10 @@
         .is_some_and(|at| now.saturating_duration_since(at) >= ASSUME_ALONE_AFTER);
     let fleet = &state.fleet;
     let is_fleet_size_known = fleet::connection_holders_count(fleet) > 1 || is_discovery_over;
+    let due_zones = store_era::due_zones(state, now);
+    process_changes(state, now, &due_zones, out);
+    store_era::update(state, now, out);
+    let fleet = &state.fleet;
     let share_ratio = is_fleet_size_known.then(|| fleet::capacity_ratio(fleet));
     let share_holders = share_holders(state, now);
     let relay_candidates = fleet::larger_in_zone(fleet, LARGER_INSTANCE_FACTOR);
@@ -314,7 +347,7 @@
     }
 }
 
-fn has_other_seeds(settings: &Settings) -> bool {
+pub(crate) fn has_other_seeds(settings: &Settings) -> bool {
     let gateway = settings.gateway.as_ref();
     let mut seeds = gateway.iter().flat_map(|gateway| &gateway.seeds);
     seeds.any(|&seed| seed != settings.listen.peers)
@@ -347,6 +380,8 @@
         Some(NotRunReason::Leaving)
     } else if is_isolated {
         Some(NotRunReason::CutOff)
+    } else if store_era::is_behind(state) {
+        Some(NotRunReason::NoConfiguration)
     } else if is_http_request_quarantined(state, now, &request.request) {
         Some(NotRunReason::Quarantined)
     } else {
@@ -447,6 +482,12 @@
             Change::TargetChanged { target } => {
                 LogLine::new(Level::Info, "target-changed").with("target", id(*target))
             }
+            Change::TargetHeldBack { target_id } => {
+                LogLine::new(Level::Info, "target-held-back").with("target", target_id.as_str())
+            }
+            Change::ZoneKept { zone, is_out } => LogLine::new(Level::Info, "zone-kept")
+                .with("zone", zone.as_str())
+                .with("state", if *is_out { "out" } else { "in" }),
             Change::Unreadable { key, reason } => LogLine::new(Level::Warn, "item-unreadable")
                 .with("key", key.as_str())
                 .with("reason", reason.as_str()),
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -25,6 +25,7 @@
 mod shutdown;
 mod state;
 mod status;
+mod store_era;
 mod strikes;
 mod tick;
 mod ticket;
--- a/crates/tier/src/peer.rs
+++ b/crates/tier/src/peer.rs
@@ -5,7 +5,7 @@
 use model::{Effect, Level, LogLine, Message};
 use pending::Requests;
 
-use crate::{State, completion, forward, gateway, observations, platform};
+use crate::{State, completion, forward, gateway, observations, platform, store_era};
 
 /// Handles one message.
 pub(crate) fn on_message(
@@ -27,6 +27,7 @@
                 &observations,
                 out,
             );
+            store_era::update(state, now, out);
             platform::confine_to_allowed_zones(state, now);
         }
         Message::NoteWanted {
--- a/crates/tier/src/reduce.rs
+++ b/crates/tier/src/reduce.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use catalog::{SharedChanges, StoreAnswer};
+use catalog::{FailedRead, SharedChanges, StoreAnswer};
 use model::{Effect, Event, Requester, Timer};
 
 use crate::{
@@ -78,6 +78,7 @@
         }
         Event::StoreAnswered {
             read,
+            era,
             records,
             revision,
             is_behind,
@@ -86,6 +87,7 @@
         } => {
             let answer = StoreAnswer {
                 read: &read,
+                era,
                 records: &records,
                 revision,
                 is_behind,
@@ -95,20 +97,24 @@
         }
         Event::SharedStoreChanges {
             area,
+            era,
             after_revision,
             revision,
             records,
         } => {
             let shared = SharedChanges {
                 area,
+                era,
                 after_revision,
                 revision,
                 records: &records,
             };
             gateway::on_shared_changes(state, now, &shared, out);
         }
-        Event::StoreFailed { read, failure } => {
-            gateway::on_store_read_failure(state, &read, failure, out);
+        Event::StoreFailed { read, failure, era } => {
+            let read = &read;
+            let failed = FailedRead { read, failure, era };
+            gateway::on_store_read_failure(state, now, &failed, out);
         }
         Event::SettingsRead { document } => reload::on_settings_read(state, document, out),
         Event::ShutdownRequested => shutdown::on_shutdown_request(state, now, out),
--- a/crates/tier/src/state.rs
+++ b/crates/tier/src/state.rs
@@ -11,6 +11,8 @@
 use route::{RouteSettings, Routes};
 use settings::Settings;
 
+use crate::store_era::{self, CatchUp};
+
 /// State of an instance, changed only by [`reduce`](crate::reduce).
 #[derive(Clone, Debug)]
 pub struct State {
@@ -30,6 +32,8 @@
     pub leaving_since: Option<Instant>,
     /// Whether `Effect::Exit` has been emitted.
     pub is_exiting: bool,
+    /// Whether the configuration that the store lists may be older than the one in force.
+    pub catch_up: CatchUp,
     /// When the `Started` event was handled.
     pub started_at: Option<Instant>,
     /// Tickets, their outcomes and the request quarantine.
@@ -62,6 +66,7 @@
             .map(|settings| gateway::new_state(settings, seed)),
         leaving_since: None,
         is_exiting: false,
+        catch_up: CatchUp::default(),
         started_at: None,
         last_activity_at: None,
         targets_probed_at: None,
@@ -93,7 +98,8 @@
 /// Returns whether the instance is ready to receive new requests.
 pub fn is_ready(state: &State) -> bool {
     if let Some(gateway) = &state.gateway {
-        return gateway::is_known(gateway) && !gateway.is_isolated && !state.fleet.is_leaving;
+        let can_serve = gateway::is_known(gateway) && !store_era::is_behind(state);
+        return can_serve && !gateway.is_isolated && !state.fleet.is_leaving;
     }
     fleet::is_joined(&state.fleet) && state.can_call_targets && !state.fleet.is_leaving
 }
--- a/crates/tier/src/status.rs
+++ b/crates/tier/src/status.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use catalog::{AreaProgress, Stage};
 use gateway::Gateway;
 use model::Revision;
 use serde::Serialize;
@@ -18,6 +19,13 @@
     pub zone: String,
     /// Revision of the accepted configuration, or 0 if there is none.
     pub revision: Revision,
+    /// Latest era of the store that the instance has heard of; 0 if the store states none.
+    pub store_era: u64,
+    /// Revision of the store up to which the instance has applied the configuration and the evacuated
+    /// zones; 0 while it lists them.
+    pub store_operators_revision: u64,
+    /// Revision of the store up to which the instance has applied the targets; 0 while it lists them.
+    pub store_targets_revision: u64,
     /// Age of the latest confirmation of the revision; `None` if it was never confirmed.
     pub confirmed_ms: Option<u64>,
     /// Whether the instance is ready to receive new requests.
@@ -59,6 +67,9 @@
         name: state.settings.instance.name.clone(),
         zone: state.settings.instance.zone.clone(),
         revision: revision(state),
+        store_era: 0,
+        store_operators_revision: 0,
+        store_targets_revision: 0,
         confirmed_ms: millis(fleet::freshness_age(&state.fleet, now)),
         is_ready: is_ready(state),
         is_leaving: state.fleet.is_leaving,
@@ -85,6 +96,9 @@
         name: state.settings.instance.name.clone(),
         zone: state.settings.instance.zone.clone(),
         revision: revision(state),
+        store_era: catalog::era(&gateway.sync),
+        store_operators_revision: watched_revision(&gateway.sync.operators),
+        store_targets_revision: watched_revision(&gateway.sync.targets),
         confirmed_ms: age.and_then(millis),
         is_ready: is_ready(state),
         is_leaving: state.fleet.is_leaving,
@@ -99,6 +113,13 @@
     }
 }
 
+fn watched_revision(progress: &AreaProgress) -> u64 {
+    match progress.stage {
+        Stage::Watching { revision } => revision,
+        Stage::Listing { .. } => 0,
+    }
+}
+
 /// Returns whole milliseconds, or `None` for [`Duration::MAX`], which stands for "never".
 fn millis(duration: Duration) -> Option<u64> {
     if duration == Duration::MAX {
--- a/crates/tier/src/tests.rs
+++ b/crates/tier/src/tests.rs
@@ -27,3 +27,4 @@
 mod shutdown;
 mod simulation;
 mod snapshot;
+mod store_era;
--- a/crates/tier/src/tests/extreme_messages.rs
+++ b/crates/tier/src/tests/extreme_messages.rs
@@ -113,6 +113,7 @@
             sequence,
             wants_reply,
             revision,
+            version_in_force: revision,
             freshness_age,
             members,
             observations,
@@ -242,7 +243,12 @@
             .iter()
             .filter(|record| matches!(record, StoreRecord::Configuration(_)) == is_operators);
         let event = Event::StoreAnswered {
-            read: StoreRead::List { area, after: None },
+            read: StoreRead::List {
+                area,
+                era: 0,
+                after: None,
+            },
+            era: 0,
             records: Cow::Owned(listed.cloned().collect()),
             revision: u64::MAX,
             is_behind: false,
--- a/crates/tier/src/tests/gateway.rs
+++ b/crates/tier/src/tests/gateway.rs
@@ -48,7 +48,12 @@
 
 fn list_answer<'a>(area: StoreArea, records: Vec<StoreRecord>) -> Event<'a> {
     Event::StoreAnswered {
-        read: StoreRead::List { area, after: None },
+        read: StoreRead::List {
+            area,
+            era: 0,
+            after: None,
+        },
+        era: 0,
         records: Cow::Owned(records),
         revision: 10,
         is_behind: false,
@@ -256,9 +261,11 @@
         let event = Event::StoreAnswered {
             read: StoreRead::Watch {
                 area: StoreArea::Operators,
+                era: 0,
                 after_revision: 10,
                 wait: Duration::from_secs(1),
             },
+            era: 0,
             records: Cow::Owned(vec![StoreRecord::Configuration(renamed)]),
             revision: 10 + number,
             is_behind: false,
@@ -345,10 +352,18 @@
     let mut fixture = gateway_fixture();
     let read = StoreRead::List {
         area: StoreArea::Targets,
+        era: 0,
         after: None,
     };
     let failure = StoreFailure::Unreachable;
-    feed(&mut fixture, Event::StoreFailed { read, failure });
+    feed(
+        &mut fixture,
+        Event::StoreFailed {
+            read,
+            failure,
+            era: 0,
+        },
+    );
     let is_logged = |out: &[Effect], name: &str| {
         let mut lines = out.iter();
         lines.any(|effect| matches!(effect, Effect::Log(line) if line.name == name))
@@ -370,9 +385,11 @@
     Event::StoreAnswered {
         read: StoreRead::Watch {
             area: StoreArea::Targets,
+            era: 0,
             after_revision: 10,
             wait: Duration::from_secs(1),
         },
+        era: 0,
         records: Cow::Owned(vec![target(6)]),
         revision: 12,
         is_behind,
--- a/crates/tier/src/tests/gateway_fleet.rs
+++ b/crates/tier/src/tests/gateway_fleet.rs
@@ -450,6 +450,7 @@
         Scheduled::Store(read, records, revision) => {
             let event = Event::StoreAnswered {
                 read,
+                era: 0,
                 records: Cow::Owned(records),
                 revision,
                 is_behind: false,
--- a/crates/wire/src/decode.rs
+++ b/crates/wire/src/decode.rs
@@ -128,6 +128,7 @@
     };
     Ok(StoreChanges {
         area,
+        era: decode_counter(changes.era, "era")?,
         after_revision: changes.after_revision,
         revision: changes.revision,
         body: changes.body,
@@ -141,6 +142,7 @@
         sequence: digest.sequence,
         wants_reply: digest.wants_reply,
         revision: digest.revision,
+        version_in_force: digest.version_in_force,
         freshness_age: clamped_span_from_ms(digest.freshness_age_ms),
         members: members?,
         observations: Observations {
--- a/crates/wire/src/encode.rs
+++ b/crates/wire/src/encode.rs
@@ -128,6 +128,7 @@
     };
     generated::StoreChanges {
         area: area.into(),
+        era: changes.era,
         after_revision: changes.after_revision,
         revision: changes.revision,
         body: changes.body.clone(),
@@ -141,6 +142,7 @@
         sequence: digest.sequence,
         wants_reply: digest.wants_reply,
         revision: digest.revision,
+        version_in_force: digest.version_in_force,
         freshness_age_ms: to_ms(digest.freshness_age),
         members: digest.members.iter().map(encode_member).collect(),
         quarantine: observations
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -96,6 +96,9 @@
     pub quarantine: ::prost::alloc::vec::Vec<Quarantine>,
     #[prost(message, repeated, tag = "8")]
     pub rate_limits: ::prost::alloc::vec::Vec<RateLimit>,
+    /// Absent from an instance of an earlier version.
+    #[prost(uint64, tag = "9")]
+    pub version_in_force: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct RateLimit {
@@ -288,6 +291,9 @@
     pub revision: u64,
     #[prost(bytes = "bytes", tag = "4")]
     pub body: ::prost::bytes::Bytes,
+    /// Absent from an instance of an earlier version.
+    #[prost(uint64, tag = "5")]
+    pub era: u64,
 }
 #[derive(
     Clone,
--- a/crates/wire/src/tests.rs
+++ b/crates/wire/src/tests.rs
@@ -250,14 +250,16 @@
 fn any_store_changes() -> impl Strategy<Value = StoreChanges> {
     let area = select(&[StoreArea::Operators, StoreArea::Targets][..]);
     let body = vec(any::<u8>(), 0..64).prop_map(Bytes::from);
-    (area, any::<u64>(), any::<u64>(), body).prop_map(|(area, after_revision, revision, body)| {
-        StoreChanges {
+    let revisions = (any_counter(), any::<u64>(), any::<u64>());
+    (area, revisions, body).prop_map(
+        |(area, (era, after_revision, revision), body)| StoreChanges {
             area,
+            era,
             after_revision,
             revision,
             body,
-        }
-    })
+        },
+    )
 }
 
 fn any_address() -> impl Strategy<Value = SocketAddr> {
@@ -355,18 +357,27 @@
         any_member(),
         any::<u64>(),
         any::<bool>(),
-        any::<u64>(),
+        (any::<u64>(), any::<u64>()),
         any_duration(),
         vec(any_member(), 0..4),
         any_observations(),
     )
         .prop_map(
-            |(from, sequence, wants_reply, revision, freshness_age, members, observations)| {
+            |(
+                from,
+                sequence,
+                wants_reply,
+                (revision, version_in_force),
+                freshness_age,
+                members,
+                observations,
+            )| {
                 Digest {
                     from,
                     sequence,
                     wants_reply,
                     revision,
+                    version_in_force,
                     freshness_age,
                     members,
                     observations,
@@ -452,3 +463,33 @@
             },
         )
 }
+
+/// A reader of an earlier version states no era and no version in force.
+#[test]
+fn fields_that_an_earlier_version_does_not_send_are_zero() {
+    let changes = generated::StoreChanges {
+        area: generated::StoreArea::Targets.into(),
+        revision: 9,
+        ..generated::StoreChanges::default()
+    };
+    let message = Some(generated::frame::Message::StoreChanges(changes));
+    let frame = generated::Frame { message }.encode_to_vec();
+    let Ok(Message::StoreChanges(decoded)) = decode(&frame) else {
+        panic!("expected changes");
+    };
+    assert_eq!((decoded.era, decoded.revision), (0, 9));
+}
+
+/// An era that no later one could exceed would make the receiver ignore the store for good.
+#[test]
+fn an_era_that_cannot_be_exceeded_is_refused() {
+    let changes = StoreChanges {
+        area: StoreArea::Targets,
+        era: u64::MAX,
+        after_revision: 1,
+        revision: 2,
+        body: Bytes::new(),
+    };
+    let frame = encode(&Message::StoreChanges(changes));
+    assert_eq!(decode(&frame), Err(DecodeError::Invalid("era")));
+}
--- a/xtask/src/slopes/peers.rs
+++ b/xtask/src/slopes/peers.rs
@@ -92,6 +92,7 @@
         sequence,
         wants_reply,
         revision: 1,
+        version_in_force: 0,
         freshness_age: Duration::from_millis(100),
         members: relayed.map(member_row).collect(),
         observations: Observations::default(),
