Test how long a returned zone stays in service after a restore

Cause: the test passed without the hold, because no time went by before it looked.

Change: it looks just before and after the end of the hold.

Measured: the tests of the restored store in catalog pass.

--- a/crates/catalog/src/tests/restored_store.rs
+++ b/crates/catalog/src/tests/restored_store.rs
@@ -421,7 +421,9 @@
     write(&mut replica, OPERATORS, &[zone(false)]);
     restore(&mut replica, OPERATORS, &[zone(true)]);
     assert!(!is_out(&replica));
-    wait(&mut replica, 3_100);
+    wait(&mut replica, 2_900);
+    assert!(!is_out(&replica));
+    wait(&mut replica, 200);
     assert!(is_out(&replica), "nobody took it back again");
 }
 
