State the era in the tests of organisations

Cause: the two parts were built side by side; the tests of one construct reads and answers of the store, which now hold the era.

Change: era 0, as of a store that states none.

--- a/crates/tier/src/tests/organisations.rs
+++ b/crates/tier/src/tests/organisations.rs
@@ -69,7 +69,12 @@
     records: Vec<StoreRecord>,
 ) -> Vec<Effect> {
     let event = Event::StoreAnswered {
-        read: StoreRead::List { area, after: None },
+        era: 0,
+        read: StoreRead::List {
+            area,
+            era: 0,
+            after: None,
+        },
         records: Cow::Owned(records),
         revision: 10,
         is_behind: false,
@@ -216,7 +221,9 @@
         );
     }
     let unreachable = Event::StoreFailed {
+        era: 0,
         read: StoreRead::List {
+            era: 0,
             area: StoreArea::Operators,
             after: None,
         },
