Refuse responses whose status HTTP does not define

A response of status 600 to 999 was passed to the caller, although RFC 9110 defines 100 to 599. After an informational response, the exchange waited for a final one without end, and so held the caller until its time limit; an announced body of a 1xx response was waited for too. A body announced with a 204 or 304 was read.

Such a status is now a malformed response, as 000 to 099 are. 101 and an informational response with a body are refused; a final response has to follow an informational one within 2 s. A 204 or 304 ends at its head, and its connection is not used again if it announces a body.

--- a/crates/balsamd/src/client.rs
+++ b/crates/balsamd/src/client.rs
@@ -4,7 +4,7 @@
 use std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_http::{
-    ConnectionType, Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig,
+    ConnectionType, Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode,
     body::BodySize,
     error::PayloadError,
     h1::{ClientCodec, Message, MessageType},
@@ -40,6 +40,12 @@
 /// earlier requests.
 const STRAY_RESPONSES_MAX_COUNT: usize = 2;
 
+/// Time limit for the final response after an informational one, far beyond what targets take for a
+/// call. Without it, a response that never follows would take all of the caller's time.
+const FINAL_RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Highest status that HTTP defines (RFC 9110, section 15).
+const STATUS_MAX: u16 = 599;
+
 /// An open connection.
 pub struct Connection {
     stream: TcpStream,
@@ -281,10 +287,19 @@
     is_used: bool,
     relation: &impl Fn(&ResponseHead) -> Relation,
 ) -> Result<(Response, ClientCodec), ClientError> {
+    let mut is_after_informational = false;
     for _ in 0..=STRAY_RESPONSES_MAX_COUNT {
-        let (mut response, next_codec) = read_response(incoming, codec).await?;
+        let reading = read_response(incoming, codec);
+        let read = match is_after_informational {
+            false => reading.await,
+            true => actix_rt::time::timeout(FINAL_RESPONSE_TIMEOUT, reading)
+                .await
+                .unwrap_or_else(|_| Err(ClientError::Truncated(io::ErrorKind::TimedOut.into()))),
+        };
+        let (mut response, next_codec) = read?;
         codec = next_codec;
         if response.head.status.is_informational() {
+            is_after_informational = true;
             continue;
         }
         match relation(&response.head) {
@@ -326,7 +341,18 @@
     };
     let has_length = head.headers.contains_key(header::CONTENT_LENGTH)
         || head.headers.contains_key(header::TRANSFER_ENCODING);
-    let has_body = !head.status.is_informational() && !matches!(head.status.as_u16(), 204 | 304);
+    let status = head.status;
+    // Such an answer has no defined meaning. This client asks for no other protocol, and an
+    // informational response cannot have a body.
+    let is_valid = status.as_u16() <= STATUS_MAX
+        && status != StatusCode::SWITCHING_PROTOCOLS
+        && !(status.is_informational() && has_length);
+    if !is_valid {
+        return Err(ClientError::Malformed(format!(
+            "response of status {status}"
+        )));
+    }
+    let has_body = !status.is_informational() && !matches!(status.as_u16(), 204 | 304);
     let is_keep_alive = head.connection_type() == ConnectionType::KeepAlive;
     let (body, is_reusable, codec) = match codec.message_type() {
         // A body without a length ends where the peer closes the connection.
@@ -334,6 +360,8 @@
             (read_to_end(incoming).await?, false, codec)
         }
         MessageType::None => (Bytes::new(), is_keep_alive, codec),
+        // A body that follows nevertheless must not be taken for the next response.
+        MessageType::Payload | MessageType::Stream if !has_body => (Bytes::new(), false, codec),
         MessageType::Payload | MessageType::Stream => {
             let (body, codec) = read_body(incoming, codec).await?;
             (body, is_keep_alive, codec)
--- a/crates/balsamd/src/client/tests.rs
+++ b/crates/balsamd/src/client/tests.rs
@@ -457,3 +457,5 @@
     let peak_bytes = allocations.bytes_max;
     assert!(peak_bytes <= limit_bytes, "{peak_bytes} bytes");
 }
+
+mod statuses;
