Bound the memory and connections of outside clients

The account is a quarter of the machine's memory (instance.memory_mb, 160 MB if not stated), and callers get half of the descriptors (instance.descriptors_max_count, 4,100 if not stated) that are not reserved for files. Beyond that, the slowest receivers are shed, then those idle for longest, then the newest is refused. Heads have a limit of size and time, bodies a least rate, and a body beyond the limit is refused at its head. Connections from other instances are bounded in number.

A caller that uses the platform's limits up (head of 16 KiB in 3 s, idle for 12 s, 256 KiB in single bytes) is served.

--- a/crates/balsamd/src/callers.rs
+++ b/crates/balsamd/src/callers.rs
@@ -26,7 +26,8 @@
 
 use crate::{
     error::StartError,
-    http::{self, CloseSignal, ConnectionTracker},
+    http::{self, CloseSignal, ConnectionTracker, PortLimits},
+    limits::Limits,
     shell::{CallerGone, CallerRequest, IssueTickets, Shell},
 };
 
@@ -55,7 +56,6 @@
 #[derive(Clone)]
 struct AppState {
     shell: Addr<Shell>,
-    body_max_bytes: usize,
     is_draining: Arc<AtomicBool>,
 }
 
@@ -67,25 +67,27 @@
 pub async fn spawn(
     shell: Addr<Shell>,
     address: SocketAddr,
-    limits: &settings::Query,
+    settings: &settings::Query,
+    limits: Limits,
     is_draining: Arc<AtomicBool>,
     close_signal: CloseSignal,
     connections: ConnectionTracker,
 ) -> Result<(), StartError> {
-    let app_state = AppState {
-        shell,
-        body_max_bytes: limits.body_max_bytes as usize,
-        is_draining,
+    let app_state = AppState { shell, is_draining };
+    let port_limits = PortLimits {
+        limits,
+        body_max_bytes: settings.body_max_bytes as usize,
     };
     let listener = http::bind("callers", address).await?;
     let app = App::new()
-        .app_data(web::PayloadConfig::new(app_state.body_max_bytes))
+        .app_data(web::PayloadConfig::new(port_limits.body_max_bytes))
         .app_data(web::Data::new(app_state))
         .route("/v1/fronts/{front}/query", web::post().to(query))
         .route("/v1/tickets", web::post().to(issue_tickets));
     http::serve(
         listener,
         map_config(app, |()| AppConfig::default()),
+        port_limits,
         close_signal,
         connections,
     )
--- a/crates/balsamd/src/http/tests.rs
+++ b/crates/balsamd/src/http/tests.rs
@@ -15,7 +15,8 @@
 use rstest::rstest;
 use tokio::sync::watch;
 
-use super::{ConnectionTracker, bind, serve};
+use super::{ConnectionTracker, PortLimits, bind, serve};
+use crate::{limits, metrics};
 
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n";
 /// Time limit for a response, far beyond what one takes.
@@ -50,7 +51,18 @@
             Ok::<_, Infallible>(response)
         }
     });
-    serve(listener, service, close_signal, connections.clone()).await;
+    let port_limits = PortLimits {
+        limits: test_limits(),
+        body_max_bytes: 1024,
+    };
+    serve(
+        listener,
+        service,
+        port_limits,
+        close_signal,
+        connections.clone(),
+    )
+    .await;
     Port {
         address,
         close,
@@ -59,6 +71,18 @@
     }
 }
 
+fn test_limits() -> limits::Limits {
+    let metrics = metrics::create().expect("metrics");
+    let instance = settings::Instance {
+        name: "a".to_owned(),
+        zone: "b".to_owned(),
+        capacity_millicores: 0,
+        memory_mb: None,
+        descriptors_max_count: None,
+    };
+    limits::new(&instance, metrics::create_input(&metrics))
+}
+
 /// Opens connections and sends a request on each, without giving the port a turn to accept them.
 fn send_requests(address: SocketAddr, count: usize) -> Vec<TcpStream> {
     let streams = (0..count).map(|_| {
--- a/crates/balsamd/src/ingress.rs
+++ b/crates/balsamd/src/ingress.rs
@@ -11,7 +11,7 @@
 use actix::Addr;
 use actix_http::{ConnectionType, Payload, Request, Response, StatusCode};
 use actix_service::fn_service;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::StreamExt;
 use tokio::sync::oneshot;
 
@@ -19,14 +19,14 @@
     callers::CallerGuard,
     error::StartError,
     gateway_messages::GatewayRequest,
-    http::{self, CloseSignal, ConnectionTracker},
+    http::{self, CloseSignal, ConnectionTracker, PortLimits},
+    limits::Limits,
     shell::Shell,
 };
 
 #[derive(Clone)]
 struct AppState {
     shell: Addr<Shell>,
-    body_max_bytes: usize,
     is_draining: Arc<AtomicBool>,
 }
 
@@ -38,21 +38,22 @@
 pub async fn spawn(
     shell: Addr<Shell>,
     settings: &settings::Gateway,
+    limits: Limits,
     is_draining: Arc<AtomicBool>,
     close_signal: CloseSignal,
     connections: ConnectionTracker,
 ) -> Result<(), StartError> {
-    let app_state = AppState {
-        shell,
+    let app_state = AppState { shell, is_draining };
+    let port_limits = PortLimits {
+        limits,
         body_max_bytes: settings.body_max_bytes as usize,
-        is_draining,
     };
     let listener = http::bind("gateway", settings.listen).await?;
     let service = fn_service(move |request: Request| {
         let app_state = app_state.clone();
         async move { Ok::<_, Infallible>(serve(&app_state, request).await) }
     });
-    http::serve(listener, service, close_signal, connections).await;
+    http::serve(listener, service, port_limits, close_signal, connections).await;
     Ok(())
 }
 
@@ -67,7 +68,7 @@
 }
 
 async fn respond(app_state: &AppState, mut request: Request) -> Response<Bytes> {
-    let body = match read_body(request.take_payload(), app_state.body_max_bytes).await {
+    let body = match read_body(request.take_payload()).await {
         Ok(body) => body,
         Err(status) => return Response::with_body(status, Bytes::new()),
     };
@@ -90,15 +91,10 @@
     }
 }
 
-async fn read_body(mut payload: Payload, max_bytes: usize) -> Result<Bytes, StatusCode> {
-    let mut body = BytesMut::new();
-    while let Some(chunk) = payload.next().await {
-        // The connection has failed, so the status does not reach the caller.
-        let chunk = chunk.map_err(|_| StatusCode::BAD_REQUEST)?;
-        if body.len() + chunk.len() > max_bytes {
-            return Err(StatusCode::PAYLOAD_TOO_LARGE);
-        }
-        body.extend_from_slice(&chunk);
+/// Takes the body, which the port has read as a whole.
+async fn read_body(mut payload: Payload) -> Result<Bytes, StatusCode> {
+    match payload.next().await {
+        None => Ok(Bytes::new()),
+        Some(body) => body.map_err(|_| StatusCode::BAD_REQUEST),
     }
-    Ok(body.freeze())
 }
--- a/crates/balsamd/src/metrics.rs
+++ b/crates/balsamd/src/metrics.rs
@@ -50,6 +50,27 @@
     })
 }
 
+/// Instruments for what outside clients take and for those that are refused.
+#[derive(Clone, Debug)]
+pub struct InputMetrics {
+    /// Refused or closed clients, by cause.
+    pub refused: opentelemetry::metrics::Counter<u64>,
+    /// Memory that clients hold.
+    pub held_bytes: Gauge<u64>,
+    /// Open connections of clients.
+    pub connections: Gauge<u64>,
+}
+
+/// Creates the instruments for outside clients.
+pub fn create_input(metrics: &Metrics) -> InputMetrics {
+    let meter = &metrics.meter;
+    InputMetrics {
+        refused: meter.u64_counter("balsamd_clients_refused").build(),
+        held_bytes: meter.u64_gauge("balsamd_clients_held_bytes").build(),
+        connections: meter.u64_gauge("balsamd_clients_connections").build(),
+    }
+}
+
 /// Reads the value of one gauge from a status.
 type ReadStatus = fn(&Status) -> u64;
 
--- a/crates/balsamd/src/operators.rs
+++ b/crates/balsamd/src/operators.rs
@@ -12,7 +12,8 @@
 
 use crate::{
     error::StartError,
-    http::{self, CloseSignal, ConnectionTracker},
+    http::{self, CloseSignal, ConnectionTracker, PortLimits},
+    limits::{self, Limits},
     metrics::{self, Gauges},
     readiness::AwaitReady,
     reports::{GetStateDump, GetStatus},
@@ -22,11 +23,15 @@
 /// Upper limit of `wait_ms`; larger values are reduced to it.
 const WAIT_MAX_MS: u64 = 60_000;
 
+/// Upper limit of a request's body; no request of operators needs one.
+const BODY_MAX_BYTES: usize = 1024;
+
 #[derive(Clone)]
 struct AppState {
     shell: Addr<Shell>,
     registry: Registry,
     gauges: Gauges,
+    limits: Limits,
 }
 
 /// Opens the operators' port and serves it until the close signal.
@@ -39,12 +44,18 @@
     registry: Registry,
     gauges: Gauges,
     listen: &settings::Listen,
+    limits: Limits,
     close_signal: CloseSignal,
 ) -> Result<(), StartError> {
     let app_state = AppState {
         shell,
         registry,
         gauges,
+        limits: limits.clone(),
+    };
+    let port_limits = PortLimits {
+        limits,
+        body_max_bytes: BODY_MAX_BYTES,
     };
     let listener = http::bind("operators", listen.operators).await?;
     let app = App::new()
@@ -57,6 +68,7 @@
     http::serve(
         listener,
         map_config(app, |()| AppConfig::default()),
+        port_limits,
         close_signal,
         ConnectionTracker::open(),
     )
@@ -95,6 +107,7 @@
         return HttpResponse::ServiceUnavailable().body("the instance has stopped\n");
     };
     metrics::set_gauges(&app_state.gauges, &status.0);
+    limits::set_gauges(&app_state.limits);
     match metrics::export(&app_state.registry) {
         Ok(text) => HttpResponse::Ok()
             .content_type("text/plain; version=0.0.4")
--- a/crates/balsamd/src/peers.rs
+++ b/crates/balsamd/src/peers.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     http::ACCEPT_RETRY_DELAY,
+    limits::{self, Limits},
     shell::{PeerMessage, PeerMessageRefused, PeerUnreachable, Shell},
     supervise,
 };
@@ -39,7 +40,7 @@
 pub type SendQueues = HashMap<SocketAddr, Sender<Bytes>>;
 
 /// Starts the accept loop for connections from other instances.
-pub fn spawn_listener(shell: Addr<Shell>, listener: TcpListener) {
+pub fn spawn_listener(shell: Addr<Shell>, listener: TcpListener, limits: Limits) {
     actix_rt::spawn(async move {
         let _guard = supervise::exit_on_panic();
         loop {
@@ -47,8 +48,15 @@
                 actix_rt::time::sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             };
+            let Some(connection) = limits::open_peer(&limits) else {
+                continue;
+            };
             enable_keepalive(&stream);
-            actix_rt::spawn(read_frames(shell.clone(), stream));
+            let reading = read_frames(shell.clone(), stream);
+            actix_rt::spawn(async move {
+                reading.await;
+                drop(connection);
+            });
         }
     });
 }
--- a/crates/balsamd/src/shell.rs
+++ b/crates/balsamd/src/shell.rs
@@ -42,7 +42,7 @@
     error::StartError,
     gateway_messages,
     http::ConnectionTracker,
-    ingress,
+    ingress, limits,
     metrics::{self, Metrics},
     operators,
     peers::{self, SendQueues},
@@ -104,11 +104,13 @@
 
 async fn start(settings: Settings, settings_path: PathBuf) -> Result<(), StartError> {
     let listen = settings.listen.clone();
-    let limits = settings.query.clone();
+    let query = settings.query.clone();
+    let instance = settings.instance.clone();
     let gateway = settings.gateway.clone();
     let metrics = metrics::create()?;
     let registry = metrics::registry(&metrics);
     let gauges = metrics::create_gauges(&metrics);
+    let limits = limits::new(&instance, metrics::create_input(&metrics));
     let incarnation = incarnation();
     let call_id_prefix = format!("{}:{incarnation}", settings.instance.name);
     let user_agent = format!("balsamd/{}", settings.instance.name);
@@ -152,7 +154,8 @@
         callers::spawn(
             address.clone(),
             callers,
-            &limits,
+            &query,
+            limits.clone(),
             is_draining,
             close_signal,
             connections,
@@ -164,14 +167,24 @@
         ingress::spawn(
             address.clone(),
             gateway,
+            limits.clone(),
             is_draining,
             close_signal,
             connections,
         )
         .await?;
     }
-    operators::spawn(address.clone(), registry, gauges, &listen, close_signal).await?;
-    peers::spawn_listener(address.clone(), peers);
+    let operators_limits = limits.clone();
+    operators::spawn(
+        address.clone(),
+        registry,
+        gauges,
+        &listen,
+        operators_limits,
+        close_signal,
+    )
+    .await?;
+    peers::spawn_listener(address.clone(), peers, limits);
     spawn_signal_handler(address, settings_path)?;
     logs::write(&listening_line(&listen, gateway.as_ref()));
     Ok(())
--- a/crates/rig/src/rig.rs
+++ b/crates/rig/src/rig.rs
@@ -281,7 +281,8 @@
     overrides: &serde_json::Value,
 ) -> serde_json::Value {
     let mut settings = overrides.clone();
-    settings["instance"] = json!({"name": instance.name, "zone": instance.zone});
+    settings["instance"]["name"] = json!(instance.name);
+    settings["instance"]["zone"] = json!(instance.zone);
     settings["listen"] = json!({
         "callers": instance.callers,
         "operators": instance.operators,
--- a/crates/rig/tests/outside_limits.rs
+++ b/crates/rig/tests/outside_limits.rs
@@ -251,7 +251,12 @@
 }
 
 fn instance_settings() -> serde_json::Value {
-    json!({"name": "north-1", "zone": "north"})
+    json!({
+        "name": "north-1",
+        "zone": "north",
+        "memory_mb": MEMORY_MAX_BYTES / 1024 / 1024,
+        "descriptors_max_count": DESCRIPTORS_MAX_COUNT + 200,
+    })
 }
 
 /// Guards against a process that ends, or exceeds its machine's memory, under each kind of crowd.
@@ -291,7 +296,10 @@
 #[actix_rt::test]
 async fn an_instance_that_serves_queries_stays_within_its_memory() -> Result<(), RigError> {
     let mut plan = plan(&["north"], 1);
-    plan.settings = json!({"query": {"body_max_bytes": BODY_MAX_BYTES}});
+    plan.settings = json!({
+        "query": {"body_max_bytes": BODY_MAX_BYTES},
+        "instance": instance_settings(),
+    });
     let rig = rig::open(&plan).await?;
     let id = rig::process_id(&rig, 0)?;
     let address = rig.instances[0].callers;
@@ -303,3 +311,77 @@
     assert!(faults.is_empty(), "{faults:#?}");
     rig.close().await
 }
+
+/// Reads one response with a length and returns its status.
+fn read_status(stream: &mut TcpStream) -> u16 {
+    let mut answer = Vec::new();
+    let mut buffer = [0; 4096];
+    loop {
+        let count = stream.read(&mut buffer).expect("an answer");
+        assert!(
+            count > 0,
+            "closed after {:?}",
+            String::from_utf8_lossy(&answer)
+        );
+        answer.extend_from_slice(&buffer[..count]);
+        let text = String::from_utf8_lossy(&answer).to_ascii_lowercase();
+        let Some((head, body)) = text.split_once("\r\n\r\n") else {
+            continue;
+        };
+        let (_, length) = head.split_once("content-length: ").expect("a length");
+        let length = length.lines().next().unwrap_or_default().parse::<usize>();
+        if body.len() >= length.expect("a number") {
+            return head[9..12].parse().expect("a status");
+        }
+    }
+}
+
+/// Sends requests that use each limit of callers up, all on one connection.
+fn send_permitted(address: SocketAddr) -> Vec<(&'static str, u16)> {
+    let mut stream = TcpStream::connect(address).expect("a connection");
+    stream.set_nodelay(true).expect("an option");
+    stream
+        .set_read_timeout(Some(HANG_TIMEOUT))
+        .expect("an option");
+    let head = format!("POST {PATH} HTTP/1.1\r\nhost: a\r\nbalsam-timeout-ms: 2000\r\n");
+    let mut statuses = Vec::new();
+    // A head of 16 KiB that takes nearly 3 s.
+    stream.write_all(head.as_bytes()).expect("sent");
+    for _ in 0..16 {
+        sleep(Duration::from_millis(180));
+        let line = format!("x: {}\r\n", "y".repeat(990));
+        stream.write_all(line.as_bytes()).expect("sent");
+    }
+    stream
+        .write_all(b"content-length: 2\r\n\r\n{}")
+        .expect("sent");
+    statuses.push(("head", read_status(&mut stream)));
+    sleep(Duration::from_secs(12));
+    let body = format!("\"{}\"", "b".repeat(BODY_MAX_BYTES - 2));
+    let head = format!("{head}content-length: {BODY_MAX_BYTES}\r\n\r\n{body}");
+    for byte in head.as_bytes() {
+        stream.write_all(&[*byte]).expect("sent");
+    }
+    statuses.push(("body of single bytes, after 12 s", read_status(&mut stream)));
+    statuses
+}
+
+/// Guards against limits that a caller within the platform's limits meets.
+#[actix_rt::test]
+async fn a_caller_within_the_limits_meets_none() -> Result<(), RigError> {
+    let mut plan = plan(&["north"], 1);
+    plan.settings = json!({
+        "query": {"body_max_bytes": BODY_MAX_BYTES},
+        "instance": instance_settings(),
+    });
+    let rig = rig::open(&plan).await?;
+    let address = rig.instances[0].callers;
+    let sending = actix_rt::task::spawn_blocking(move || {
+        let _alone = CROWD.lock();
+        send_permitted(address)
+    });
+    for (name, status) in sending.await.expect("the requests end") {
+        assert_eq!(status, 200, "{name}");
+    }
+    rig.close().await
+}
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -97,15 +97,27 @@
     set_decimal(&mut cores, &mut fields, "cores", findings);
     let mut core_share = 1.0;
     set_decimal(&mut core_share, &mut fields, "core_share", findings);
+    let memory_mb = read_limit(&mut fields, "memory_mb", findings);
+    let descriptors_max_count = read_limit(&mut fields, "descriptors_max_count", findings);
     fields.report_unread(findings);
     Some(Instance {
         name: name?.to_owned(),
         zone: zone?.to_owned(),
         // A float-to-integer conversion saturates.
         capacity_millicores: (cores * core_share * 1000.0) as u32,
+        memory_mb,
+        descriptors_max_count,
     })
 }
 
+/// Reads a limit of the machine; an absent, null or zero one states nothing.
+fn read_limit(fields: &mut Fields<'_>, name: &str, findings: &mut Findings) -> Option<u32> {
+    let mut limit = 0.0;
+    set_decimal(&mut limit, fields, name, findings);
+    // A float-to-integer conversion saturates.
+    Some(limit as u32).filter(|limit| *limit > 0)
+}
+
 fn read_listen(node: Node<'_>, has_gateway: bool, findings: &mut Findings) -> Option<Listen> {
     let mut fields = node.fields(findings)?;
     let callers = match has_gateway {
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -70,6 +70,10 @@
     pub zone: String,
     /// Processor time that the instance may use, in thousandths of a core; 0 if not set.
     pub capacity_millicores: u32,
+    /// Memory of the machine in MiB, from which the memory for callers is derived.
+    pub memory_mb: Option<u32>,
+    /// File descriptors that the process may have, from which the bounds on connections are derived.
+    pub descriptors_max_count: Option<u32>,
 }
 
 /// Addresses on which the instance listens.
