Let connections that wait for others to close delay no one

Up to 32 connections now wait in tasks of their own, up to 1.5 s, and each sheds at most one other client.

The account also reserves the 40 KiB of a body that the HTTP library decodes ahead. Documents the limits, and what was weighed against them.

--- a/crates/balsamd/src/http.rs
+++ b/crates/balsamd/src/http.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     error::StartError,
-    limits::{self, Cause, Client, LimitedStream, Limits},
+    limits::{self, Admission, Cause, Client, LimitedStream, Limits},
     supervise,
 };
 
@@ -212,6 +212,7 @@
 ) where
     S: Service<(LimitedStream, Option<SocketAddr>)> + 'static,
 {
+    let service = Rc::new(service);
     actix_rt::spawn(async move {
         let _guard = supervise::exit_on_panic();
         loop {
@@ -220,22 +221,38 @@
                 _ = close_signal.wait_for(|is_closing| *is_closing) => break,
             };
             match accepted {
-                Ok((stream, _)) => {
-                    if let Some(stream) = limits::admit(&limits, stream).await {
-                        spawn_connection(&service, stream, &connections);
-                    }
-                }
+                Ok((stream, _)) => admit(&service, stream, &limits, &connections),
                 Err(_) => actix_rt::time::sleep(ACCEPT_RETRY_DELAY).await,
             }
         }
         for stream in take_pending(listener) {
-            if let Some(stream) = limits::admit(&limits, stream).await {
-                spawn_connection(&service, stream, &connections);
-            }
+            admit(&service, stream, &limits, &connections);
         }
     });
 }
 
+/// Serves a connection if the limits admit it.
+fn admit<S>(service: &Rc<S>, stream: TcpStream, limits: &Limits, connections: &ConnectionTracker)
+where
+    S: Service<(LimitedStream, Option<SocketAddr>)> + 'static,
+{
+    match limits::admit(limits, stream) {
+        Admission::Admitted(stream) => spawn_connection(&**service, stream, connections),
+        Admission::Waiting(stream) => {
+            let (service, limits) = (service.clone(), limits.clone());
+            let connections = connections.clone();
+            let tracked = connections.track();
+            actix_rt::spawn(async move {
+                if let Some(stream) = limits::await_admission(&limits, stream).await {
+                    spawn_connection(&*service, stream, &connections);
+                }
+                drop(tracked);
+            });
+        }
+        Admission::Refused => {}
+    }
+}
+
 fn spawn_connection<S>(service: &S, stream: LimitedStream, connections: &ConnectionTracker)
 where
     S: Service<(LimitedStream, Option<SocketAddr>)> + 'static,
--- a/crates/balsamd/src/limits.rs
+++ b/crates/balsamd/src/limits.rs
@@ -52,6 +52,8 @@
 const TURN_BYTES: usize = 4 * 1024;
 /// Memory of the list of chunks that are decoded in a turn: 2,048 handles of 32 bytes.
 const CHUNKS_BYTES: usize = 64 * 1024;
+/// Part of a body that the HTTP library decodes ahead: 32 KiB and what it reads at a time.
+const PAYLOAD_BUFFER_BYTES: usize = 40 * 1024;
 /// Upper limit of a head: twice what the platform permits.
 const HEAD_MAX_BYTES: usize = 32 * 1024;
 /// Part of a head, or of requests sent ahead, that the base memory covers.
@@ -73,7 +75,11 @@
 const REFUSED_TIMEOUT: Duration = Duration::from_secs(1);
 /// Bytes of a refused body that are still read.
 const REFUSED_MAX_BYTES: usize = 256 * 1024;
-/// Longest wait for memory or a connection that a client to be closed frees.
+/// Longest wait of a connection for one that closes, which takes up to [`REFUSED_TIMEOUT`].
+const ADMISSION_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Connections that wait for others to close.
+const WAITING_MAX_COUNT: usize = 32;
+/// Longest wait for memory that a client to be closed frees.
 const FREE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Interval of the log lines of one cause.
 const LOG_INTERVAL: Duration = Duration::from_secs(5);
@@ -124,6 +130,8 @@
     clients: RefCell<SecondaryMap<ClientKey, Weak<Client>>>,
     /// Notified when a client closes.
     freed: Notify,
+    /// Connections that wait for others to close.
+    waiting: Cell<usize>,
     peers: Cell<u32>,
     peers_max_count: u32,
     refused: Counter<u64>,
@@ -148,6 +156,7 @@
         account: RefCell::new(intake::new(bounds)),
         clients: RefCell::default(),
         freed: Notify::new(),
+        waiting: Cell::new(0),
         peers: Cell::new(0),
         peers_max_count: (usable_count / PEERS_DESCRIPTORS_DIVISOR).max(1),
         refused: metrics.refused,
@@ -245,29 +254,61 @@
     /// State that the connection's requests share.
     pub client: Rc<Client>,
     turn_bytes: usize,
+    /// Whether the timer is that of a refused body.
+    is_refused: bool,
     read_timer: Option<Pin<Box<Sleep>>>,
     write_timer: Option<Pin<Box<Sleep>>>,
 }
 
-/// Admits a connection, or closes it if there are too many.
-pub async fn admit(limits: &Limits, stream: TcpStream) -> Option<LimitedStream> {
-    let deadline = Instant::now() + FREE_TIMEOUT;
-    loop {
+/// Result of a new connection.
+pub enum Admission {
+    /// It is open.
+    Admitted(LimitedStream),
+    /// It waits until another client closes; see [`await_admission`].
+    Waiting(TcpStream),
+    /// It is closed.
+    Refused,
+}
+
+/// Admits a connection at once if there is room, so that connections that have to wait delay no
+/// others.
+pub fn admit(limits: &Limits, stream: TcpStream) -> Admission {
+    let verdict = intake::open(&mut limits.0.account.borrow_mut(), true, Instant::now());
+    match verdict {
+        Verdict::Granted(key) => return Admission::Admitted(open(limits, key, stream)),
+        Verdict::Shed(key) => shed(limits, key),
+        Verdict::Refused => {}
+    }
+    let waiting = &limits.0.waiting;
+    if waiting.get() >= WAITING_MAX_COUNT {
+        report(limits, Cause::Connections);
+        return Admission::Refused;
+    }
+    waiting.set(waiting.get() + 1);
+    Admission::Waiting(stream)
+}
+
+/// Waits until another client closes; returns `None` if none does in time.
+pub async fn await_admission(limits: &Limits, stream: TcpStream) -> Option<LimitedStream> {
+    let deadline = Instant::now() + ADMISSION_TIMEOUT;
+    let key = loop {
         let freed = limits.0.freed.notified();
         let now = Instant::now();
-        let verdict = intake::open(&mut limits.0.account.borrow_mut(), now);
-        match verdict {
-            Verdict::Granted(key) => return Some(open(limits, key, stream)),
-            Verdict::Shed(key) => shed(limits, key),
-            Verdict::Refused => break,
+        let verdict = intake::open(&mut limits.0.account.borrow_mut(), false, now);
+        if let Verdict::Granted(key) = verdict {
+            break Some(key);
         }
         let wait = deadline.saturating_duration_since(now);
         if actix_rt::time::timeout(wait, freed).await.is_err() {
-            break;
+            break None;
         }
+    };
+    let waiting = &limits.0.waiting;
+    waiting.set(waiting.get() - 1);
+    if key.is_none() {
+        report(limits, Cause::Connections);
     }
-    report(limits, Cause::Connections);
-    None
+    key.map(|key| open(limits, key, stream))
 }
 
 fn open(limits: &Limits, key: ClientKey, stream: TcpStream) -> LimitedStream {
@@ -286,6 +327,7 @@
         stream,
         client,
         turn_bytes: 0,
+        is_refused: false,
         read_timer: None,
         write_timer: None,
     }
@@ -401,7 +443,9 @@
         return Err(refuse(Cause::BodySize));
     }
     // Only a body without a length arrives in chunks that are smaller than what is read.
-    if announced_bytes.is_none() && !reserve(client, CHUNKS_BYTES).await {
+    let buffered_bytes =
+        announced_bytes.map_or(CHUNKS_BYTES, |bytes| bytes.min(PAYLOAD_BUFFER_BYTES));
+    if !reserve(client, buffered_bytes).await {
         return Err(refuse(Cause::Memory));
     }
     let mut body = BytesMut::new();
@@ -504,6 +548,10 @@
             return Poll::Pending;
         }
         State::Refused => {
+            if !stream.is_refused {
+                stream.is_refused = true;
+                stream.read_timer = None;
+            }
             let is_over = received_bytes > REFUSED_MAX_BYTES
                 || is_expired(&mut stream.read_timer, REFUSED_TIMEOUT, context);
             if is_over {
--- a/crates/intake/src/lib.rs
+++ b/crates/intake/src/lib.rs
@@ -12,8 +12,9 @@
 
 use slotmap::{SlotMap, new_key_type};
 
-/// Memory up to which a client may use the whole account. Clients that hold more leave a reserve.
-pub const USUAL_BYTES: usize = 64 * 1024;
+/// Memory up to which a client may use the whole account: the buffers of a connection and of a body
+/// in chunks, with two copies of a body of 16 KiB. Clients that hold more leave a reserve.
+pub const USUAL_BYTES: usize = 128 * 1024;
 /// One in this many bytes of the account is the reserve.
 const RESERVE_DIVISOR: usize = 4;
 /// Age from which a client that waits or receives may be shed: ordinary requests arrive sooner.
@@ -93,11 +94,15 @@
     account.clients.len()
 }
 
-/// Opens a client, which holds the base memory.
-pub fn open(account: &mut Account, now: Instant) -> Verdict<ClientKey> {
+/// Opens a client, which holds the base memory. Another is chosen to be closed for it only if it may
+/// shed, so that asking again while that one closes sheds no more.
+pub fn open(account: &mut Account, may_shed: bool, now: Instant) -> Verdict<ClientKey> {
     let bounds = &account.bounds;
     let is_full = account.clients.len() >= bounds.clients_max_count
         || account.held_bytes + bounds.base_bytes > bounds.memory_max_bytes;
+    if is_full && !may_shed {
+        return Verdict::Refused;
+    }
     if is_full {
         return shed(account, None, now);
     }
--- a/crates/intake/src/tests.rs
+++ b/crates/intake/src/tests.rs
@@ -36,7 +36,7 @@
         for (step, index, bytes) in steps {
             now += Duration::from_millis(bytes as u64 % 900);
             let verdict = match (step, held.is_empty()) {
-                (0, _) | (_, true) => match open(&mut account, now) {
+                (0, _) | (_, true) => match open(&mut account, true, now) {
                     Verdict::Granted(key) => { held.push((key, BOUNDS.base_bytes)); None }
                     Verdict::Shed(key) => Some(key),
                     Verdict::Refused => None,
@@ -93,15 +93,16 @@
         ..BOUNDS
     });
     let start = Instant::now();
-    let keys = [(); 3].map(|()| match open(&mut account, start) {
+    let keys = [(); 3].map(|()| match open(&mut account, true, start) {
         Verdict::Granted(key) => key,
         refused => panic!("{refused:?}"),
     });
-    assert_eq!(open(&mut account, start), Verdict::Refused);
+    assert_eq!(open(&mut account, true, start), Verdict::Refused);
     enter(&mut account, keys[0], Phase::Serving, start);
     receive(&mut account, keys[1], 5_000);
     let later = start + Duration::from_secs(1);
-    assert_eq!(open(&mut account, later), Verdict::Shed(keys[2]));
-    assert_eq!(open(&mut account, later), Verdict::Shed(keys[1]));
-    assert_eq!(open(&mut account, later), Verdict::Refused);
+    assert_eq!(open(&mut account, false, later), Verdict::Refused);
+    assert_eq!(open(&mut account, true, later), Verdict::Shed(keys[2]));
+    assert_eq!(open(&mut account, true, later), Verdict::Shed(keys[1]));
+    assert_eq!(open(&mut account, true, later), Verdict::Refused);
 }
