Keep usage caps over all instances by permits

Cause: an organisation's cap holds over all instances together, and dividing it by instances refuses callers within it.

Change: crate quota grants permits from one bucket a zone and lets instances ask for them, prefetch and return them; messages, member rows, settings, catalog, gateway and tier carry it. A request with a capped organisation waits for a permit before an exchange is created. Refusals are 429 (over-cap) and 503 (no-permit-issuer).

--- a/crates/balsamctl/src/explain.rs
+++ b/crates/balsamctl/src/explain.rs
@@ -153,6 +153,9 @@
 
 /// Returns the cause of a request's end in one sentence, if its line tells it.
 fn conclusion(line: &str) -> Option<String> {
+    if let Some(text) = cap_conclusion(line) {
+        return Some(text);
+    }
     if !is_unauthenticated(line) {
         return None;
     }
@@ -176,6 +179,20 @@
     Some(text)
 }
 
+/// Returns in one sentence why a request of a capped organisation was refused.
+fn cap_conclusion(line: &str) -> Option<String> {
+    let organisation = field(line, "organisation").unwrap_or("unknown");
+    match field(line, "reason")? {
+        "over-cap" => Some(format!(
+            "the organisation {organisation} had used up its cap over all instances"
+        )),
+        "no-permit-issuer" => Some(format!(
+            "no reachable instance could grant a permit to the organisation {organisation}"
+        )),
+        _ => None,
+    }
+}
+
 /// Returns the targets in the value of a field `missing`: `SERVICE:TARGET/TARGET,SERVICE:…`.
 fn missing_targets(missing: &str) -> impl Iterator<Item = &str> {
     let services = missing.split(',');
--- a/crates/balsamctl/src/tests.rs
+++ b/crates/balsamctl/src/tests.rs
@@ -8,7 +8,7 @@
 use crate::{
     commands::invocation,
     exit::ExitStatus,
-    explain::{Explanation, Line, explain},
+    explain::{Explanation, Line, conclusion, explain},
     notes, query, status,
 };
 
@@ -163,3 +163,12 @@
 fn a_request_that_no_log_mentions_has_an_empty_explanation() {
     assert_eq!(explain("r", &logs()), Explanation::default());
 }
+
+/// Guards against an explanation that leaves operators to look up why a cap refused a request.
+#[test]
+fn a_refusal_by_a_cap_has_a_conclusion() {
+    let text = "ts=1 event=request-refused request_id=r1 reason=over-cap organisation=acme\n";
+    let logs = vec![("log".to_owned(), text.to_owned())];
+    let conclusion = conclusion(&explain("r1", &logs));
+    assert!(conclusion.is_some_and(|text| text.contains("acme had used up its cap")));
+}
--- a/crates/balsamd/src/callers.rs
+++ b/crates/balsamd/src/callers.rs
@@ -367,6 +367,7 @@
             | NotRunReason::Declined
             | NotRunReason::Leaving
             | NotRunReason::CutOff
+            | NotRunReason::NoPermitIssuer
             | NotRunReason::RateLimited => StatusCode::SERVICE_UNAVAILABLE,
         },
     }
--- a/crates/fleet/src/instance_list.rs
+++ b/crates/fleet/src/instance_list.rs
@@ -61,6 +61,7 @@
     };
     if !fleet.members.contains_key(&listed.name) {
         let row = MemberRow {
+            understands_permits: false,
             id: InstanceId {
                 name: listed.name.clone(),
                 incarnation: 0,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -39,7 +39,8 @@
 pub use readers::is_reader;
 pub use share::{
     capacity_ratio, capacity_shares, connection_holder_rank, connection_holders_count,
-    is_in_minority, larger_in_zone, other_zones_last_contact_at, zone_peer_addresses,
+    has_heard_another, is_in_minority, known_zones, larger_in_zone, other_zones_last_contact_at,
+    permit_members, zone_peer_addresses,
 };
 pub use state::{
     FleetState, FreshnessSource, JoinState, Member, PlatformReadState, Probe, new_state,
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -23,6 +23,7 @@
         MemberState::Alive
     };
     MemberRow {
+        understands_permits: true,
         id: fleet.id.clone(),
         address: fleet.address,
         zone: fleet.zone.clone(),
--- a/crates/fleet/src/share.rs
+++ b/crates/fleet/src/share.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use model::MemberState;
+use model::{MemberRow, MemberState};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{FleetState, Member};
@@ -77,6 +77,32 @@
         .collect()
 }
 
+/// Returns the rows of the other instances that understand permits and may be running: those that
+/// are present or have disappeared without leaving, which may be cut off and still issue permits.
+pub fn permit_members(fleet: &FleetState, now: Instant) -> impl Iterator<Item = &MemberRow> {
+    let members = fleet.members.values().filter(move |member| {
+        let is_counted = match member.row.state {
+            MemberState::Alive | MemberState::Suspected => !member.has_left,
+            MemberState::Leaving => false,
+            MemberState::Gone => may_be_cut_off(member, now),
+        };
+        is_counted && member.row.understands_permits
+    });
+    members.map(|member| &member.row)
+}
+
+/// Returns the zones of all known instances, for a deployment whose settings state none.
+pub fn known_zones(fleet: &FleetState) -> BTreeSet<&str> {
+    let zones = fleet.members.values().map(|member| &*member.row.zone);
+    zones.chain([&*fleet.zone]).collect()
+}
+
+/// Returns whether a message of another instance has arrived since the start.
+pub fn has_heard_another(fleet: &FleetState) -> bool {
+    let mut members = fleet.members.values();
+    members.any(|member| member.heard_at.is_some())
+}
+
 /// Returns the peer addresses of the instances that are alive in this instance's zone and whose CPU
 /// capacity is at least `factor` times its own; empty if it has no configured capacity.
 pub fn larger_in_zone(fleet: &FleetState, factor: u32) -> Vec<SocketAddr> {
--- a/crates/gateway/src/access.rs
+++ b/crates/gateway/src/access.rs
@@ -35,13 +35,23 @@
 /// Returns whether a caller's request would pass [`authenticate`].
 pub fn is_authenticated(gateway: &Gateway, request: &HttpRequest) -> bool {
     let catalog = &gateway.catalog;
-    let is_public = || {
-        let front = catalog::find_front(catalog, &request.host, &request.path);
-        front.is_some_and(|front| catalog.fronts[front].is_public)
-    };
+    if !catalog.organisations.is_required {
+        return true;
+    }
+    let front = catalog::find_front(catalog, &request.host, &request.path);
+    is_admitted(gateway, front, key_hash(catalog, request))
+}
+
+/// Returns whether the configuration in force admits a caller with this key to a front.
+pub(crate) fn is_admitted(
+    gateway: &Gateway,
+    front: Option<FrontKey>,
+    key_hash: Option<KeyHash>,
+) -> bool {
+    let catalog = &gateway.catalog;
     !catalog.organisations.is_required
-        || find_member(catalog, key_hash(catalog, request)).is_some()
-        || is_public()
+        || find_member(catalog, key_hash).is_some()
+        || front.is_some_and(|front| catalog.fronts[front].is_public)
 }
 
 /// Checks a query that another instance relays. That instance has authenticated the caller, unless
--- a/crates/gateway/src/completion.rs
+++ b/crates/gateway/src/completion.rs
@@ -12,7 +12,7 @@
     budget::ExtraCall,
     health, latency,
     log_line::{elapsed_ms, target_log_line},
-    rate_limit, relay,
+    permit, rate_limit, relay,
     respond::{finish_if_decided, finish_with_reply, remove_exchange},
     send::{Denial, SendOutcome, mark_missing, try_send},
     stated_backoff,
@@ -66,6 +66,10 @@
     for exchange in exchanges.filter(|exchange| exchange.fingerprint == fingerprint) {
         exchange.is_quarantined = true;
     }
+    let held = gateway.held.values_mut();
+    for held in held.filter(|held| held.fingerprint == fingerprint) {
+        held.is_quarantined = true;
+    }
 }
 
 /// Cancels the exchange of a caller that has disconnected.
@@ -77,6 +81,7 @@
     caller: CallerKey,
     out: &mut Vec<Effect>,
 ) {
+    permit::forget(gateway, caller);
     let requester = Requester::Caller(caller);
     cancel_exchange(gateway, now, requester, out);
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod latency;
 mod log_line;
 mod merge;
+mod permit;
 mod rate_limit;
 mod relay;
 mod request;
@@ -48,6 +49,7 @@
 pub use health::{Health, is_in_backoff};
 pub use latency::LatencyEstimate;
 pub use merge::greatest_records;
+pub use permit::{Held, on_permit_timer, process as process_permits};
 pub use rate_limit::{
     RateLimit, ShareHolder, ShareHolders, mark_rate_limits_sent, merge_rate_limits,
     rate_limit_updates,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -274,6 +274,9 @@
             key_hash: None,
             goal: GoalSource::Relayed(relayed.goal.map(|goal| now + goal)),
             attempts_max_count: relayed.attempts_max_count,
+            // The instance that relays it has spent the permit.
+            permit: None,
+            waited: Duration::ZERO,
         };
         create_exchange(gateway, now, &new)
     });
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -15,7 +15,8 @@
 use rand::RngExt;
 
 use crate::{
-    Exchange, FrontStats, Gateway, Part, PartState, access, budget, fingerprint, isolation, relay,
+    Exchange, FrontStats, Gateway, Part, PartState, access, budget, fingerprint, isolation, permit,
+    relay,
     respond::{finish_if_decided, refuse},
     send::{send_first_attempts, send_or_queue},
     timer::{self, arm_timer},
@@ -61,17 +62,48 @@
     if gateway.is_isolated && !isolation::can_serve(gateway, now, &gateway.catalog.fronts[front]) {
         return refuse(gateway, caller, &request, NotRunReason::CutOff, out);
     }
-    let new = NewExchange {
+    permit::start_when_permitted(gateway, now, caller, front, (request, key_hash), out);
+}
+
+/// Starts an authenticated request, with the permit for which it has waited, if it needs one.
+pub(crate) fn start(
+    gateway: &mut Gateway,
+    now: Instant,
+    caller: CallerKey,
+    request: &Arc<HttpRequest>,
+    clearance: Clearance,
+    out: &mut Vec<Effect>,
+) {
+    let Clearance {
+        key_hash,
+        permit,
+        waited,
+    } = clearance;
+    let front = catalog::find_front(&gateway.catalog, &request.host, &request.path);
+    let new = front.map(|front| NewExchange {
         requester: Requester::Caller(caller),
         front,
-        request: &request,
+        request,
         key_hash,
         goal: GoalSource::Front,
         attempts_max_count: None,
-    };
-    let Some(key) = create_exchange(gateway, now, &new) else {
-        let reason = NotRunReason::DeadlinePassed;
-        return refuse(gateway, caller, &request, reason, out);
+        permit,
+        waited,
+    });
+    // The configuration may have removed the key while the request waited for the permit.
+    let is_admitted = access::is_admitted(gateway, front, key_hash);
+    let new = new.filter(|_| is_admitted);
+    let key = new.and_then(|new| create_exchange(gateway, now, &new));
+    let Some(key) = key else {
+        if let (Some(permit), Some(name)) = (permit, &request.organisation) {
+            quota::give_back(&mut gateway.quota, now, name, permit);
+        }
+        let reason = match front {
+            _ if !is_admitted => NotRunReason::Unauthenticated,
+            Some(_) => NotRunReason::DeadlinePassed,
+            None => NotRunReason::UnknownFront,
+        };
+        return refuse(gateway, caller, request, reason, out);
     };
     if relay::try_relay(gateway, now, key, out) {
         arm_timer(gateway, now, key, out);
@@ -125,6 +157,10 @@
     pub goal: GoalSource,
     /// Number of targets that each part may be sent to at first; `None` for the front's limit.
     pub attempts_max_count: Option<u32>,
+    /// The permit that it spends.
+    pub permit: Option<Permit>,
+    /// Time for which the request has waited here.
+    pub waited: Duration,
 }
 
 /// Source of the latency goal of an exchange.
@@ -158,7 +194,7 @@
             goal_at.and_then(|goal_at| goal_at.checked_sub(answer_delay))
         }
         GoalSource::Front => {
-            let waited = prior_wait(stats, now, timeout);
+            let waited = prior_wait(stats, now, timeout) + new.waited;
             goal_at(front, now, waited, reserve + answer_delay)
         }
     };
@@ -174,7 +210,8 @@
             parts_min_count,
         } => (services.to_vec(), Some(*records_count), *parts_min_count),
     };
-    let time_left = timeout.min(front.timeout).checked_sub(reserve)?;
+    let time_left = timeout.min(front.timeout);
+    let time_left = time_left.checked_sub(reserve + new.waited)?;
     let parts: Vec<Part> = services.iter().copied().map(new_part).collect();
     let granted_count = new.attempts_max_count.unwrap_or(front.attempts_max_count);
     let attempts_max_count = granted_count.min(front.attempts_max_count);
@@ -183,6 +220,7 @@
         relay: None,
         relay_number: None,
         request: request.clone(),
+        permit: new.permit,
         fingerprint: fingerprint(request),
         front: front_key,
         version: gateway.catalog.version,
@@ -201,7 +239,7 @@
         attempts_withheld_count: front.attempts_max_count - attempts_max_count,
         records_count,
         parts_min_count,
-        arrived_at: now,
+        arrived_at: now.checked_sub(new.waited).unwrap_or(now),
         goal_at,
         queue_until: goal_at.map_or(now + time_left, |at| {
             now + at.saturating_duration_since(now) / QUEUE_GOAL_DIVISOR
--- a/crates/gateway/src/respond.rs
+++ b/crates/gateway/src/respond.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     Exchange, Gateway, PartState, access, completion::abandon_attempts, log_line::elapsed_ms,
-    merge::greatest_records, rate_limit, relay, stated_backoff,
+    merge::greatest_records, permit, rate_limit, relay, stated_backoff,
 };
 
 /// Range of the random `Retry-After` of refusals; the jitter keeps callers from retrying at once.
@@ -33,6 +33,19 @@
     request: &Arc<HttpRequest>,
     reason: NotRunReason,
     out: &mut Vec<Effect>,
+) {
+    refuse_after(gateway, caller, request, reason, None, out);
+}
+
+/// Refuses a caller's request before any attempt. `wait` is the time after which it can be served,
+/// if it is known; the jitter spreads the callers over as long again.
+pub(crate) fn refuse_after(
+    gateway: &mut Gateway,
+    caller: CallerKey,
+    request: &Arc<HttpRequest>,
+    reason: NotRunReason,
+    wait: Option<Duration>,
+    out: &mut Vec<Effect>,
 ) {
     out.push(Effect::Count {
         counter: Counter::Refusals,
@@ -48,8 +61,20 @@
         access::count_unauthenticated(out);
         line = line.with("key", access::key_fault(request));
     }
+    if let Some(organisation) = &request.organisation {
+        line = line.with("organisation", &**organisation);
+    }
     out.push(Effect::Log(line));
-    let response = outcome_response(gateway, Outcome::NotRun(reason));
+    let response = match wait {
+        Some(wait) => {
+            let jitter = gateway.rng.random_range(1.0..RATE_LIMITED_JITTER_MAX);
+            HttpResponse::Local {
+                outcome: Outcome::NotRun(reason),
+                retry_after: Some(wait.max(RETRY_AFTER_RANGE[0]).mul_f64(jitter)),
+            }
+        }
+        None => outcome_response(gateway, Outcome::NotRun(reason)),
+    };
     send_response(gateway, Requester::Caller(caller), response, true, out);
 }
 
@@ -146,6 +171,7 @@
 
 /// Ends every exchange with the parts that have arrived so far, or else with an error.
 pub fn finish_all(gateway: &mut Gateway, now: Instant, out: &mut Vec<Effect>) {
+    permit::refuse_all(gateway, now, out);
     let keys: Vec<ExchangeKey> = gateway.exchanges.keys().collect();
     for key in keys {
         finish(gateway, now, key, out);
@@ -162,6 +188,9 @@
     if let Some(number) = exchange.relay_number {
         pending::remove(&mut gateway.relays, number);
     }
+    if is_unsent(&exchange) {
+        permit::give_back(gateway, now, &exchange);
+    }
     for part in &exchange.parts {
         abandon_attempts(gateway, now, &part.in_flight);
         let in_flight_count = u32::try_from(part.in_flight.len()).unwrap_or(u32::MAX);
@@ -170,6 +199,12 @@
     Some(exchange)
 }
 
+/// Returns whether the permit of an exchange must not be spent any more.
+pub(crate) fn has_expired_permit(exchange: &Exchange, now: Instant) -> bool {
+    let permit = exchange.permit.as_ref();
+    permit.is_some_and(|permit| now >= permit.expires_at)
+}
+
 /// Returns whether no target can have received any part of an exchange.
 pub(crate) fn is_unsent(exchange: &Exchange) -> bool {
     let is_untouched = exchange.parts.iter().all(|part| part.sent_count == 0);
@@ -190,7 +225,10 @@
     if is_unsent(exchange) {
         let reason = if exchange.is_revoked {
             NotRunReason::Unauthenticated
-        } else if now >= exchange.deadline || exchange.pending_count > 0 {
+        } else if now >= exchange.deadline
+            || exchange.pending_count > 0
+            || has_expired_permit(exchange, now)
+        {
             NotRunReason::Overloaded
         } else if exchange.is_rate_limited {
             NotRunReason::RateLimited
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -11,6 +11,7 @@
     choose_target, health, latency,
     latency::LatencyEstimate,
     rate_limit,
+    respond::{has_expired_permit, is_unsent},
     state::{Part, PartState},
 };
 use catalog::Eligibility;
@@ -169,6 +170,8 @@
     Revoked,
     /// This instance's share of the rate limits of the other targets is used up.
     RateLimited,
+    /// No target has received the request, and its permit has expired in the queue.
+    PermitExpired,
     /// No other target is usable.
     NoTarget,
 }
@@ -213,6 +216,9 @@
     if exchange.is_revoked && is_untouched {
         return SendOutcome::Denied(Denial::Revoked);
     }
+    if has_expired_permit(exchange, now) && is_unsent(exchange) {
+        return SendOutcome::Denied(Denial::PermitExpired);
+    }
     let is_extra = part.sent_count > 0;
     if part.sent_count >= exchange.attempts_max_count {
         return match exchange.attempts_withheld_count {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -10,19 +10,21 @@
 use bytes::Bytes;
 use catalog::{Catalog, SyncState};
 use model::{
-    AttemptKey, ExchangeKey, FrontKey, HttpRequest, ProxiedReply, Requester, ServiceKey, TargetKey,
+    AttemptKey, CallerKey, ExchangeKey, FrontKey, HttpRequest, ProxiedReply, Requester, ServiceKey,
+    TargetKey,
 };
 use once::Evidence;
 use organisation::KeyHash;
 use pending::{Requests, Table};
+use quota::{Permit, Quota};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 use slotmap::{SecondaryMap, SlotMap};
 
 use crate::{
-    budget::RetryBudget, health::Health, latency::LatencyEstimate, rate_limit::ShareHolders,
-    unresolved::UnresolvedAttempt,
+    budget::RetryBudget, health::Health, latency::LatencyEstimate, permit::Held,
+    rate_limit::ShareHolders, unresolved::UnresolvedAttempt,
 };
 
 /// State of the gateway; serialised for the state dump.
@@ -80,6 +82,11 @@
     /// Moving average of the time by which timers of exchanges fire late: the events that wait
     /// before them on the thread, each of which delays an answer likewise.
     pub timer_lateness: Duration,
+    /// Usage caps of organisations.
+    pub quota: Quota,
+    /// Requests that wait for a permit.
+    #[serde(skip)]
+    pub held: HashMap<CallerKey, Held>,
     /// Random number generator for jitter.
     #[serde(skip)]
     pub rng: ChaCha8Rng,
@@ -115,6 +122,9 @@
     /// The request.
     #[serde(skip)]
     pub request: Arc<HttpRequest>,
+    /// The permit that it spends with its first attempt, if its organisation has a cap. The query
+    /// of another instance has none here.
+    pub permit: Option<Permit>,
     /// Hash of the request's content, see [`fingerprint`].
     pub fingerprint: u64,
     /// The front that matched host and path.
@@ -290,6 +300,8 @@
         relay_backoffs: HashMap::new(),
         resumed_at: None,
         timer_lateness: Duration::ZERO,
+        quota: quota::new_state(settings.peers, seed),
+        held: HashMap::new(),
         rng: ChaCha8Rng::seed_from_u64(seed),
     }
 }
--- a/crates/gateway/src/tick.rs
+++ b/crates/gateway/src/tick.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use model::{AttemptKey, CallFailure, Effect, TargetKey};
+use model::{AttemptKey, CallFailure, Effect, ExchangeKey, TargetKey};
 
 use crate::{
     Gateway,
@@ -14,6 +14,7 @@
     log_line::{elapsed_ms, target_log_line},
     rate_limit,
     rate_limit::ShareHolders,
+    respond::{finish, has_expired_permit, is_unsent},
     unresolved,
 };
 
@@ -58,9 +59,22 @@
     gateway
         .front_stats
         .retain(|front, _| gateway.catalog.fronts.contains_key(front));
+    finish_expired_permits(gateway, now, out);
     send_queued_parts(gateway, now, out);
 }
 
+/// Ends exchanges whose permit has expired before any target could take them: sent now, they would
+/// exceed the cap together with those that have a newer permit.
+fn finish_expired_permits(gateway: &mut Gateway, now: Instant, out: &mut Vec<Effect>) {
+    let exchanges = gateway.exchanges.iter();
+    let expired =
+        exchanges.filter(|(_, exchange)| has_expired_permit(exchange, now) && is_unsent(exchange));
+    let expired: Vec<ExchangeKey> = expired.map(|(key, _)| key).collect();
+    for key in expired {
+        finish(gateway, now, key, out);
+    }
+}
+
 /// Ends the attempts at targets whose process has been replaced, removes the targets' health and
 /// closes their idle connections.
 pub fn remove_targets(
--- a/crates/model/src/effect.rs
+++ b/crates/model/src/effect.rs
@@ -94,6 +94,10 @@
     UnauthenticatedRequests,
     /// Parts that were not sent to any target because of the rate limits that targets name.
     RateLimitedParts,
+    /// Requests refused because their organisation has used up its cap.
+    OverCapRefusals,
+    /// Requests refused because issuers of permits could not be reached.
+    NoPermitIssuerRefusals,
 }
 
 /// Durations that the shell exports as histograms, named after the variants.
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -42,7 +42,8 @@
 pub use log_line::{Level, LogLine, LogValue};
 pub use message::{
     Digest, ForwardedRequest, InstanceId, MemberRow, MemberState, MergedAnswer, Message,
-    Observations, QuarantineUpdate, RateLimitUpdate, RelayedRequest, StoreChanges, StrikeUpdate,
+    Observations, PermitAnswer, PermitQuestion, PermitReturn, QuarantineUpdate, RateLimitUpdate,
+    RelayedRequest, StoreChanges, StrikeUpdate,
 };
 pub use outcome::{NotRunReason, Outcome, UnknownReason};
 pub use request::{ExecutionKind, Priority, RequestView, Requester};
--- a/crates/model/src/message.rs
+++ b/crates/model/src/message.rs
@@ -48,6 +48,8 @@
     pub counter: u64,
     /// Membership state.
     pub state: MemberState,
+    /// Whether it understands the messages about permits; false for an earlier version.
+    pub understands_permits: bool,
 }
 
 /// Strikes against one request, as exchanged between instances.
@@ -213,6 +215,48 @@
     }
 }
 
+/// Asks an issuer for permits of one organisation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct PermitQuestion {
+    /// Number that the answer repeats.
+    pub question_id: u64,
+    /// Name of the organisation.
+    pub organisation: String,
+    /// Permits for requests that wait.
+    pub wanted_count: u32,
+    /// Permits ahead of need.
+    pub prefetch_count: u32,
+}
+
+/// An issuer's answer to one question.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct PermitAnswer {
+    /// Number of the question.
+    pub question_id: u64,
+    /// Permits for requests that wait.
+    pub granted_count: u32,
+    /// Permits ahead of need.
+    pub prefetched_count: u32,
+    /// Number under which unused prefetched permits are returned.
+    pub grant_id: u64,
+    /// Time until the issuer has a permit again; zero if it granted all that was wanted.
+    pub wait: Duration,
+    /// Whether the sender issues permits of the organisation at present.
+    pub is_issuer: bool,
+}
+
+/// Returns unused prefetched permits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct PermitReturn {
+    /// Number of the grant.
+    pub grant_id: u64,
+    /// Unused permits.
+    pub unused_count: u32,
+}
+
 /// A message from one instance to another.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -282,4 +326,25 @@
     },
     /// Shares changes that a reader received from the store.
     StoreChanges(StoreChanges),
+    /// Asks an issuer for permits.
+    PermitsWanted {
+        /// Peer address of the sender, to which the answers are sent.
+        reply_to: SocketAddr,
+        /// At most one question for each organisation.
+        questions: Vec<PermitQuestion>,
+    },
+    /// An issuer's answers.
+    PermitsGranted {
+        /// Peer address of the issuer.
+        answered_by: SocketAddr,
+        /// Answers to questions of one message.
+        answers: Vec<PermitAnswer>,
+    },
+    /// Returns unused prefetched permits to their issuer.
+    PermitsReturned {
+        /// Peer address of the sender.
+        returned_by: SocketAddr,
+        /// The permits.
+        returns: Vec<PermitReturn>,
+    },
 }
--- a/crates/model/src/outcome.rs
+++ b/crates/model/src/outcome.rs
@@ -55,6 +55,8 @@
     Unauthenticated,
     /// the organisation has used up its cap
     OverCap,
+    /// the instances that issue the permits of the organisation cannot be reached
+    NoPermitIssuer,
 }
 
 /// Why it is unknown whether a request ran.
--- a/crates/model/src/timer.rs
+++ b/crates/model/src/timer.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{ExchangeKey, QueryKey, StoreArea, WaitKey};
+use crate::{CallerKey, ExchangeKey, QueryKey, StoreArea, WaitKey};
 
 /// What to do when a timer fires.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -20,6 +20,8 @@
     Platform,
     /// A gateway exchange has late attempts, or has reached its latency goal or deadline.
     Exchange(ExchangeKey),
+    /// A request of the gateway waits for a permit.
+    Permit(CallerKey),
     /// Start the next read of a store area.
     Store(StoreArea),
 }
--- a/crates/pending/src/requests.rs
+++ b/crates/pending/src/requests.rs
@@ -39,6 +39,10 @@
     Forwards,
     /// Digests that request a reply.
     Probes,
+    /// Questions for permits of capped organisations.
+    PermitQuestions,
+    /// Prefetched permits that their holders may return.
+    PermitGrants,
 }
 
 /// Returns an empty table.
--- a/crates/pending/src/tests.rs
+++ b/crates/pending/src/tests.rs
@@ -6,7 +6,13 @@
 
 use crate::{Requests, Table, accept, new_requests, register, remove};
 
-const TABLES: [Table; 3] = [Table::Relays, Table::Forwards, Table::Probes];
+const TABLES: [Table; 5] = [
+    Table::Relays,
+    Table::Forwards,
+    Table::Probes,
+    Table::PermitQuestions,
+    Table::PermitGrants,
+];
 
 fn address(port: u16) -> SocketAddr {
     ([10, 0, 0, 1], port).into()
@@ -35,7 +41,7 @@
     /// Guards against numbers that two processes, or two tables of a process, share.
     #[test]
     fn no_number_is_accepted_by_another_table_or_process(
-        steps in prop::collection::vec((0_usize..6, any::<bool>()), 1..300),
+        steps in prop::collection::vec((0_usize..10, any::<bool>()), 1..300),
     ) {
         let mut tables: Vec<Requests<usize>> = (1..=2)
             .flat_map(|seed| TABLES.map(|table| new_requests(seed, table)))
--- /dev/null
+++ b/crates/quota/src/tests.rs
@@ -0,0 +1,5 @@
+//! Tests of the caps over simulated fleets.
+
+mod fleet;
+mod simulation;
+mod units;
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -247,6 +247,24 @@
     addresses.collect()
 }
 
+/// Most zones of a deployment that are read.
+const ZONES_MAX_COUNT: usize = 1_000;
+
+/// Reads the names of zones that a platform fills in; an unusable one is left out.
+fn read_zones(node: &Node<'_>, findings: &mut Findings) -> Vec<String> {
+    if node.is_null() {
+        return Vec::new();
+    }
+    let items = node.items(findings);
+    let names = items.iter().take(ZONES_MAX_COUNT).filter_map(|item| {
+        let mut faults = Findings::default();
+        let name = item.non_empty_string(&mut faults).map(str::to_owned);
+        findings.notices.append(&mut faults.list);
+        name
+    });
+    names.collect()
+}
+
 fn read_query(section: &mut Query, fields: &mut Fields<'_>, findings: &mut Findings) {
     set_millis(&mut section.timeout_max, fields, "timeout_max_ms", findings);
     set_count(
@@ -375,6 +393,9 @@
         "pause_threshold_ms",
         findings,
     );
+    if let Some(node) = fields.optional("zones") {
+        section.zones = read_zones(&node, findings);
+    }
 }
 
 /// Replaces the default in `value` with the number of milliseconds in a field, if there is one.
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -178,6 +178,9 @@
     pub leave_quiet: Duration,
     /// Delay of a tick beyond its interval at which the process counts as paused.
     pub pause_threshold: Duration,
+    /// Availability zones of the deployment, among which usage caps are divided; if empty, those of
+    /// the known instances.
+    pub zones: Vec<String>,
 }
 
 impl Default for Query {
@@ -236,6 +239,7 @@
             join_limit: Duration::from_secs(5),
             leave_quiet: Duration::from_secs(2),
             pause_threshold: Duration::from_millis(500),
+            zones: Vec::new(),
         }
     }
 }
--- a/crates/tier/src/gateway.rs
+++ b/crates/tier/src/gateway.rs
@@ -16,7 +16,7 @@
 };
 use settings::Settings;
 
-use crate::{State, quarantine, shutdown, store_era, strikes};
+use crate::{State, quarantine, quota, shutdown, store_era, strikes};
 
 /// Time since startup after which an instance that has heard of no other assumes that it is the
 /// only one.
@@ -142,6 +142,18 @@
     }
 }
 
+/// Handles the timer of a request that waits for a permit.
+pub(crate) fn on_permit_timer(
+    state: &mut State,
+    now: Instant,
+    caller: CallerKey,
+    out: &mut Vec<Effect>,
+) {
+    if let Some(gateway) = &mut state.gateway {
+        gateway::on_permit_timer(gateway, now, caller, out);
+    }
+}
+
 /// Starts the next read of a store area.
 pub(crate) fn on_store_timer(
     state: &mut State,
@@ -420,6 +432,7 @@
     }
     for change in changes {
         match *change {
+            Change::Configuration { .. } => quota::on_configuration(state, now, out),
             Change::TargetStarted {
                 replaced: Some(replaced),
                 ..
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -19,6 +19,7 @@
 mod peer;
 mod platform;
 mod quarantine;
+mod quota;
 mod reduce;
 mod reload;
 mod request;
--- a/crates/tier/src/peer.rs
+++ b/crates/tier/src/peer.rs
@@ -5,7 +5,7 @@
 use model::{Effect, Level, LogLine, Message};
 use pending::Requests;
 
-use crate::{State, completion, forward, gateway, observations, platform, store_era};
+use crate::{State, completion, forward, gateway, observations, platform, quota, store_era};
 
 /// Handles one message.
 pub(crate) fn on_message(
@@ -56,6 +56,9 @@
         | Message::RelayGranted { .. }
         | Message::RelayCancel { .. }
         | Message::RelayAnswer { .. } => on_relay_message(state, now, message, out),
+        Message::PermitsWanted { .. }
+        | Message::PermitsGranted { .. }
+        | Message::PermitsReturned { .. } => quota::on_message(state, now, message, out),
         // The shell decodes the body and delivers it as `Event::SharedStoreChanges`.
         Message::StoreChanges(_) => {}
     }
@@ -128,5 +131,6 @@
     if let Some(gateway) = &mut state.gateway {
         ::gateway::on_relay_unreachable(gateway, now, address, out);
     }
+    quota::on_unreachable(state, now, address, out);
     fleet::on_peer_unreachable(&mut state.fleet, now, address, out);
 }
--- a/crates/tier/src/reduce.rs
+++ b/crates/tier/src/reduce.rs
@@ -128,6 +128,7 @@
         Timer::Wait(key) => ticket::end_wait(state, key, out),
         Timer::Tick => tick::on_tick(state, now, out),
         Timer::Exchange(key) => gateway::on_exchange_timer(state, now, key, out),
+        Timer::Permit(caller) => gateway::on_permit_timer(state, now, caller, out),
         Timer::Store(area) => gateway::on_store_timer(state, now, area, out),
         Timer::Platform => fleet::start_due_reads(&mut state.fleet, &state.settings, now, out),
     }
--- a/crates/tier/src/shutdown.rs
+++ b/crates/tier/src/shutdown.rs
@@ -7,7 +7,7 @@
 
 use model::{Effect, Level, LogLine};
 
-use crate::State;
+use crate::{State, quota};
 
 /// Time before the shutdown limit at which new requests are refused, so that callers can still
 /// retry at another instance.
@@ -28,6 +28,7 @@
     }
     state.fleet.is_leaving = true;
     state.leaving_since = Some(now);
+    quota::on_leaving(state, now);
     record_activity(state, now);
     out.push(Effect::Log(LogLine::new(Level::Info, "leaving")));
 }
@@ -80,7 +81,8 @@
         return;
     }
     let gateway = state.gateway.as_ref();
-    let has_exchanges = gateway.is_some_and(|gateway| !gateway.exchanges.is_empty());
+    let has_exchanges =
+        gateway.is_some_and(|gateway| !gateway.exchanges.is_empty() || !gateway.held.is_empty());
     if has_exchanges || !state.queries.queries.is_empty() || !state.once.waiters.is_empty() {
         record_activity(state, now);
         return;
--- a/crates/tier/src/tests/extreme_messages.rs
+++ b/crates/tier/src/tests/extreme_messages.rs
@@ -59,6 +59,7 @@
     )
         .prop_map(
             |(name, incarnation, address, zone, counter, state)| MemberRow {
+                understands_permits: true,
                 id: InstanceId { name, incarnation },
                 address,
                 zone,
--- a/crates/tier/src/tests/fixture.rs
+++ b/crates/tier/src/tests/fixture.rs
@@ -159,6 +159,7 @@
 pub(crate) fn digest_of(zone: &str, name: &str, capacity_millicores: u32) -> Message {
     Message::Digest(Digest {
         from: MemberRow {
+            understands_permits: true,
             id: InstanceId {
                 name: name.to_owned(),
                 incarnation: 1,
--- a/crates/tier/src/tests/membership.rs
+++ b/crates/tier/src/tests/membership.rs
@@ -171,6 +171,7 @@
         MemberState::Leaving,
     ] {
         let row = MemberRow {
+            understands_permits: true,
             state,
             ..fleet.members[name].row.clone()
         };
@@ -185,6 +186,7 @@
     let fleet = &mut net.nodes[0].state.fleet;
     let own = fleet::own_row(fleet);
     let row = MemberRow {
+        understands_permits: true,
         capacity_millicores: 0,
         counter: 4,
         state: MemberState::Gone,
@@ -197,6 +199,7 @@
         ..own.id.clone()
     };
     let row = MemberRow {
+        understands_permits: true,
         id: earlier_run,
         capacity_millicores: 0,
         counter: 90,
--- a/crates/tier/src/tests/once.rs
+++ b/crates/tier/src/tests/once.rs
@@ -181,6 +181,7 @@
 /// Adds another instance with the given peer address to the members.
 fn add_member(fixture: &mut Fixture, address: SocketAddr) {
     let row = MemberRow {
+        understands_permits: true,
         id: InstanceId {
             name: "south-1".to_owned(),
             incarnation: 7,
--- a/crates/tier/src/tests/readiness.rs
+++ b/crates/tier/src/tests/readiness.rs
@@ -24,6 +24,7 @@
 
 fn add_member(fixture: &mut Fixture) {
     let row = MemberRow {
+        understands_permits: true,
         id: InstanceId {
             name: "south-1".to_owned(),
             incarnation: 7,
--- a/crates/tier/src/tests/simulation.rs
+++ b/crates/tier/src/tests/simulation.rs
@@ -322,6 +322,7 @@
     let mut state = new_state(settings, run, seed);
     for other in (0..INSTANCES_MAX_COUNT).filter(|&other| other != index) {
         let row = MemberRow {
+            understands_permits: true,
             id: InstanceId {
                 name: format!("north-{other}"),
                 incarnation: 0,
--- a/crates/tier/src/tick.rs
+++ b/crates/tier/src/tick.rs
@@ -4,7 +4,7 @@
 
 use model::{Counter, Effect, Level, LogLine, Timer};
 
-use crate::{State, gateway, observations, platform, request, shutdown};
+use crate::{State, gateway, observations, platform, quota, request, shutdown};
 
 /// Schedules the first tick.
 pub(crate) fn on_start(state: &mut State, now: Instant, out: &mut Vec<Effect>) {
@@ -24,6 +24,7 @@
     platform::update_connection_shares(state, out);
     platform::confine_to_allowed_zones(state, now);
     request::tick(state, now, out);
+    quota::tick(state, now, out);
     gateway::tick(state, now, out);
     update_can_call_targets(state, now);
     shutdown::enforce_limit(state, now, out);
@@ -67,6 +68,7 @@
     }
     state.last_tick_at = Some(now);
     platform::on_pause(state, now, late_by);
+    quota::on_pause(state, now);
     out.push(Effect::Count {
         counter: Counter::Pauses,
         amount_count: 1,
--- a/crates/wire/src/decode.rs
+++ b/crates/wire/src/decode.rs
@@ -5,9 +5,10 @@
 use displaydoc::Display;
 use model::{
     Answer, Coverage, Credential, Digest, ForwardedRequest, Header, HttpRequest, InstanceId,
-    MemberRow, MemberState, MergedAnswer, Message, Missing, Observations, Outcome, Priority,
-    QuarantineUpdate, RateLimitUpdate, RelayedRequest, Secret, ShardResult, StoreArea,
-    StoreChanges, StrikeUpdate, clamped_span_from_ms, variant_from_name,
+    MemberRow, MemberState, MergedAnswer, Message, Missing, Observations, Outcome, PermitAnswer,
+    PermitQuestion, PermitReturn, Priority, QuarantineUpdate, RateLimitUpdate, RelayedRequest,
+    Secret, ShardResult, StoreArea, StoreChanges, StrikeUpdate, clamped_span_from_ms,
+    variant_from_name,
 };
 use prost::Message as _;
 use serde::Deserialize;
@@ -16,6 +17,10 @@
 
 /// Highest incarnation or counter of an instance; far above any that a clock or a count yields.
 const COUNTER_MAX: u64 = 1 << 62;
+/// Most permits of one item; a question asks for at most as many.
+const PERMITS_MAX_COUNT: u32 = 1_000;
+/// Most items in one message about permits: one for each organisation of a large configuration.
+const PERMIT_ITEMS_MAX_COUNT: usize = 10_000;
 
 /// Why a frame could not be decoded.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -86,6 +91,21 @@
         frame::Message::StoreChanges(changes) => {
             Message::StoreChanges(decode_store_changes(changes)?)
         }
+        frame::Message::PermitsWanted(wanted) => Message::PermitsWanted {
+            reply_to: decode_address(&wanted.reply_to, "reply_to")?,
+            questions: decode_items(wanted.questions, decode_permit_question)?,
+        },
+        frame::Message::PermitsGranted(granted) => Message::PermitsGranted {
+            answered_by: decode_address(&granted.answered_by, "answered_by")?,
+            answers: decode_items(granted.answers, decode_permit_answer)?,
+        },
+        frame::Message::PermitsReturned(returned) => Message::PermitsReturned {
+            returned_by: decode_address(&returned.returned_by, "returned_by")?,
+            returns: decode_items(returned.returns, |permits| PermitReturn {
+                grant_id: permits.grant_id,
+                unused_count: permits.unused_count.min(PERMITS_MAX_COUNT),
+            })?,
+        },
     };
     Ok(message)
 }
@@ -120,6 +140,34 @@
     })
 }
 
+/// Decodes the items of a message about permits, which are bounded in number.
+fn decode_items<T, U>(items: Vec<T>, decode: impl Fn(T) -> U) -> Result<Vec<U>, DecodeError> {
+    if items.len() > PERMIT_ITEMS_MAX_COUNT {
+        return Err(DecodeError::Invalid("items"));
+    }
+    Ok(items.into_iter().map(decode).collect())
+}
+
+fn decode_permit_question(question: generated::PermitQuestion) -> PermitQuestion {
+    PermitQuestion {
+        question_id: question.question_id,
+        organisation: question.organisation,
+        wanted_count: question.wanted_count.min(PERMITS_MAX_COUNT),
+        prefetch_count: question.prefetch_count.min(PERMITS_MAX_COUNT),
+    }
+}
+
+fn decode_permit_answer(answer: generated::PermitAnswer) -> PermitAnswer {
+    PermitAnswer {
+        question_id: answer.question_id,
+        granted_count: answer.granted_count.min(PERMITS_MAX_COUNT),
+        prefetched_count: answer.prefetched_count.min(PERMITS_MAX_COUNT),
+        grant_id: answer.grant_id,
+        wait: clamped_span_from_ms(answer.wait_ms),
+        is_issuer: answer.is_issuer,
+    }
+}
+
 fn decode_store_changes(changes: generated::StoreChanges) -> Result<StoreChanges, DecodeError> {
     let area = match changes.area() {
         generated::StoreArea::Unspecified => return Err(DecodeError::Invalid("area")),
@@ -178,6 +226,7 @@
         capacity_millicores: member.capacity_millicores,
         counter: decode_counter(member.counter, "counter")?,
         state,
+        understands_permits: member.understands_permits,
     })
 }
 
--- a/crates/wire/src/encode.rs
+++ b/crates/wire/src/encode.rs
@@ -4,9 +4,9 @@
 
 use bytes::Bytes;
 use model::{
-    Answer, Digest, ForwardedRequest, MemberRow, MemberState, Message, Outcome, Priority,
-    QuarantineUpdate, RateLimitUpdate, RelayedRequest, StoreArea, StoreChanges, StrikeUpdate,
-    variant_name,
+    Answer, Digest, ForwardedRequest, MemberRow, MemberState, Message, Outcome, PermitAnswer,
+    PermitQuestion, PermitReturn, Priority, QuarantineUpdate, RateLimitUpdate, RelayedRequest,
+    StoreArea, StoreChanges, StrikeUpdate, variant_name,
 };
 use prost::Message as _;
 
@@ -83,6 +83,27 @@
         Message::StoreChanges(changes) => {
             frame::Message::StoreChanges(encode_store_changes(changes))
         }
+        Message::PermitsWanted {
+            reply_to,
+            questions,
+        } => frame::Message::PermitsWanted(generated::PermitsWanted {
+            reply_to: reply_to.to_string(),
+            questions: questions.iter().map(encode_permit_question).collect(),
+        }),
+        Message::PermitsGranted {
+            answered_by,
+            answers,
+        } => frame::Message::PermitsGranted(generated::PermitsGranted {
+            answered_by: answered_by.to_string(),
+            answers: answers.iter().map(encode_permit_answer).collect(),
+        }),
+        Message::PermitsReturned {
+            returned_by,
+            returns,
+        } => frame::Message::PermitsReturned(generated::PermitsReturned {
+            returned_by: returned_by.to_string(),
+            returns: returns.iter().map(encode_permit_return).collect(),
+        }),
     };
     generated::Frame {
         message: Some(message),
@@ -121,6 +142,33 @@
     }
 }
 
+fn encode_permit_question(question: &PermitQuestion) -> generated::PermitQuestion {
+    generated::PermitQuestion {
+        question_id: question.question_id,
+        organisation: question.organisation.clone(),
+        wanted_count: question.wanted_count,
+        prefetch_count: question.prefetch_count,
+    }
+}
+
+fn encode_permit_answer(answer: &PermitAnswer) -> generated::PermitAnswer {
+    generated::PermitAnswer {
+        question_id: answer.question_id,
+        granted_count: answer.granted_count,
+        prefetched_count: answer.prefetched_count,
+        grant_id: answer.grant_id,
+        wait_ms: to_ms(answer.wait),
+        is_issuer: answer.is_issuer,
+    }
+}
+
+fn encode_permit_return(permits: &PermitReturn) -> generated::PermitReturn {
+    generated::PermitReturn {
+        grant_id: permits.grant_id,
+        unused_count: permits.unused_count,
+    }
+}
+
 fn encode_store_changes(changes: &StoreChanges) -> generated::StoreChanges {
     let area = match changes.area {
         StoreArea::Operators => generated::StoreArea::Operators,
@@ -173,6 +221,7 @@
         capacity_millicores: row.capacity_millicores,
         counter: row.counter,
         state: state.into(),
+        understands_permits: row.understands_permits,
     }
 }
 
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -5,7 +5,10 @@
 /// One frame on a connection between two instances.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Frame {
-    #[prost(oneof = "frame::Message", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(
+        oneof = "frame::Message",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13"
+    )]
     pub message: ::core::option::Option<frame::Message>,
 }
 /// Nested message and enum types in `Frame`.
@@ -32,6 +35,12 @@
         RelayAnswer(super::RelayAnswer),
         #[prost(message, tag = "10")]
         StoreChanges(super::StoreChanges),
+        #[prost(message, tag = "11")]
+        PermitsWanted(super::PermitsWanted),
+        #[prost(message, tag = "12")]
+        PermitsGranted(super::PermitsGranted),
+        #[prost(message, tag = "13")]
+        PermitsReturned(super::PermitsReturned),
     }
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -51,6 +60,10 @@
     pub state: i32,
     #[prost(uint32, tag = "7")]
     pub capacity_millicores: u32,
+    /// Whether it understands the messages about permits; absent from an instance of an earlier
+    /// version, which closes a connection on which it receives one.
+    #[prost(bool, tag = "8")]
+    pub understands_permits: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Quarantine {
@@ -295,6 +308,61 @@
     #[prost(uint64, tag = "5")]
     pub era: u64,
 }
+/// Numbers of questions and grants are random, so that a fixed length is shorter.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct PermitsWanted {
+    #[prost(string, tag = "1")]
+    pub reply_to: ::prost::alloc::string::String,
+    #[prost(message, repeated, tag = "2")]
+    pub questions: ::prost::alloc::vec::Vec<PermitQuestion>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PermitQuestion {
+    #[prost(fixed64, tag = "1")]
+    pub question_id: u64,
+    #[prost(string, tag = "2")]
+    pub organisation: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "3")]
+    pub wanted_count: u32,
+    #[prost(uint32, tag = "4")]
+    pub prefetch_count: u32,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct PermitsGranted {
+    #[prost(string, tag = "1")]
+    pub answered_by: ::prost::alloc::string::String,
+    #[prost(message, repeated, tag = "2")]
+    pub answers: ::prost::alloc::vec::Vec<PermitAnswer>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PermitAnswer {
+    #[prost(fixed64, tag = "1")]
+    pub question_id: u64,
+    #[prost(uint32, tag = "2")]
+    pub granted_count: u32,
+    #[prost(uint32, tag = "3")]
+    pub prefetched_count: u32,
+    #[prost(fixed64, tag = "4")]
+    pub grant_id: u64,
+    #[prost(uint64, tag = "5")]
+    pub wait_ms: u64,
+    #[prost(bool, tag = "6")]
+    pub is_issuer: bool,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct PermitsReturned {
+    #[prost(string, tag = "1")]
+    pub returned_by: ::prost::alloc::string::String,
+    #[prost(message, repeated, tag = "2")]
+    pub returns: ::prost::alloc::vec::Vec<PermitReturn>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PermitReturn {
+    #[prost(fixed64, tag = "1")]
+    pub grant_id: u64,
+    #[prost(uint32, tag = "2")]
+    pub unused_count: u32,
+}
 #[derive(
     Clone,
     Copy,
--- a/crates/wire/src/tests.rs
+++ b/crates/wire/src/tests.rs
@@ -6,8 +6,9 @@
 use model::{
     Answer, Coverage, Credential, Digest, ForwardedRequest, Header, HttpRequest, InstanceId,
     MemberRow, MemberState, MergedAnswer, Message, Missing, MissingReason, NotRunReason,
-    Observations, Outcome, Priority, QuarantineUpdate, RateLimitUpdate, RelayedRequest, SPAN_MAX,
-    Secret, ShardResult, StoreArea, StoreChanges, StrikeUpdate, UnknownReason,
+    Observations, Outcome, PermitAnswer, PermitQuestion, PermitReturn, Priority, QuarantineUpdate,
+    RateLimitUpdate, RelayedRequest, SPAN_MAX, Secret, ShardResult, StoreArea, StoreChanges,
+    StrikeUpdate, UnknownReason,
 };
 use proptest::{collection::vec, option, prelude::*, sample::select, test_runner::RngSeed};
 use prost::Message as _;
@@ -181,6 +182,7 @@
                 }
             ),
         any_store_changes().prop_map(Message::StoreChanges),
+        any_permit_message(),
     ]
 }
 
@@ -262,6 +264,85 @@
     )
 }
 
+fn any_permit_message() -> impl Strategy<Value = Message> {
+    let count = || 0_u32..=1_000;
+    let question = (any::<u64>(), ".{0,12}", count(), count()).prop_map(
+        |(question_id, organisation, wanted_count, prefetch_count)| PermitQuestion {
+            question_id,
+            organisation,
+            wanted_count,
+            prefetch_count,
+        },
+    );
+    let answer = (
+        any::<[u64; 2]>(),
+        count(),
+        count(),
+        any_duration(),
+        any::<bool>(),
+    )
+        .prop_map(
+            |([question_id, grant_id], granted_count, prefetched_count, wait, is_issuer)| {
+                PermitAnswer {
+                    question_id,
+                    granted_count,
+                    prefetched_count,
+                    grant_id,
+                    wait,
+                    is_issuer,
+                }
+            },
+        );
+    let permits = (any::<u64>(), count()).prop_map(|(grant_id, unused_count)| PermitReturn {
+        grant_id,
+        unused_count,
+    });
+    prop_oneof![
+        (any_address(), vec(question, 0..4)).prop_map(|(reply_to, questions)| {
+            Message::PermitsWanted {
+                reply_to,
+                questions,
+            }
+        }),
+        (any_address(), vec(answer, 0..4)).prop_map(|(answered_by, answers)| {
+            Message::PermitsGranted {
+                answered_by,
+                answers,
+            }
+        }),
+        (any_address(), vec(permits, 0..4)).prop_map(|(returned_by, returns)| {
+            Message::PermitsReturned {
+                returned_by,
+                returns,
+            }
+        }),
+    ]
+}
+
+/// Guards against counts and times that an instance of any version may state.
+#[test]
+fn numbers_of_permits_are_bounded() {
+    let answer = generated::PermitAnswer {
+        granted_count: u32::MAX,
+        prefetched_count: u32::MAX,
+        wait_ms: u64::MAX,
+        ..generated::PermitAnswer::default()
+    };
+    let granted = generated::PermitsGranted {
+        answered_by: "10.0.0.1:7000".to_owned(),
+        answers: vec![answer],
+    };
+    let frame = generated::Frame {
+        message: Some(generated::frame::Message::PermitsGranted(granted)),
+    };
+    let Ok(Message::PermitsGranted { answers, .. }) = decode(&frame.encode_to_vec()) else {
+        panic!("the frame is valid");
+    };
+    assert_eq!(answers[0].granted_count, 1_000);
+    assert_eq!(answers[0].prefetched_count, 1_000);
+    assert_eq!(answers[0].wait, SPAN_MAX);
+}
+
 fn any_address() -> impl Strategy<Value = SocketAddr> {
     (any::<[u8; 4]>(), any::<u16>()).prop_map(SocketAddr::from)
 }
@@ -288,19 +369,22 @@
         any_address(),
         ".{0,12}",
         any_counter(),
-        select(states.to_vec()),
+        (select(states.to_vec()), any::<bool>()),
     )
-        .prop_map(|(name, incarnation, address, zone, counter, state)| {
-            let id = InstanceId { name, incarnation };
-            MemberRow {
-                id,
-                address,
-                zone,
-                capacity_millicores: 7,
-                counter,
-                state,
-            }
-        })
+        .prop_map(
+            |(name, incarnation, address, zone, counter, (state, understands_permits))| {
+                let id = InstanceId { name, incarnation };
+                MemberRow {
+                    id,
+                    address,
+                    zone,
+                    capacity_millicores: 7,
+                    counter,
+                    state,
+                    understands_permits,
+                }
+            },
+        )
 }
 
 fn any_quarantine() -> impl Strategy<Value = QuarantineUpdate> {
