Test how the gateway holds requests for a permit

Cause: nothing showed that a capped request is refused with the time to come back, that an unsent one gives its permit back, or that one that waits is answered once.

Change: gateway tests over on_request, the permit timer and answers.

--- a/crates/gateway/src/tests.rs
+++ b/crates/gateway/src/tests.rs
@@ -9,6 +9,7 @@
 mod isolation;
 mod limits;
 mod load;
+mod permits;
 mod relay;
 mod relay_allowance;
 mod retry;
