--- a/crates/quota/src/view.rs
+++ b/crates/quota/src/view.rs
@@ -126,13 +126,11 @@
     });
     view.version += u64::from(is_changed);
     view.ready_at = ready_at(view, fleet);
-    let version = view.version;
     if is_changed {
         for organisation in quota.organisations.values_mut() {
             update_routes(&quota.view, organisation);
         }
     }
-    debug_assert!(version > 0 || quota.organisations.is_empty() || !is_changed);
 }
 
 fn update_member(view: &mut View, candidate: &Candidate<'_>) -> bool {
