--- a/crates/balsamctl/src/tests.rs
+++ b/crates/balsamctl/src/tests.rs
@@ -8,7 +8,7 @@
 use crate::{
     commands::invocation,
     exit::ExitStatus,
-    explain::{Explanation, Line, conclusion, explain},
+    explain::{Explanation, Line, explain},
     notes, query, status,
 };
 
@@ -169,6 +169,7 @@
 fn a_refusal_by_a_cap_has_a_conclusion() {
     let text = "ts=1 event=request-refused request_id=r1 reason=over-cap organisation=acme\n";
     let logs = vec![("log".to_owned(), text.to_owned())];
-    let conclusion = conclusion(&explain("r1", &logs));
+    let explanation = explain("r1", &logs);
+    let conclusion = explanation.conclusion;
     assert!(conclusion.is_some_and(|text| text.contains("acme had used up its cap")));
 }
--- a/crates/catalog/src/apply.rs
+++ b/crates/catalog/src/apply.rs
@@ -1,14 +1,14 @@
 //! Applies records from the store to the catalog.
 
 use std::{
-    collections::{BTreeMap, HashSet},
+    collections::HashSet,
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use model::{
-    Configuration, Destination, FrontKey, OrganisationEntry, Registration, ServiceEntry,
-    ServiceKey, StoreRecord, TargetKey, UsageCap,
+    Configuration, Destination, FrontKey, Registration, ServiceEntry, ServiceKey, StoreRecord,
+    TargetKey,
 };
 
 use crate::{Catalog, Front, Route, Service, Target, restore};
@@ -176,15 +176,6 @@
     }
 }
 
-/// Returns the organisations that have a cap.
-fn usage_caps(organisations: &[OrganisationEntry]) -> BTreeMap<Arc<str>, UsageCap> {
-    let capped = organisations.iter().filter_map(|entry| {
-        let cap = entry.cap?;
-        Some((Arc::from(entry.name.as_str()), cap))
-    });
-    capped.collect()
-}
-
 fn apply_configuration(catalog: &mut Catalog, configuration: &Configuration) -> Change {
     if configuration.version <= catalog.version {
         return Change::OldConfiguration {
@@ -192,7 +183,6 @@
         };
     }
     let from = std::mem::replace(&mut catalog.version, configuration.version);
-    catalog.usage_caps = usage_caps(&configuration.organisations);
     for service in catalog.services.values_mut() {
         service.is_configured = false;
     }
--- a/crates/catalog/src/table.rs
+++ b/crates/catalog/src/table.rs
@@ -1,7 +1,7 @@
 //! Tables of fronts, services and targets.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeSet, HashMap},
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -25,8 +25,6 @@
     pub hosts: HashMap<String, Vec<FrontKey>>,
     /// Fronts by name.
     pub front_names: HashMap<String, FrontKey>,
-    /// Usage caps of the organisations of the configuration, by name.
-    pub usage_caps: BTreeMap<Arc<str>, UsageCap>,
     /// Services named by the configuration or by the registration of a target.
     pub services: SlotMap<ServiceKey, Service>,
     /// Services by name.
--- a/crates/gateway/src/permit.rs
+++ b/crates/gateway/src/permit.rs
@@ -10,8 +10,8 @@
     CallerKey, Counter, Effect, FrontKey, HttpRequest, Message, NotRunReason, PermitAnswer,
     PermitQuestion, PermitReturn, Timer,
 };
-use quota::{Output, Permit, Refusal};
 use organisation::KeyHash;
+use quota::{Output, Permit, Refusal};
 use serde::Serialize;
 
 use crate::{Exchange, Gateway, request::start, respond::refuse_after};
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -12,10 +12,12 @@
 };
 use once::Evidence;
 use organisation::KeyHash;
+use quota::Permit;
 use rand::RngExt;
 
 use crate::{
-    Exchange, FrontStats, Gateway, Part, PartState, access, budget, fingerprint, isolation, permit,
+    Exchange, FrontStats, Gateway, Part, PartState, access, budget, fingerprint, isolation,
+    permit::{self, Clearance},
     relay,
     respond::{finish_if_decided, refuse},
     send::{send_first_attempts, send_or_queue},
--- a/crates/organisation/src/lib.rs
+++ b/crates/organisation/src/lib.rs
@@ -18,6 +18,6 @@
 
 pub use key_hash::{HashKey, KeyHash, hash, new_hash_key};
 pub use table::{
-    Organisation, OrganisationKey, Organisations, find, find_by_hash, hash_of, keys_count,
+    Organisation, OrganisationKey, Organisations, caps, find, find_by_hash, hash_of, keys_count,
     new_table, replace,
 };
--- a/crates/organisation/src/table.rs
+++ b/crates/organisation/src/table.rs
@@ -128,6 +128,12 @@
     table.entries.get(*table.names.get(name)?)
 }
 
+/// Returns the organisations that have a usage cap, and their caps.
+pub fn caps(table: &Organisations) -> impl Iterator<Item = (&str, UsageCap)> {
+    let entries = table.entries.values();
+    entries.filter_map(|organisation| Some((&*organisation.name, organisation.cap?)))
+}
+
 /// Returns the number of keys of all organisations.
 pub fn keys_count(table: &Organisations) -> usize {
     table.keys.len()
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -31,7 +31,8 @@
 pub use issue::{on_question, on_return};
 pub use limits::{Limits, limits};
 pub use state::{
-    Counts, Organisation, Output, Permit, PermitSource, Quota, Refusal, new_state, organisations,
+    Counts, Organisation, Output, Permit, PermitSource, Quota, Refusal, is_used, new_state,
+    organisations,
 };
 pub use tick::{on_pause, set_caps, tick};
 pub use view::{Candidate, FleetView, issuers, set_view};
--- a/crates/quota/src/state.rs
+++ b/crates/quota/src/state.rs
@@ -242,6 +242,11 @@
     }
 }
 
+/// Returns whether any organisation has a cap.
+pub fn is_used(quota: &Quota) -> bool {
+    !quota.organisations.is_empty()
+}
+
 /// Returns the organisations with a cap, by name.
 pub fn organisations(quota: &Quota) -> impl Iterator<Item = (&str, &Organisation)> {
     let organisations = quota.organisations.iter();
--- a/crates/tier/src/gateway.rs
+++ b/crates/tier/src/gateway.rs
@@ -432,7 +432,12 @@
     }
     for change in changes {
         match *change {
-            Change::Configuration { .. } => quota::on_configuration(state, now, out),
+            Change::Configuration { .. } => {
+                if let Some(gateway) = &mut state.gateway {
+                    gateway::on_configuration(gateway, now, out);
+                }
+                quota::on_configuration(state, now, out);
+            }
             Change::TargetStarted {
                 replaced: Some(replaced),
                 ..
@@ -446,11 +451,6 @@
                 target,
                 is_registration_missing: true,
             } => strikes::record_ended_target(state, now, target, out),
-            Change::Configuration { .. } => {
-                if let Some(gateway) = &mut state.gateway {
-                    gateway::on_configuration(gateway, now, out);
-                }
-            }
             _ => {}
         }
     }
--- a/crates/tier/src/quota.rs
+++ b/crates/tier/src/quota.rs
@@ -13,11 +13,11 @@
     let Some(gateway) = &mut state.gateway else {
         return;
     };
-    let caps = gateway.catalog.usage_caps.iter();
-    let caps = caps.map(|(name, cap)| (&**name, *cap));
-    let caps_count = gateway.catalog.usage_caps.len() as u64;
+    let organisations = &gateway.catalog.organisations;
+    let caps_count = organisation::caps(organisations).count() as u64;
     let old_count = ::quota::organisations(&gateway.quota).count() as u64;
     let mut outputs = Vec::new();
+    let caps = organisation::caps(organisations);
     ::quota::set_caps(&mut gateway.quota, now, caps, &mut outputs);
     if caps_count + old_count > 0 {
         let line = LogLine::new(Level::Info, "usage-caps-in-force")
@@ -34,7 +34,7 @@
     let is_used = state
         .gateway
         .as_ref()
-        .is_some_and(|gateway| !gateway.catalog.usage_caps.is_empty() || !gateway.held.is_empty());
+        .is_some_and(|gateway| ::quota::is_used(&gateway.quota) || !gateway.held.is_empty());
     if !is_used {
         return;
     }
--- a/xtask/src/slopes/peers.rs
+++ b/xtask/src/slopes/peers.rs
@@ -108,6 +108,7 @@
         address: address(peer_index),
         zone: fixtures::zone_name(peer_index),
         capacity_millicores: 0,
+        understands_permits: true,
         counter: 0,
         state: MemberState::Alive,
     }
