Pass Authorization and Tenant on as sent without organisations

Cause: a credential was kept as one visible ASCII text, and a stated organisation as one value. In a deployment without organisations, targets therefore no longer received an Authorization that is not ASCII, nor the second of repeated headers, and received headers that Connection lists as hop-by-hop.

Change: a credential keeps all values of the header as bytes, a stated organisation too, and both are separated after the hop-by-hop headers are removed. A credential that Connection lists still authenticates its caller, and goes no further.

--- a/crates/gateway/src/access.rs
+++ b/crates/gateway/src/access.rs
@@ -163,13 +163,13 @@
 
 /// Returns a request with its organisation and without what the caller sent as such.
 fn identified(request: Arc<HttpRequest>, organisation: Option<Arc<str>>) -> Arc<HttpRequest> {
-    let is_stripped = request.credential.is_none() && request.stated_organisation.is_none();
+    let is_stripped = request.credential.is_none() && request.stated_organisation.is_empty();
     if is_stripped && request.organisation == organisation {
         return request;
     }
     let mut request = Arc::unwrap_or_clone(request);
     request.credential = None;
-    request.stated_organisation = None;
+    request.stated_organisation.clear();
     request.organisation = organisation;
     Arc::new(request)
 }
--- a/crates/gateway/src/tests/access.rs
+++ b/crates/gateway/src/tests/access.rs
@@ -61,7 +61,7 @@
 
 fn credential(text: &str) -> Credential {
     Credential {
-        text: Secret::new(text.to_owned()),
+        texts: vec![Secret::new(text.to_owned())],
         key: text
             .strip_prefix("Bearer ")
             .map(|key| Secret::new(key.to_owned())),
@@ -80,7 +80,7 @@
         host: host.to_owned(),
         path: "/x".to_owned(),
         credential: text.map(credential),
-        stated_organisation: Some(Bytes::from_static(b"stated")),
+        stated_organisation: vec![Bytes::from_static(b"stated")],
         ..HttpRequest::default()
     };
     let mut out = Vec::new();
@@ -205,7 +205,7 @@
     };
     assert_eq!(request.organisation.as_deref(), expected);
     assert_eq!(request.credential.is_some(), is_unchanged);
-    assert_eq!(request.stated_organisation.is_some(), is_unchanged);
+    assert_eq!(!request.stated_organisation.is_empty(), is_unchanged);
 }
 
 /// Guards against the rank of the front that takes precedence over the organisation's.
@@ -278,7 +278,7 @@
     let last_sent = last_sent.borrow();
     let request = last_sent.as_ref().expect("it was sent");
     assert_eq!(request.organisation.as_deref(), Some("a"));
-    assert!(request.credential.is_none() && request.stated_organisation.is_none());
+    assert!(request.credential.is_none() && request.stated_organisation.is_empty());
 }
 
 /// Guards against a retry to a first target after the key was removed.
@@ -315,7 +315,7 @@
     };
     assert_eq!(relayed.request.organisation.as_deref(), Some("a"));
     assert!(relayed.request.credential.is_none());
-    assert!(relayed.request.stated_organisation.is_none());
+    assert!(relayed.request.stated_organisation.is_empty());
     let key = sim.gateway.exchanges.keys().next().expect("one exchange");
     configure(&mut sim, &front, false, &[organisation("a", None, &["k2"])]);
     assert_eq!(outcome(&sim, caller), None, "the relay may have sent it");
--- a/crates/model/src/http.rs
+++ b/crates/model/src/http.rs
@@ -35,8 +35,9 @@
     /// The caller's credential. It is removed on arrival if the configuration names organisations,
     /// so that it reaches neither targets nor other instances.
     pub credential: Option<Credential>,
-    /// Organisation that the caller states itself. Removed on arrival like the credential.
-    pub stated_organisation: Option<Bytes>,
+    /// Values of the header in which the caller states an organisation itself. Removed on arrival
+    /// like the credential.
+    pub stated_organisation: Vec<Bytes>,
     /// Organisation of the authenticated caller.
     pub organisation: Option<Arc<str>>,
     /// Time until the caller's deadline, if the request states one.
--- a/crates/model/src/secret.rs
+++ b/crates/model/src/secret.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize, Serializer};
 
 /// What stands in for a secret wherever it would be written out.
@@ -11,16 +12,16 @@
 #[derive(Clone, PartialEq, Eq)]
 #[derive(Deserialize)]
 #[serde(transparent)]
-pub struct Secret(String);
+pub struct Secret(Bytes);
 
 impl Secret {
     /// Wraps a text as a secret.
-    pub fn new(text: String) -> Secret {
-        Secret(text)
+    pub fn new(text: impl Into<Bytes>) -> Secret {
+        Secret(text.into())
     }
 
     /// Returns the text, to hash it or to send it where it belongs.
-    pub fn reveal(&self) -> &str {
+    pub fn reveal(&self) -> &Bytes {
         &self.0
     }
 }
@@ -29,8 +30,9 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct Credential {
-    /// The credential as sent, for targets of a configuration that names no organisations.
-    pub text: Secret,
+    /// The values of the header as sent, for targets of a configuration that names no organisations;
+    /// none if the header is hop-by-hop.
+    pub texts: Vec<Secret>,
     /// The key that it holds; `None` if its form is not a known one.
     pub key: Option<Secret>,
 }
--- a/crates/organisation/src/key_hash.rs
+++ b/crates/organisation/src/key_hash.rs
@@ -42,7 +42,7 @@
 pub fn hash(hash_key: &HashKey, key: &Secret) -> KeyHash {
     let HashKey([first, second]) = *hash_key;
     let mut hasher = SipHasher24::new_with_keys(first, second);
-    hasher.write(key.reveal().as_bytes());
+    hasher.write(key.reveal());
     let hash = hasher.finish128();
     KeyHash([hash.h1, hash.h2])
 }
--- a/crates/tier/src/tests/organisations.rs
+++ b/crates/tier/src/tests/organisations.rs
@@ -88,7 +88,7 @@
 
 fn request(key: Option<&str>) -> Arc<HttpRequest> {
     let credential = key.map(|key| Credential {
-        text: Secret::new(format!("Bearer {key}")),
+        texts: vec![Secret::new(format!("Bearer {key}"))],
         key: Some(Secret::new(key.to_owned())),
     });
     Arc::new(HttpRequest {
