Check a queued request whose front is removed as a new one

Cause: a configuration that removed a key together with the front of a queued request, or renamed that front, left the request in the queue: a removed front counted as public. The request was then sent without a valid key.

Change: if the front is gone, the front that host and path match now decides, and none is not public, as for a new request.

Result: two of three cases of the new test failed before and pass; the third, a front that is renamed and public, passed before too. cargo test -p gateway access: the same two tests fail as before this change (a_queued_request_ends_when_its_key_is_removed and queued_requests_are_checked_when_organisations_are_first_named), the others pass.

--- a/crates/gateway/src/access.rs
+++ b/crates/gateway/src/access.rs
@@ -54,6 +54,11 @@
         || front.is_some_and(|front| catalog.fronts[front].is_public)
 }
 
+fn is_public(catalog: &Catalog, request: &HttpRequest) -> bool {
+    let front = catalog::find_front(catalog, &request.host, &request.path);
+    front.is_some_and(|front| catalog.fronts[front].is_public)
+}
+
 /// Checks a query that another instance relays. That instance has authenticated the caller, unless
 /// its version knows no organisations; its query holds the credential then.
 ///
@@ -130,7 +135,10 @@
     // The request still holds a credential if no organisations were named when it arrived.
     exchange.key_hash = exchange.key_hash.or(key_hash(catalog, &exchange.request));
     let front = catalog.fronts.get(exchange.front);
-    let is_public = front.is_none_or(|front| front.is_public);
+    let is_public = match front {
+        Some(front) => front.is_public,
+        None => is_public(catalog, &exchange.request),
+    };
     let organisation = match exchange.requester {
         Requester::Caller(_) => find_member(catalog, exchange.key_hash),
         Requester::Peer { .. } => relayed_member(catalog, exchange),
--- a/crates/gateway/src/tests/access.rs
+++ b/crates/gateway/src/tests/access.rs
@@ -5,8 +5,9 @@
 
 use bytes::Bytes;
 use model::{
-    AttemptCall, CallerKey, Configuration, Credential, Effect, HttpRequest, HttpResponse, LogValue,
-    Message, NotRunReason, OrganisationEntry, Outcome, Requester, Secret, StoreRecord,
+    AttemptCall, CallerKey, Configuration, Credential, Effect, FrontEntry, HttpRequest,
+    HttpResponse, LogValue, Message, NotRunReason, OrganisationEntry, Outcome, Requester, Secret,
+    StoreRecord,
 };
 use rstest::rstest;
 
@@ -41,12 +42,26 @@
     organisations: &[OrganisationEntry],
 ) where
     F: FnMut(&AttemptCall, u64) -> (u64, CallResult),
+{
+    configure_as(sim, front, organisations, |entry| {
+        entry.is_public = is_public;
+    });
+}
+
+/// Puts a configuration in force whose front is changed.
+fn configure_as<F>(
+    sim: &mut Simulation<F>,
+    front: &FrontSpec,
+    organisations: &[OrganisationEntry],
+    change: impl Fn(&mut FrontEntry),
+) where
+    F: FnMut(&AttemptCall, u64) -> (u64, CallResult),
 {
     let Some(StoreRecord::Configuration(mut configuration)) = records(front).into_iter().next()
     else {
         panic!("the first record is the configuration");
     };
-    configuration.fronts[0].is_public = is_public;
+    change(&mut configuration.fronts[0]);
     let configuration = Configuration {
         version: sim.gateway.catalog.version + 1,
         organisations: organisations.to_vec(),
@@ -390,3 +405,31 @@
             .all(|exchange| exchange.request.credential.is_none())
     );
 }
+
+/// Guards against a queued request that is sent without a valid key because the configuration that
+/// removed the key also removed or renamed its front; and against one that is refused although the
+/// front that its requests now match is public.
+#[rstest]
+#[case::removed("other.example", false, Some(UNAUTHENTICATED))]
+#[case::renamed("parts.example", false, Some(UNAUTHENTICATED))]
+#[case::renamed_and_public("parts.example", true, None)]
+fn a_queued_request_whose_front_is_removed_is_checked_as_a_new_one(
+    #[case] host: &str,
+    #[case] is_public: bool,
+    #[case] expected: Option<Outcome>,
+) {
+    let front = single_service_front(true);
+    let mut sim = simulation(&front, |_, _| (50, CallResult::Done(record(1))));
+    let both = organisation("a", None, &["k1", "k2"]);
+    configure(&mut sim, &front, false, &[both]);
+    let removed = send_until_queued(&mut sim, Some("Bearer k1"));
+    let kept = send_until_queued(&mut sim, Some("Bearer k2"));
+    let rest = organisation("a", None, &["k2"]);
+    configure_as(&mut sim, &front, &[rest], |entry| {
+        entry.name = "renamed".to_owned();
+        entry.host = host.to_owned();
+        entry.is_public = is_public;
+    });
+    assert_eq!(outcome(&sim, removed), expected);
+    assert_eq!(outcome(&sim, kept), None);
+}
