Hand a member's relayed query back on a public front too

Cause: when an organisation lost a key, a relay on a public front kept the unsent queries of all its members, and sent them without the organisation and with the front's rank, although their own key may still be valid.

Change: such a query goes back as unsent to the instance that knows the key, as on other fronts.

--- a/crates/gateway/src/access.rs
+++ b/crates/gateway/src/access.rs
@@ -143,7 +143,10 @@
         Requester::Caller(_) => find_member(catalog, exchange.key_hash),
         Requester::Peer { .. } => relayed_member(catalog, exchange),
     };
-    exchange.is_revoked = organisation.is_none() && !is_public;
+    // On a public front too, the key that another instance has read may still be valid.
+    let is_relayed_member =
+        matches!(exchange.requester, Requester::Peer { .. }) && exchange.organisation.is_some();
+    exchange.is_revoked = organisation.is_none() && (!is_public || is_relayed_member);
     if !exchange.is_revoked {
         exchange.organisation = organisation.map(|organisation| organisation.name.clone());
     }
--- a/crates/gateway/src/tests/access.rs
+++ b/crates/gateway/src/tests/access.rs
@@ -433,3 +433,49 @@
     assert_eq!(outcome(&sim, removed), expected);
     assert_eq!(outcome(&sim, kept), None);
 }
+
+/// Relays a query of organisation `a` to this instance.
+fn relay_query<F>(sim: &mut Simulation<F>)
+where
+    F: FnMut(&AttemptCall, u64) -> (u64, CallResult),
+{
+    let relayed = model::RelayedRequest {
+        reply_to: ([10, 0, 0, 9], 90).into(),
+        relay_id: 5,
+        version: sim.gateway.catalog.version,
+        request: Arc::new(HttpRequest {
+            request_id: "r1".to_owned(),
+            method: "GET".to_owned(),
+            host: "parts.example".to_owned(),
+            path: "/x".to_owned(),
+            organisation: Some("a".into()),
+            ..HttpRequest::default()
+        }),
+        goal: None,
+        attempts_max_count: None,
+    };
+    let mut out = Vec::new();
+    on_relay_request(&mut sim.gateway, sim.now, &relayed, None, &mut out);
+    sim.apply_effects(out);
+}
+
+fn is_handed_back<F>(sim: &Simulation<F>) -> bool {
+    let last = sim.peer_messages.last();
+    matches!(last, Some(Message::RelayAnswer { is_unsent, answer: None, .. }) if *is_unsent)
+}
+
+/// Guards against a relayed query of a member that loses its organisation on a public front because
+/// another key of the organisation was removed: only the instance that relayed it knows the key.
+#[test]
+fn a_relay_hands_a_members_query_back_on_a_public_front_too() {
+    let front = gathering_front(2);
+    let mut sim = simulation(&front, |_, _| (1_000, CallResult::NoReply));
+    let keys = organisation("a", None, &["k1", "k2"]);
+    configure(&mut sim, &front, true, &[keys]);
+    for _ in 0..2 {
+        send_until_queued(&mut sim, Some("Bearer k2"));
+    }
+    relay_query(&mut sim);
+    configure(&mut sim, &front, true, &[organisation("a", None, &["k1"])]);
+    assert!(is_handed_back(&sim), "{:?}", sim.peer_messages);
+}
