Admit no earlier query to an organisation that returns with other keys

Cause: when one configuration removed an organisation and a later one named it again with other keys, a relay counted a query of the removed one as admitted. A query whose connection then failed was sent to a further target, although no configuration since has its key.

Change: an organisation that a configuration names anew counts as having lost a key in that version. A relayed query that held its key on arrival is checked by the key.

--- a/crates/gateway/src/access.rs
+++ b/crates/gateway/src/access.rs
@@ -157,12 +157,14 @@
     exchange.request = identified(exchange.request.clone(), exchange.organisation.clone());
 }
 
-/// Returns the organisation of a relayed query. This instance does not know the caller's key, so a
-/// query of an organisation that has lost a key since counts as not admitted: as far as it is not
-/// sent, the instance that relayed it runs it itself, and decides by the key.
+/// Returns the organisation of a relayed query. This instance does not know the caller's key, unless
+/// the query held it on arrival, so a query of an organisation that has lost a key since counts as
+/// not admitted: as far as it is not sent, the instance that relayed it runs it itself, and decides
+/// by the key.
 fn relayed_member<'a>(catalog: &'a Catalog, exchange: &Exchange) -> Option<&'a Organisation> {
-    let Some(name) = &exchange.organisation else {
-        return find_member(catalog, exchange.key_hash);
+    let name = match &exchange.organisation {
+        Some(name) if exchange.key_hash.is_none() => name,
+        _ => return find_member(catalog, exchange.key_hash),
     };
     let organisation = organisation::find(&catalog.organisations, name)?;
     (organisation.key_removed_in_version <= exchange.version).then_some(organisation)
--- a/crates/gateway/src/tests/access.rs
+++ b/crates/gateway/src/tests/access.rs
@@ -479,3 +479,21 @@
     configure(&mut sim, &front, true, &[organisation("a", None, &["k1"])]);
     assert!(is_handed_back(&sim), "{:?}", sim.peer_messages);
 }
+
+/// Guards against a relayed query that a relay sends again although its organisation was removed,
+/// because a later configuration names one like it, with other keys.
+#[test]
+fn an_organisation_that_returns_with_other_keys_admits_no_earlier_query() {
+    let front = gathering_front(1);
+    let refused = CallResult::Failure(model::CallFailure::ConnectRefused);
+    let mut sim = simulation(&front, |_, _| (5, refused.clone()));
+    configure(&mut sim, &front, false, &[organisation("a", None, &["k1"])]);
+    relay_query(&mut sim);
+    let sent_count = sim.attempts.len();
+    for (name, key) in [("b", "k2"), ("a", "k3")] {
+        configure(&mut sim, &front, false, &[organisation(name, None, &[key])]);
+    }
+    sim.advance(20);
+    assert_eq!(sim.attempts.len(), sent_count);
+    assert!(is_handed_back(&sim), "{:?}", sim.peer_messages);
+}
--- a/crates/organisation/src/table.rs
+++ b/crates/organisation/src/table.rs
@@ -44,7 +44,7 @@
     pub cap: Option<UsageCap>,
     /// Number of keys that authenticate its callers.
     pub keys_count: u32,
-    /// Version of the configuration that last removed one of its keys, or 0.
+    /// Version of the configuration that last removed one of its keys, or else that first named it.
     pub key_removed_in_version: u64,
 }
 
@@ -65,7 +65,7 @@
     table.is_required = !configured.is_empty();
     let mut kept: HashSet<OrganisationKey> = HashSet::new();
     for entry in configured.iter().filter(|entry| !entry.name.is_empty()) {
-        let key = get_or_insert(table, &entry.name);
+        let key = get_or_insert(table, version, &entry.name);
         if kept.insert(key) {
             let keys_count = add_keys(table, key, &entry.keys);
             let organisation = &mut table.entries[key];
@@ -85,7 +85,7 @@
     }
 }
 
-fn get_or_insert(table: &mut Organisations, name: &str) -> OrganisationKey {
+fn get_or_insert(table: &mut Organisations, version: u64, name: &str) -> OrganisationKey {
     if let Some(&key) = table.names.get(name) {
         return key;
     }
@@ -95,7 +95,8 @@
         rank: None,
         cap: None,
         keys_count: 0,
-        key_removed_in_version: 0,
+        // An earlier configuration may have named it, with other keys.
+        key_removed_in_version: version,
     });
     table.names.insert(name, key);
     key
