Refuse unknown keys as unavailable while the configuration may be old

Cause: an instance that starts after a restore of the store may read a configuration older than the one in force. It answered 503 to callers whose key that configuration holds, but 401 to those whose key a later one has added, which callers do not repeat elsewhere.

Change: until the instance has caught up, or the time for that has passed, it answers 503 to unknown keys too. Without a restore (era 0), 401 stays.

--- a/crates/tier/src/gateway.rs
+++ b/crates/tier/src/gateway.rs
@@ -58,7 +58,8 @@
     let is_authenticated =
         gateway.is_none_or(|gateway| gateway::is_authenticated(gateway, &request));
     let refusal = if !is_authenticated {
-        None
+        // The key may be one that a later version of the configuration has added.
+        store_era::may_hold_older_version(state).then_some(NotRunReason::NoConfiguration)
     } else if shutdown::is_refusing_requests(state, now) {
         Some(NotRunReason::Leaving)
     } else if is_http_request_quarantined(state, now, &request) {
--- a/crates/tier/src/store_era.rs
+++ b/crates/tier/src/store_era.rs
@@ -36,6 +36,13 @@
     state.gateway.is_some() && !state.catch_up.is_over
 }
 
+/// Returns whether the configuration that this instance has read, if any, may be older than one in
+/// force elsewhere. A store that was never restored lists the one in force.
+pub(crate) fn may_hold_older_version(state: &State) -> bool {
+    let gateway = state.gateway.as_ref();
+    is_behind(state) && gateway.is_some_and(|gateway| catalog::era(&gateway.sync) > 0)
+}
+
 /// Decides whether this instance has caught up, and sets the version that it states to others.
 ///
 /// A store that states no era was never restored, so what it lists is in force.
--- a/crates/tier/src/tests/organisations.rs
+++ b/crates/tier/src/tests/organisations.rs
@@ -11,7 +11,7 @@
 use model::{
     CallerKey, Configuration, Counter, Credential, Destination, Effect, Event, FrontEntry,
     HttpRequest, HttpResponse, NotRunReason, OrganisationEntry, Outcome, Secret, ServiceEntry,
-    StoreArea, StoreFailure, StoreRead, StoreRecord,
+    StoreArea, StoreFailure, StoreRead, StoreRecord, Timer,
 };
 use once::ObservedStrike;
 use rstest::rstest;
@@ -67,9 +67,19 @@
     now: Instant,
     area: StoreArea,
     records: Vec<StoreRecord>,
+) -> Vec<Effect> {
+    read_era(state, now, 0, area, records)
+}
+
+fn read_era(
+    state: &mut State,
+    now: Instant,
+    era: u64,
+    area: StoreArea,
+    records: Vec<StoreRecord>,
 ) -> Vec<Effect> {
     let event = Event::StoreAnswered {
-        era: 0,
+        era,
         read: StoreRead::List {
             area,
             era: 0,
@@ -239,3 +249,31 @@
     read(&mut state, now, StoreArea::Operators, vec![old]);
     check(&mut state, now + Duration::from_secs(601));
 }
+
+/// Guards against a 401 for a valid key from an instance that started after a restore of the store
+/// and may have read a configuration older than the one in force.
+#[test]
+fn an_instance_that_may_be_behind_refuses_unknown_keys_as_unavailable() {
+    let mut now = Instant::now();
+    let mut settings = settings();
+    settings.gateway = Some(settings::Gateway {
+        seeds: vec![([10, 0, 9, 1], 9_000).into()],
+        ..settings::Gateway::default()
+    });
+    let mut state = new_state(settings, 1, 1);
+    reduce(&mut state, now, Event::Started, &mut Vec::new());
+    let records = vec![configuration(1, &["k1"])];
+    read_era(&mut state, now, 3, StoreArea::Operators, records);
+    read_era(&mut state, now, 3, StoreArea::Targets, Vec::new());
+    for key in [None, Some("k1"), Some("k2")] {
+        let (reason, _) = refusal(&mut state, now, key);
+        assert_eq!(reason, Some(NotRunReason::NoConfiguration));
+    }
+    // No other instance is heard, so the version that was read counts as the one in force.
+    for _ in 0..7 {
+        now += Duration::from_millis(200);
+        reduce(&mut state, now, Event::Timer(Timer::Tick), &mut Vec::new());
+    }
+    let (reason, _) = refusal(&mut state, now, Some("k2"));
+    assert_eq!(reason, Some(NotRunReason::Unauthenticated));
+}
