Show only the length of the store's answer in debug output

Cause: the event of a store answer and the message that ends a read derived Debug over the undecoded answer, which holds callers' keys in base64.

Change: both hold it as StoreBody, whose debug output is its length.

--- a/crates/balsamd/src/gateway_messages.rs
+++ b/crates/balsamd/src/gateway_messages.rs
@@ -8,10 +8,9 @@
 };
 
 use actix::{Context, Handler, Message};
-use bytes::Bytes;
 use model::{
     AttemptKey, AttemptReply, CallFailure, CallerKey, Counter, Event, HttpRequest, HttpResponse,
-    Level, LogLine, StoreChanges, StoreFailure, StoreRead, TargetKey,
+    Level, LogLine, StoreBody, StoreChanges, StoreFailure, StoreRead, TargetKey,
 };
 use platform::{Reply, StoreResponse};
 use tokio::sync::oneshot;
@@ -100,7 +99,7 @@
     /// Era of the store that the response states; 0 if there is none.
     pub era: u64,
     /// The decoded value with the undecoded body, or the failure.
-    pub result: Result<(StoreResponse, Bytes), StoreFailure>,
+    pub result: Result<(StoreResponse, StoreBody), StoreFailure>,
 }
 
 impl Handler<StoreReadEnded> for Shell {
--- a/crates/balsamd/src/store_reads.rs
+++ b/crates/balsamd/src/store_reads.rs
@@ -6,7 +6,7 @@
 use actix::Addr;
 use actix_http::{RequestHead, header};
 use bytes::Bytes;
-use model::{StoreFailure, StoreRead};
+use model::{StoreBody, StoreFailure, StoreRead};
 use platform::StoreResponse;
 
 use crate::{
@@ -55,7 +55,7 @@
 }
 
 /// The decoded value of a response with its undecoded body, or why it holds none.
-type ReadResult = Result<(StoreResponse, Bytes), StoreFailure>;
+type ReadResult = Result<(StoreResponse, StoreBody), StoreFailure>;
 
 /// Reads the store, and returns the era that its response states with the result.
 async fn fetch(
@@ -80,6 +80,6 @@
     let era = platform::decode_era(response.head.headers());
     let code = response.head.status.as_u16();
     let store_response = platform::decode_store_response(read, code, &response.body);
-    let result = store_response.map(|store_response| (store_response, response.body));
+    let result = store_response.map(|store_response| (store_response, StoreBody(response.body)));
     Ok((era, result))
 }
--- a/crates/model/src/event.rs
+++ b/crates/model/src/event.rs
@@ -7,7 +7,8 @@
 
 use crate::{
     AttemptKey, CallKey, CallerKey, Header, HttpRequest, LoadReport, Message, RequestView,
-    Snapshot, StoreArea, StoreFailure, StoreRead, StoreRecord, TargetKey, TargetReport, Timer,
+    Snapshot, StoreArea, StoreBody, StoreFailure, StoreRead, StoreRecord, TargetKey, TargetReport,
+    Timer,
 };
 
 /// Status of a call or an attempt, as the target reports it.
@@ -248,7 +249,7 @@
         /// Key after which the next page begins; `None` on the last page.
         next_page: Option<String>,
         /// The undecoded answer, for other instances.
-        published: Bytes,
+        published: StoreBody,
     },
     /// Another instance shared changes that it read from the store.
     SharedStoreChanges {
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -47,7 +47,7 @@
 };
 pub use outcome::{NotRunReason, Outcome, UnknownReason};
 pub use request::{ExecutionKind, Priority, RequestView, Requester};
-pub use secret::{Credential, Secret};
+pub use secret::{Credential, Secret, StoreBody};
 pub use span::{SPAN_MAX, clamped_span_from_ms, span_from_ms};
 pub use store::{
     Configuration, Destination, FrontEntry, OrganisationEntry, Registration, ServiceEntry,
--- a/crates/model/src/secret.rs
+++ b/crates/model/src/secret.rs
@@ -37,6 +37,18 @@
     pub key: Option<Secret>,
 }
 
+/// An undecoded answer of the store, which holds callers' keys. Only its length is shown.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct StoreBody(pub Bytes);
+
+impl fmt::Debug for StoreBody {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "StoreBody({} bytes)", self.0.len())
+    }
+}
+
 impl fmt::Debug for Secret {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str(REDACTED)
--- a/crates/tier/src/reduce.rs
+++ b/crates/tier/src/reduce.rs
@@ -93,7 +93,7 @@
                 is_behind,
                 next_page: next_page.as_deref(),
             };
-            gateway::on_store_answer(state, now, &answer, &published, out);
+            gateway::on_store_answer(state, now, &answer, &published.0, out);
         }
         Event::SharedStoreChanges {
             area,
--- a/crates/tier/src/tests/extreme_messages.rs
+++ b/crates/tier/src/tests/extreme_messages.rs
@@ -7,8 +7,8 @@
 use model::{
     Configuration, Destination, Digest, Event, FrontEntry, HttpRequest, InstanceId, MemberRow,
     MemberState, MergedAnswer, Message, Observations, QuarantineUpdate, RateLimitUpdate,
-    Registration, RelayedRequest, ServiceEntry, StoreArea, StoreRead, StoreRecord, StrikeUpdate,
-    Timer,
+    Registration, RelayedRequest, ServiceEntry, StoreArea, StoreBody, StoreRead, StoreRecord,
+    StrikeUpdate, Timer,
 };
 use proptest::{collection::vec, option, prelude::*, sample::select, test_runner::RngSeed};
 
@@ -254,7 +254,7 @@
             revision: u64::MAX,
             is_behind: false,
             next_page: None,
-            published: Bytes::new(),
+            published: StoreBody(Bytes::new()),
         };
         reduce(&mut state, now, event, &mut out);
     }
--- a/crates/tier/src/tests/gateway.rs
+++ b/crates/tier/src/tests/gateway.rs
@@ -10,8 +10,8 @@
 use model::{
     AttemptCall, AttemptReply, CallFailure, CallerKey, Configuration, Destination, Effect, Event,
     FrontEntry, HttpRequest, HttpResponse, Message, NotRunReason, Outcome, QuarantineUpdate,
-    Registration, ReplyStatus, ServiceEntry, StoreArea, StoreFailure, StoreRead, StoreRecord,
-    TargetReport, Timer,
+    Registration, ReplyStatus, ServiceEntry, StoreArea, StoreBody, StoreFailure, StoreRead,
+    StoreRecord, TargetReport, Timer,
 };
 use rstest::rstest;
 use slotmap::KeyData;
@@ -58,7 +58,7 @@
         revision: 10,
         is_behind: false,
         next_page: None,
-        published: Bytes::new(),
+        published: StoreBody(Bytes::new()),
     }
 }
 
@@ -270,7 +270,7 @@
             revision: 10 + number,
             is_behind: false,
             next_page: None,
-            published: Bytes::new(),
+            published: StoreBody(Bytes::new()),
         };
         feed(&mut fixture, event);
         fixture.now += Duration::from_millis(100);
@@ -394,7 +394,7 @@
         revision: 12,
         is_behind,
         next_page: None,
-        published: Bytes::from_static(b"published"),
+        published: StoreBody(Bytes::from_static(b"published")),
     }
 }
 
--- a/crates/tier/src/tests/gateway_fleet.rs
+++ b/crates/tier/src/tests/gateway_fleet.rs
@@ -455,7 +455,7 @@
                 revision,
                 is_behind: false,
                 next_page: None,
-                published: Bytes::new(),
+                published: model::StoreBody(Bytes::new()),
             };
             step(fleet, index, event);
         }
--- a/crates/tier/src/tests/organisations.rs
+++ b/crates/tier/src/tests/organisations.rs
@@ -11,7 +11,7 @@
 use model::{
     CallerKey, Configuration, Counter, Credential, Destination, Effect, Event, FrontEntry,
     HttpRequest, HttpResponse, NotRunReason, OrganisationEntry, Outcome, Secret, ServiceEntry,
-    StoreArea, StoreFailure, StoreRead, StoreRecord, Timer,
+    StoreArea, StoreBody, StoreFailure, StoreRead, StoreRecord, Timer,
 };
 use once::ObservedStrike;
 use rstest::rstest;
@@ -89,7 +89,7 @@
         revision: 10,
         is_behind: false,
         next_page: None,
-        published: Bytes::new(),
+        published: StoreBody(Bytes::new()),
     };
     let mut out = Vec::new();
     reduce(state, now, event, &mut out);
--- a/crates/tier/src/tests/store_era.rs
+++ b/crates/tier/src/tests/store_era.rs
@@ -8,7 +8,8 @@
 
 use bytes::Bytes;
 use model::{
-    Configuration, Effect, Event, Message, StoreArea, StoreFailure, StoreRead, StoreRecord, Timer,
+    Configuration, Effect, Event, Message, StoreArea, StoreBody, StoreFailure, StoreRead,
+    StoreRecord, Timer,
 };
 use rstest::rstest;
 
@@ -35,7 +36,7 @@
         revision: 10,
         is_behind: false,
         next_page: None,
-        published: Bytes::from_static(b"published"),
+        published: StoreBody(Bytes::from_static(b"published")),
     };
     feed(instance, event);
 }
