Keep reading an area when the answer to a replaced watch comes late

Cause: an answer to a replaced read that states the new era marked a read as in flight. If the new list had ended by then and the next read waited for its timer, nothing was in flight, and the timer started no read: the area was not read again until the next restore.

Change: such an answer leaves the mark as it is.

Measured: the new test failed before (no read after the timer) and passes now; the 67 tests of catalog pass.

--- a/crates/catalog/src/sync.rs
+++ b/crates/catalog/src/sync.rs
@@ -322,7 +322,9 @@
     let progress = area_progress_mut(sync, area);
     // Keeps the new era from repeating the read: a first page that states it belongs to it.
     let is_first_page = !is_replaced && matches!(answer.read, StoreRead::List { after: None, .. });
-    progress.is_reading = is_replaced || is_first_page;
+    if !is_replaced {
+        progress.is_reading = is_first_page;
+    }
     if answer.era > progress.era {
         begin_era(sync, catalog, now, answer.era, out);
         if !is_first_page {
