Move the progress of the replication into its own file

Change: the types of the progress and their readers move to progress.rs, unchanged; sync.rs imports them.

--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -16,6 +16,7 @@
 mod apply;
 mod eligibility;
 mod listing;
+mod progress;
 mod restore;
 mod sync;
 mod table;
@@ -26,10 +27,12 @@
 pub use apply::{Change, apply, mark_leaving, remove_expired_targets};
 pub use eligibility::{Eligibility, eligibility};
 pub use listing::apply_due_zones;
+pub use progress::{
+    AreaProgress, Role, Stage, SyncState, area_progress, era, is_replaced, new_sync_state,
+};
 pub use restore::RestoreMemory;
 pub use sync::{
-    AreaProgress, FailedRead, Role, SharedChanges, Stage, StoreAnswer, SyncState, area_progress,
-    era, is_earlier_era, is_replaced, new_sync_state, on_read_failure, on_shared_changes,
+    FailedRead, SharedChanges, StoreAnswer, is_earlier_era, on_read_failure, on_shared_changes,
     on_store_answer, start, start_next_read,
 };
 pub use table::{Catalog, Front, Route, Service, Target, find_front, new_catalog};
--- a/crates/catalog/src/sync.rs
+++ b/crates/catalog/src/sync.rs
@@ -1,16 +1,19 @@
 //! Replication of the store: a list of each area, then watches from the revision of the list.
 
-use std::{
-    collections::HashSet,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use model::{Effect, StoreArea, StoreFailure, StoreRead, StoreRecord, Timer};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
-use serde::Serialize;
 
-use crate::{Catalog, Change, listing, restore};
+use crate::{
+    Catalog, Change, listing,
+    progress::{
+        AreaProgress, Role, Stage, SyncState, area_progress, area_progress_mut, era, is_replaced,
+        is_watching,
+    },
+    restore,
+};
 
 /// Time after which the store ends a watch without changes.
 ///
@@ -47,107 +50,6 @@
 /// Limit of doublings of the retry delay.
 const RETRY_MAX_DOUBLINGS: u32 = 4;
 
-/// Replication progress of all areas.
-#[derive(Clone, Debug)]
-#[derive(Serialize)]
-pub struct SyncState {
-    /// Role of this instance in its zone.
-    pub role: Role,
-    /// Progress of the configuration and the evacuated zones.
-    pub operators: AreaProgress,
-    /// Progress of the registrations of targets.
-    pub targets: AreaProgress,
-}
-
-/// Role of an instance in reading the store for its zone.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Role {
-    /// Reads the store for itself only.
-    Alone,
-    /// Reads the store and sends the changes to the other instances of its zone.
-    Reader,
-    /// Applies the changes that its zone's reader sends, and reads the store itself if they stop.
-    Follower,
-}
-
-/// Replication progress of one area.
-#[derive(Clone, Debug, Default)]
-#[derive(Serialize)]
-pub struct AreaProgress {
-    /// Latest era of the store that this instance has heard of, to which all revisions of the area
-    /// belong; 0 if the store states none.
-    pub era: u64,
-    /// Current or next read.
-    pub stage: Stage,
-    /// Whether the store was restored and the new list is not complete yet.
-    pub is_restoring: bool,
-    /// Revision of the list that followed the last restore; 0 if there was none. Shared changes from
-    /// before it may hold what the copy held, which does not count as written again.
-    pub restored_revision: u64,
-    /// Whether a complete list has been read since the start.
-    pub is_known: bool,
-    /// Consecutive failed reads.
-    pub failures_count: u32,
-    /// Whether a read is in flight.
-    pub is_reading: bool,
-    /// Era of the read in flight. Answers to reads of an earlier era are ignored, because another
-    /// read has replaced them.
-    #[serde(skip)]
-    read_era: u64,
-    /// When the store last answered this instance.
-    #[serde(skip)]
-    pub answered_at: Option<Instant>,
-    /// When changes from the zone's reader were last applied.
-    #[serde(skip)]
-    pub shared_at: Option<Instant>,
-    /// Target identifiers or evacuated zones on the pages read so far of the current list.
-    #[serde(skip)]
-    listed_names: HashSet<String>,
-}
-
-/// Kind and position of the current or next read of an area.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize)]
-pub enum Stage {
-    /// Reads all items page by page.
-    Listing {
-        /// Key after which the next page begins; absent for the first page.
-        after: Option<String>,
-        /// Revision of the first page, after which changes will be watched; absent before it.
-        revision: Option<u64>,
-    },
-    /// Waits for changes.
-    Watching {
-        /// Revision up to which all changes are applied.
-        revision: u64,
-    },
-}
-
-impl Default for Stage {
-    fn default() -> Stage {
-        Stage::Listing {
-            after: None,
-            revision: None,
-        }
-    }
-}
-
-/// Returns the initial progress, before any read.
-pub fn new_sync_state() -> SyncState {
-    SyncState {
-        role: Role::Alone,
-        operators: AreaProgress::default(),
-        targets: AreaProgress::default(),
-    }
-}
-
-/// Returns the latest era of the store that this instance has heard of; 0 if there is none.
-pub fn era(sync: &SyncState) -> u64 {
-    sync.operators.era.max(sync.targets.era)
-}
-
 /// Starts the next read of each area unless one is in flight.
 pub fn start(sync: &mut SyncState, now: Instant, out: &mut Vec<Effect>) {
     for area in [StoreArea::Operators, StoreArea::Targets] {
@@ -424,18 +326,6 @@
     changes
 }
 
-/// Returns whether another read has replaced this one, whose end then means nothing.
-pub fn is_replaced(sync: &SyncState, read: &StoreRead) -> bool {
-    read.era() < area_progress(sync, read.area()).read_era
-}
-
-fn is_watching(sync: &SyncState, area: StoreArea) -> bool {
-    matches!(
-        self::area_progress(sync, area).stage,
-        Stage::Watching { .. }
-    )
-}
-
 /// A read of the store that failed.
 #[derive(Clone, Copy, Debug)]
 pub struct FailedRead<'a> {
@@ -484,18 +374,3 @@
         after: delay.mul_f64(rng.random_range(0.5..1.0)),
     });
 }
-
-/// Returns the replication progress of an area.
-pub fn area_progress(sync: &SyncState, area: StoreArea) -> &AreaProgress {
-    match area {
-        StoreArea::Operators => &sync.operators,
-        StoreArea::Targets => &sync.targets,
-    }
-}
-
-fn area_progress_mut(sync: &mut SyncState, area: StoreArea) -> &mut AreaProgress {
-    match area {
-        StoreArea::Operators => &mut sync.operators,
-        StoreArea::Targets => &mut sync.targets,
-    }
-}
