Give up an era that the store goes on to precede

Cause: an era that one answer or one peer stated wrongly, a store that states its era no more, or one that goes back for good was refused for good: neither area was read again, and configurations and evacuations did not arrive.

Shared messages of the era that was given up, or a later one, start no list until the store itself states it. Replaced reads are remembered until they end, because after that their era does not tell them apart.

The test in tier was written with the change and was not seen to fail.

--- a/crates/balsamctl/src/explain.rs
+++ b/crates/balsamctl/src/explain.rs
@@ -7,7 +7,7 @@
 use crate::{error::CommandError, exit::ExitStatus};
 
 /// Events that report the state of the instance, its configuration or its connection to the store.
-const STATE_EVENTS: [&str; 13] = [
+const STATE_EVENTS: [&str; 14] = [
     "listening",
     "leaving",
     "process-paused",
@@ -15,6 +15,7 @@
     "isolation-over",
     "store-lost",
     "store-regained",
+    "store-era-given-up",
     "store-restored",
     "configuration-behind",
     "configuration-caught-up",
--- a/crates/catalog/src/progress.rs
+++ b/crates/catalog/src/progress.rs
@@ -15,6 +15,9 @@
     pub operators: AreaProgress,
     /// Progress of the registrations of targets.
     pub targets: AreaProgress,
+    /// Lowest era that was given up because the store went on to state an earlier one. Until the
+    /// store itself states it again, shared messages of that era or a later one start no new list.
+    pub abandoned_era: Option<u64>,
 }
 
 /// Role of an instance in reading the store for its zone.
@@ -34,8 +37,8 @@
 #[derive(Clone, Debug, Default)]
 #[derive(Serialize)]
 pub struct AreaProgress {
-    /// Latest era of the store that this instance has heard of, to which all revisions of the area
-    /// belong; 0 if the store states none.
+    /// Latest era of the store that this instance has heard of and not given up, to which all
+    /// revisions of the area belong; 0 if the store states none.
     pub era: u64,
     /// Current or next read.
     pub stage: Stage,
@@ -54,6 +57,16 @@
     /// read has replaced them.
     #[serde(skip)]
     pub(crate) read_era: u64,
+    /// The read in flight.
+    #[serde(skip)]
+    pub(crate) read: Option<StoreRead>,
+    /// Replaced reads that have not ended yet. Their era alone does not tell them apart once an era
+    /// was given up.
+    #[serde(skip)]
+    pub(crate) replaced_reads: Vec<StoreRead>,
+    /// When the store first stated an earlier era since the last answer that was applied.
+    #[serde(skip)]
+    pub(crate) earlier_era_since: Option<Instant>,
     /// When the store last answered this instance.
     #[serde(skip)]
     pub answered_at: Option<Instant>,
@@ -98,6 +111,7 @@
         role: Role::Alone,
         operators: AreaProgress::default(),
         targets: AreaProgress::default(),
+        abandoned_era: None,
     }
 }
 
@@ -108,7 +122,42 @@
 
 /// Returns whether another read has replaced this one, whose end then means nothing.
 pub fn is_replaced(sync: &SyncState, read: &StoreRead) -> bool {
-    read.era() < area_progress(sync, read.area()).read_era
+    let progress = area_progress(sync, read.area());
+    read.era() < progress.read_era || progress.replaced_reads.contains(read)
+}
+
+/// Records the end of a read, and returns whether another one had replaced it.
+pub(crate) fn end_read(sync: &mut SyncState, read: &StoreRead) -> bool {
+    let is_replaced = is_replaced(sync, read);
+    let progress = area_progress_mut(sync, read.area());
+    let mut replaced = progress.replaced_reads.iter();
+    if let Some(index) = replaced.position(|replaced| replaced == read) {
+        progress.replaced_reads.swap_remove(index);
+    }
+    if !is_replaced {
+        progress.is_reading = false;
+    }
+    is_replaced
+}
+
+/// Starts a new list of an area in another era of the store.
+///
+/// A read in flight is replaced by that list, unless it is for the first page of one: its answer
+/// belongs to the new era, or is refused. A watch may last for seconds, and the restored store may
+/// accept its revision, which then stands for other changes.
+pub(crate) fn enter_era(progress: &mut AreaProgress, era: u64) {
+    progress.is_restoring |= progress.answered_at.is_some();
+    progress.era = era;
+    progress.restored_revision = 0;
+    progress.shared_at = None;
+    progress.listed_names.clear();
+    if progress.stage == Stage::default() {
+        return;
+    }
+    progress.stage = Stage::default();
+    if std::mem::take(&mut progress.is_reading) {
+        progress.replaced_reads.extend(progress.read.take());
+    }
 }
 
 pub(crate) fn is_watching(sync: &SyncState, area: StoreArea) -> bool {
--- a/crates/catalog/src/restore.rs
+++ b/crates/catalog/src/restore.rs
@@ -13,7 +13,7 @@
     time::{Duration, Instant},
 };
 
-use model::Registration;
+use model::{Registration, StoreArea};
 
 /// Time after the new list for which a zone stays evacuated although the copy does not say so;
 /// operators publish an evacuation again within that time.
@@ -206,11 +206,13 @@
     memory.pending_zones.insert(zone.to_owned(), pending);
 }
 
-/// Forgets what was to be done with the copy of an earlier restore; registrations that were held
-/// back in it are judged anew.
-pub(crate) fn begin_era(memory: &mut RestoreMemory) {
-    memory.pending_zones.clear();
-    memory.held.clear();
+/// Forgets what was to be done with an area of the copy of an earlier restore; registrations that
+/// were held back in it are judged anew.
+pub(crate) fn begin_era(memory: &mut RestoreMemory, area: StoreArea) {
+    match area {
+        StoreArea::Operators => memory.pending_zones.clear(),
+        StoreArea::Targets => memory.held.clear(),
+    }
 }
 
 /// Forgets the pending evacuations that a complete list does not contain any more.
--- a/crates/catalog/src/sync.rs
+++ b/crates/catalog/src/sync.rs
@@ -9,8 +9,8 @@
 use crate::{
     Catalog, Change, listing,
     progress::{
-        AreaProgress, Role, Stage, SyncState, area_progress, area_progress_mut, era, is_replaced,
-        is_watching,
+        AreaProgress, Role, Stage, SyncState, area_progress, area_progress_mut, end_read,
+        enter_era, era, is_watching,
     },
     restore,
 };
@@ -47,6 +47,10 @@
 /// Time after the store is back in which a missing registration is taken to have lapsed during the
 /// outage.
 const LAPSE_WINDOW: Duration = Duration::from_secs(3);
+/// Time for which answers of an earlier era are refused before the area's era is given up: the store
+/// went back for good, or one answer or one peer stated a wrong era. With one retry and the list it
+/// is less than the five seconds in which a configuration takes effect.
+const EARLIER_ERA_LIMIT: Duration = Duration::from_secs(3);
 /// Limit of doublings of the retry delay.
 const RETRY_MAX_DOUBLINGS: u32 = 4;
 
@@ -102,14 +106,11 @@
             },
         },
     };
+    progress.read = Some(read.clone());
     out.push(Effect::ReadStore(read));
 }
 
 /// Starts a new list of each area whose era is earlier than `era`.
-///
-/// A read in flight is replaced by that list, unless it is for the first page of one: its answer
-/// belongs to the new era, or is refused. A watch may last for seconds, and the restored store may
-/// accept its revision, which then stands for other changes.
 fn begin_era(
     sync: &mut SyncState,
     catalog: &mut Catalog,
@@ -117,25 +118,26 @@
     era: u64,
     out: &mut Vec<Effect>,
 ) {
+    sync.abandoned_era = sync.abandoned_era.filter(|&abandoned| era < abandoned);
     for area in [StoreArea::Operators, StoreArea::Targets] {
         let progress = area_progress_mut(sync, area);
-        if progress.era >= era {
-            continue;
-        }
-        progress.is_restoring |= progress.answered_at.is_some();
-        progress.era = era;
-        progress.restored_revision = 0;
-        progress.shared_at = None;
-        progress.listed_names.clear();
-        if progress.stage != Stage::default() {
-            progress.stage = Stage::default();
-            progress.is_reading = false;
+        if progress.era < era {
+            enter_era(progress, era);
+            restore::begin_era(&mut catalog.restore, area);
         }
     }
-    restore::begin_era(&mut catalog.restore);
     start(sync, now, out);
 }
 
+/// Returns whether the store has stated an earlier era for so long that the area's is given up.
+fn is_era_over(progress: &mut AreaProgress, now: Instant, failed: &FailedRead<'_>) -> bool {
+    if failed.failure != StoreFailure::EarlierEra {
+        return false;
+    }
+    let since = *progress.earlier_era_since.get_or_insert(now);
+    now >= since + EARLIER_ERA_LIMIT
+}
+
 /// Changes sent by the reader of the zone.
 #[derive(Clone, Copy, Debug)]
 pub struct SharedChanges<'a> {
@@ -164,14 +166,17 @@
     out: &mut Vec<Effect>,
 ) -> Vec<Change> {
     if shared.era > era(sync) {
-        begin_era(sync, catalog, now, shared.era, out);
+        let abandoned_era = sync.abandoned_era;
+        if abandoned_era.is_none_or(|abandoned| shared.era < abandoned) {
+            begin_era(sync, catalog, now, shared.era, out);
+        }
         return Vec::new();
     }
     let progress = area_progress_mut(sync, shared.area);
     let Stage::Watching { revision } = progress.stage else {
         return Vec::new();
     };
-    if shared.era < progress.era {
+    if shared.era != progress.era {
         return Vec::new();
     }
     if shared.after_revision < progress.restored_revision {
@@ -220,13 +225,11 @@
     out: &mut Vec<Effect>,
 ) -> Vec<Change> {
     let area = answer.read.area();
-    let is_replaced = is_replaced(sync, answer.read);
+    let is_replaced = end_read(sync, answer.read);
     let progress = area_progress_mut(sync, area);
     // Keeps the new era from repeating the read: a first page that states it belongs to it.
     let is_first_page = !is_replaced && matches!(answer.read, StoreRead::List { after: None, .. });
-    if !is_replaced {
-        progress.is_reading = is_first_page;
-    }
+    progress.is_reading |= is_first_page;
     if answer.era > progress.era {
         begin_era(sync, catalog, now, answer.era, out);
         if !is_first_page {
@@ -241,6 +244,7 @@
         catalog.lapse_window_until = Some(now + LAPSE_WINDOW);
     }
     progress.failures_count = 0;
+    progress.earlier_era_since = None;
     progress.answered_at = Some(now);
     let changes = match answer.read {
         StoreRead::Watch { .. } => apply_watch(progress, catalog, now, answer),
@@ -340,7 +344,8 @@
 /// Records a failed read and schedules a retry with exponential backoff and jitter.
 ///
 /// A failed list starts again from its first page. A watch starts a new list only if the store no
-/// longer has the history after its revision, or states a later era.
+/// longer has the history after its revision, states a later era, or has stated an earlier one for
+/// some seconds.
 pub fn on_read_failure(
     sync: &mut SyncState,
     catalog: &mut Catalog,
@@ -350,17 +355,23 @@
     out: &mut Vec<Effect>,
 ) {
     let area = failed.read.area();
-    let is_replaced = is_replaced(sync, failed.read);
+    let is_replaced = end_read(sync, failed.read);
     let progress = area_progress_mut(sync, area);
-    if !is_replaced {
-        progress.is_reading = false;
-    }
     if failed.era > progress.era {
         return begin_era(sync, catalog, now, failed.era, out);
     }
     if is_replaced {
         return;
     }
+    if is_era_over(progress, now, failed) {
+        let abandoned_era = progress.era;
+        enter_era(progress, failed.era);
+        progress.earlier_era_since = None;
+        restore::begin_era(&mut catalog.restore, area);
+        let known = sync.abandoned_era.unwrap_or(u64::MAX);
+        sync.abandoned_era = Some(abandoned_era.min(known));
+        return start_next_read(sync, now, area, out);
+    }
     let is_list = matches!(failed.read, StoreRead::List { .. });
     if failed.failure == StoreFailure::Compacted || is_list {
         progress.stage = Stage::default();
--- a/crates/catalog/src/tests/store_eras.rs
+++ b/crates/catalog/src/tests/store_eras.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use model::{Effect, StoreArea, StoreFailure, StoreRead, StoreRecord, Timer};
+use rstest::rstest;
 
 use super::fixture::{fail_read, list, registration, removed, target, watch};
 use crate::{
@@ -120,3 +121,76 @@
     run_timer(&mut replica, TARGETS);
     assert_eq!(reads(&replica).len(), 1, "{:?}", replica.out);
 }
+
+/// Answers what the instance reads of an area for a time, in steps of 100 ms.
+fn answer_for(replica: &mut Replica, ms: u64, era: u64) {
+    let targets = [
+        target("i-1", registration(80)),
+        target("i-2", registration(81)),
+    ];
+    for _ in 0..ms / 100 {
+        replica.now += Duration::from_millis(100);
+        start(&mut replica.sync, replica.now, &mut replica.out);
+        let reads: Vec<StoreRead> = reads(replica).into_iter().cloned().collect();
+        replica.out.clear();
+        for read in reads {
+            let records = match read.area() {
+                StoreArea::Targets => &targets[..],
+                StoreArea::Operators => &[],
+            };
+            answer(replica, &read, era, records, 105);
+        }
+    }
+}
+
+/// Ignored for good, the store would not be followed again until it is restored often enough.
+#[rstest]
+#[case::goes_back(4)]
+#[case::is_not_stated_any_more(0)]
+fn store_is_followed_again_when_its_era_stays_earlier(
+    #[case] era: u64,
+    #[values(false, true)] is_shared: bool,
+) {
+    let mut replica = replica();
+    match is_shared {
+        true => share(&mut replica, 1 << 62, 50),
+        false => {
+            let watch = read_of(watch(TARGETS, 100), 1);
+            answer(&mut replica, &watch, 1 << 62, &[], 104);
+        }
+    }
+    answer_for(&mut replica, 2_500, era);
+    assert_eq!(replica.catalog.targets.len(), 1, "not yet followed");
+    answer_for(&mut replica, 2_000, era);
+    assert_eq!(replica.catalog.targets.len(), 2);
+    let stages = [&replica.sync.targets.stage, &replica.sync.operators.stage];
+    assert_eq!(stages, [&Stage::Watching { revision: 105 }; 2]);
+    // One bad peer may go on to state it.
+    share(&mut replica, (1 << 62) + 1, 50);
+    assert_eq!(replica.sync.targets.era, era);
+    let read = read_of(watch(TARGETS, 105), era);
+    answer(&mut replica, &read, 7, &[], 106);
+    assert_eq!(replica.sync.targets.era, 7, "a later restore counts");
+}
+
+/// It would mark the list in flight as ended, and two reads would go on side by side.
+#[test]
+fn answer_to_a_watch_from_before_an_era_that_was_given_up_is_ignored() {
+    let mut replica = replica();
+    let old = replica.out.iter().find_map(|effect| match effect {
+        Effect::ReadStore(read) => Some(read.clone()),
+        _ => None,
+    });
+    let old = old.expect("a watch is in flight");
+    replica.out.clear();
+    share(&mut replica, 9, 50);
+    answer_for(&mut replica, 4_500, 1);
+    assert_eq!(replica.sync.targets.era, 1);
+    replica.out.clear();
+    start(&mut replica.sync, replica.now, &mut replica.out);
+    assert!(replica.sync.targets.is_reading);
+    replica.out.clear();
+    answer(&mut replica, &old, 1, &[removed("i-1")], 106);
+    assert_eq!(reads(&replica).len(), 0);
+    assert!(replica.sync.targets.is_reading);
+}
--- a/crates/tier/src/store_era.rs
+++ b/crates/tier/src/store_era.rs
@@ -133,6 +133,12 @@
         out.push(Effect::Log(line));
         tell_followers(state, era, out);
         wait_after_pause(state, now);
+    } else if era < before.era {
+        let line = LogLine::new(Level::Warn, "store-era-given-up")
+            .with("era", era)
+            .with("from_era", before.era)
+            .with("version", gateway.catalog.version);
+        out.push(Effect::Log(line));
     } else if era == before.era {
         let areas = [StoreArea::Operators, StoreArea::Targets];
         for (index, area) in areas.into_iter().enumerate() {
--- a/crates/tier/src/tests/store_era.rs
+++ b/crates/tier/src/tests/store_era.rs
@@ -207,6 +207,30 @@
     assert!(is_ready(&instance.state));
 }
 
+/// One answer that states a wrong era would otherwise end the reading of the store for good.
+#[test]
+fn instance_follows_a_store_whose_era_was_wrong_once() {
+    let mut instance = start(1, false);
+    answer(&mut instance, watch(1), 1 << 62, Vec::new());
+    let is_given_up = (0..20).any(|_| {
+        instance.now += Duration::from_millis(300);
+        let mut is_given_up = false;
+        for area in [StoreArea::Operators, StoreArea::Targets] {
+            answer(&mut instance, list(area, 1 << 62), 1, Vec::new());
+            is_given_up |= is_logged(&instance, "store-era-given-up");
+        }
+        is_given_up
+    });
+    assert!(is_given_up);
+    let records = vec![configuration(6)];
+    answer(&mut instance, list(StoreArea::Operators, 1), 1, records);
+    let status = status(&instance.state, instance.now);
+    assert_eq!((status.store_era, status.store_operators_revision), (1, 10));
+    let gateway = instance.state.gateway.as_ref().expect("a gateway");
+    assert_eq!(gateway.catalog.version, 6);
+    assert!(is_ready(&instance.state));
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Heard {
     ByAnswer,
