Do not take a target that only a restored copy lacked for one that left

Cause: a draining target that the copy lacked was remembered as a process that had left. When it was written again before a second restore, the list after that held it back, and the catalog differed from the store.

Change: a target keeps whether only a copy lacked it; it counts as left when a change or a later list says so.

Measured: the new test failed before (no target) and passes now; the tests of catalog pass.

--- a/crates/catalog/src/apply.rs
+++ b/crates/catalog/src/apply.rs
@@ -124,13 +124,17 @@
 pub(crate) fn mark_unlisted_removed(
     catalog: &mut Catalog,
     now: Instant,
+    is_restoring: bool,
     listed: &HashSet<String>,
     changes: &mut Vec<Change>,
 ) {
     let ids = catalog.target_ids.keys().cloned();
     let missing: Vec<Arc<str>> = ids.filter(|id| !listed.contains(&**id)).collect();
     for id in missing {
-        changes.extend(mark_removed(catalog, now, &id));
+        if let Some(change) = mark_removed(catalog, now, &id) {
+            catalog.targets[catalog.target_ids[&id]].is_missing_in_copy = is_restoring;
+            changes.push(change);
+        }
     }
 }
 
@@ -150,10 +154,16 @@
     expired
 }
 
-/// Records that the process of a target has left, unless its registration may have lapsed only.
+/// Returns whether the registration of a target is missing because its process has left: it did not
+/// lapse during an outage, and the store was not restored from a copy without it.
+pub(crate) fn has_left(target: &Target) -> bool {
+    target.removed_since.is_some() && !target.has_lapsed && !target.is_missing_in_copy
+}
+
+/// Records that the process of a target has left, or was replaced by another one.
 fn record_departure(catalog: &mut Catalog, now: Instant, key: TargetKey) {
     let target = &catalog.targets[key];
-    if !target.has_lapsed {
+    if has_left(target) || target.removed_since.is_none() {
         restore::record_departure(&mut catalog.restore, now, &target.id, target.started_at_ms);
     }
 }
@@ -349,6 +359,7 @@
         has_announced_leaving: false,
         removed_since: None,
         has_lapsed: false,
+        is_missing_in_copy: false,
     });
     catalog.target_ids.insert(id, target);
     catalog.services[service].targets.push(target);
@@ -381,6 +392,7 @@
     target.cold_until = cold_until;
     if was_removed {
         target.has_lapsed = false;
+        target.is_missing_in_copy = false;
     }
     if !registration.is_draining {
         if !target.has_announced_leaving {
@@ -416,6 +428,8 @@
     let &key = catalog.target_ids.get(target_id)?;
     let target = &mut catalog.targets[key];
     if target.removed_since.is_some() {
+        // Now it is removed, or missing from a list that is not a copy's first.
+        target.is_missing_in_copy = false;
         return None;
     }
     target.removed_since = Some(now);
--- a/crates/catalog/src/listing.rs
+++ b/crates/catalog/src/listing.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     Catalog, Change,
-    apply::{apply, mark_unlisted_removed},
+    apply::{apply, has_left, mark_unlisted_removed},
     restore::{self, KnownTarget, TargetRuling},
 };
 
@@ -116,7 +116,7 @@
     changes: &mut Vec<Change>,
 ) {
     if area == StoreArea::Targets {
-        return mark_unlisted_removed(catalog, now, listed_names, changes);
+        return mark_unlisted_removed(catalog, now, is_restoring, listed_names, changes);
     }
     restore::retain_listed_evacuations(&mut catalog.restore, |zone| listed_names.contains(zone));
     let zones = catalog.zones_out.iter();
@@ -156,7 +156,7 @@
         address: target.address,
         started_at_ms: target.started_at_ms,
         is_draining: target.draining_since.is_some(),
-        has_left: target.removed_since.is_some() && !target.has_lapsed,
+        has_left: has_left(target),
     })
 }
 
--- a/crates/catalog/src/table.rs
+++ b/crates/catalog/src/table.rs
@@ -141,6 +141,8 @@
     /// Whether the missing registration may have lapsed because the store was unreachable, so that
     /// the longer grace period applies.
     pub has_lapsed: bool,
+    /// Whether the registration is missing only because a restored store lacks it.
+    pub is_missing_in_copy: bool,
 }
 
 /// Returns an empty catalog; `seed` determines the key by which it hashes callers' keys.
--- a/crates/catalog/src/tests/restored_store.rs
+++ b/crates/catalog/src/tests/restored_store.rs
@@ -348,6 +348,23 @@
     assert_eq!(state(&replica, "i-1"), Eligibility::Ready, "written again");
 }
 
+/// It was written again before a second restore, and nothing has said that its process left.
+#[test]
+fn target_that_only_the_copy_lacked_has_not_left() {
+    let mut draining = born(80, 7);
+    draining.is_draining = true;
+    let listed = [target("i-1", draining)];
+    let mut replica = replica(&listed, &[]);
+    restore(&mut replica, TARGETS, &[]);
+    wait(&mut replica, 1_000);
+    assert!(replica.catalog.targets.is_empty());
+    let read = read_of(watch(TARGETS, 104), 2);
+    answer(&mut replica, &read, 3, &[], 105);
+    let read = read_of(list(TARGETS, None), 3);
+    answer(&mut replica, &read, 3, &listed, 105);
+    assert_eq!(replica.catalog.targets.len(), 1);
+}
+
 #[test]
 fn another_process_in_the_copy_is_used() {
     let mut replica = replica(&[target("i-1", born(80, 7))], &[]);
