Repeat no shared change up to the known revision

Cause: shared changes that end at the known revision were applied again. A later page of the list may hold a later state of a target: it stopped draining until the next watch. Random schedules with misstated eras showed it; it needs no restore.

Change: such a message counts as one from the reader, and its changes are ignored. The schedules also state eras that the store never had.

--- a/crates/catalog/src/sync.rs
+++ b/crates/catalog/src/sync.rs
@@ -186,6 +186,9 @@
         return Vec::new();
     }
     progress.shared_at = Some(now);
+    if shared.revision == revision {
+        return Vec::new();
+    }
     progress.stage = Stage::Watching {
         revision: shared.revision,
     };
--- a/crates/catalog/src/tests/restored_store_schedules.rs
+++ b/crates/catalog/src/tests/restored_store_schedules.rs
@@ -45,6 +45,10 @@
     Answer {
         index: u8,
     },
+    /// An answer under way is changed to state an era that the store never had.
+    Misstate {
+        index: u8,
+    },
     /// An answer or a shared message that is under way arrives.
     Arrive {
         index: u8,
@@ -70,6 +74,7 @@
         1 => (0..6_u8).prop_map(|lost_count| Step::Restore { lost_count }),
         1 => Just(Step::WriteAgain),
         6 => any::<u8>().prop_map(|index| Step::Answer { index }),
+        1 => any::<u8>().prop_map(|index| Step::Misstate { index }),
         6 => any::<u8>().prop_map(|index| Step::Arrive { index }),
         2 => (area, 0..4_u8).prop_map(|(area, back_count)| Step::Share { area, back_count }),
         1 => (any::<u8>(), any::<bool>())
@@ -376,6 +381,15 @@
                 records: changes_after(store, area, after),
             });
         }
+        Step::Misstate { index } => {
+            if let Some(mut message) = take(&mut replica.messages, index) {
+                let (Message::Answer { era, .. }
+                | Message::Failure { era, .. }
+                | Message::Shared { era, .. }) = &mut message;
+                *era += 1_000;
+                replica.messages.push(message);
+            }
+        }
         Step::Arrive { index } => {
             if let Some(message) = take(&mut replica.messages, index) {
                 arrive(replica, now, &message);
--- a/crates/catalog/src/tests/store_eras.rs
+++ b/crates/catalog/src/tests/store_eras.rs
@@ -194,3 +194,25 @@
     assert_eq!(reads(&replica).len(), 0);
     assert!(replica.sync.targets.is_reading);
 }
+
+/// A later page of the list held a later state of the target than these changes do.
+#[test]
+fn shared_changes_up_to_the_known_revision_take_nothing_back() {
+    let mut replica = replica();
+    let mut draining = registration(80);
+    draining.is_draining = true;
+    let read = read_of(list(TARGETS, None), 1);
+    answer(&mut replica, &read, 1, &[target("i-1", draining)], 100);
+    let records = [target("i-1", registration(80))];
+    let shared = SharedChanges {
+        area: TARGETS,
+        era: 1,
+        after_revision: 98,
+        revision: 100,
+        records: &records,
+    };
+    let (sync, catalog) = (&mut replica.sync, &mut replica.catalog);
+    let changes = on_shared_changes(sync, catalog, replica.now, &shared, &mut replica.out);
+    assert_eq!(changes, []);
+    assert_eq!(replica.sync.targets.shared_at, Some(replica.now));
+}
