Do not prolong the wait after a pause by further eras

Cause: each later era within 8 s after a pause began the wait for the version in force again, so an instance could stay unready for nearly 16 s.

Change: only an instance that serves begins to wait; a wait that has begun goes on.

Measured: the new test failed before (not ready 8.2 s after the first restore) and passes now; 14 tests of the store's era in tier pass.

--- a/crates/tier/src/store_era.rs
+++ b/crates/tier/src/store_era.rs
@@ -177,7 +177,7 @@
 }
 
 /// Makes an instance whose process was paused shortly before it heard of the restore wait for the
-/// version in force: it may have missed one that the copy lacks.
+/// version in force: it may have missed one that the copy lacks. A wait that has begun goes on.
 fn wait_after_pause(state: &mut State, now: Instant) {
     let resumed_at = state
         .gateway
@@ -185,7 +185,7 @@
         .and_then(|gateway| gateway.resumed_at);
     let was_paused =
         resumed_at.is_some_and(|at| now.saturating_duration_since(at) < CATCH_UP_LIMIT);
-    if was_paused {
+    if was_paused && state.catch_up.is_over {
         state.catch_up = CatchUp::default();
         state.fleet.heard_version_in_force = 0;
     }
--- a/crates/tier/src/tests/store_era.rs
+++ b/crates/tier/src/tests/store_era.rs
@@ -195,6 +195,22 @@
     assert!(is_ready(&instance.state));
 }
 
+/// A second restore, or an era that rises with each answer, would begin the limited wait again.
+#[test]
+fn further_eras_do_not_prolong_the_wait_after_a_pause() {
+    let mut instance = start(1, true);
+    hear(&mut instance, 5);
+    instance.now += Duration::from_secs(10);
+    answer(&mut instance, watch(1), 2, Vec::new());
+    hear(&mut instance, u64::MAX);
+    tick_until(&mut instance, 17_000);
+    assert!(!is_ready(&instance.state));
+    answer(&mut instance, list(StoreArea::Targets, 2), 3, Vec::new());
+    hear(&mut instance, u64::MAX);
+    tick_until(&mut instance, 18_400);
+    assert!(is_ready(&instance.state));
+}
+
 #[test]
 fn answer_of_an_earlier_era_counts_as_a_failure() {
     let mut instance = start(2, false);
