Count requests that arrive before the catalog is known as before

Cause: an instance without a catalog refused them in the check for a later version in force, before they were counted as requests and, if relayed, with another reason, also where the store states no era.

Change: that check applies only to an instance that has a catalog.

Measured: the new test failed before (no count of requests) and passes now; 15 tests of the store's era in tier pass.

--- a/crates/tier/src/store_era.rs
+++ b/crates/tier/src/store_era.rs
@@ -31,9 +31,10 @@
 }
 
 /// Returns whether this instance must not serve yet, because others have a later version of the
-/// configuration in force, or may have.
+/// configuration in force, or may have. One that has no catalog yet refuses requests for that reason.
 pub(crate) fn is_behind(state: &State) -> bool {
-    state.gateway.is_some() && !state.catch_up.is_over
+    let is_known = state.gateway.as_ref().is_some_and(::gateway::is_known);
+    is_known && !state.catch_up.is_over
 }
 
 /// Returns whether the configuration that this instance has read, if any, may be older than one in
--- a/crates/tier/src/tests/store_era.rs
+++ b/crates/tier/src/tests/store_era.rs
@@ -3,13 +3,14 @@
 
 use std::{
     borrow::Cow,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
 use model::{
-    Configuration, Effect, Event, Message, StoreArea, StoreBody, StoreFailure, StoreRead,
-    StoreRecord, Timer,
+    CallerKey, Configuration, Counter, Effect, Event, HttpRequest, Message, StoreArea, StoreBody,
+    StoreFailure, StoreRead, StoreRecord, Timer,
 };
 use rstest::rstest;
 
@@ -124,6 +125,26 @@
     assert_eq!(is_ready(&instance.state), expected);
 }
 
+/// The wait for another version replaces no refusal of an instance that has no catalog yet, and its
+/// counts stay as they were: a deployment whose store states no era is served as before.
+#[test]
+fn request_before_the_catalog_is_known_is_counted() {
+    let mut instance = start(0, true);
+    instance.state.gateway.as_mut().expect("a gateway").sync = catalog::new_sync_state();
+    instance.state.catch_up = Default::default();
+    let event = Event::HttpRequest {
+        caller: CallerKey::default(),
+        request: Arc::new(HttpRequest::default()),
+    };
+    feed(&mut instance, event);
+    let is_counted = |effect: &Effect| match effect {
+        Effect::Count { counter, .. } => *counter == Counter::Requests,
+        _ => false,
+    };
+    assert!(instance.out.iter().any(is_counted), "{:?}", instance.out);
+    assert!(is_logged(&instance, "request-refused"));
+}
+
 /// It read the copy, which lacks version 8, and would bring back what that version removed.
 #[test]
 fn instance_that_starts_behind_is_not_ready_until_it_has_the_version_in_force() {
