Close idle connections only for ones that can wait

A new connection at the bound chose an idle client to be closed before it was checked whether it may wait.

A connection that may not wait now closes none.

--- a/crates/balsamd/src/http/tests.rs
+++ b/crates/balsamd/src/http/tests.rs
@@ -3,7 +3,7 @@
 use std::{
     cell::Cell,
     convert::Infallible,
-    io::{Read, Write},
+    io::{ErrorKind, Read, Write},
     net::{SocketAddr, TcpStream},
     rc::Rc,
     time::{Duration, Instant},
@@ -31,6 +31,10 @@
 
 /// Serves a port that answers each request after a delay and then closes the connection.
 async fn open_port(delay: Duration) -> Port {
+    open_limited_port(delay, test_limits(None, None)).await
+}
+
+async fn open_limited_port(delay: Duration, limits: limits::Limits) -> Port {
     let listener = bind("test", ([127, 0, 0, 1], 0).into())
         .await
         .expect("a free port");
@@ -52,8 +56,8 @@
         }
     });
     let port_limits = PortLimits {
-        limits: test_limits(),
-        body_max_bytes: 1024,
+        limits,
+        body_max_bytes: 256 * 1024,
     };
     serve(
         listener,
@@ -71,14 +75,14 @@
     }
 }
 
-fn test_limits() -> limits::Limits {
+fn test_limits(memory_mb: Option<u32>, descriptors_max_count: Option<u32>) -> limits::Limits {
     let metrics = metrics::create().expect("metrics");
     let instance = settings::Instance {
         name: "a".to_owned(),
         zone: "b".to_owned(),
         capacity_millicores: 0,
-        memory_mb: None,
-        descriptors_max_count: None,
+        memory_mb,
+        descriptors_max_count,
     };
     limits::new(&instance, metrics::create_input(&metrics))
 }
@@ -140,3 +144,41 @@
         assert_eq!(port.served_count.get(), 3);
     });
 }
+
+fn connect(address: SocketAddr, written: &[u8]) -> TcpStream {
+    let mut stream = TcpStream::connect(address).expect("a connection");
+    stream.write_all(written).expect("a sent request");
+    stream
+        .set_read_timeout(Some(READ_TIMEOUT))
+        .expect("a positive timeout");
+    stream
+}
+
+/// Returns the number of connections that the port has closed.
+fn closed_count(streams: &[TcpStream]) -> usize {
+    let is_closed = |mut stream: &TcpStream| {
+        stream.set_nonblocking(true).expect("an option");
+        match stream.read(&mut [0; 1]) {
+            Err(error) => error.kind() != ErrorKind::WouldBlock,
+            Ok(count) => count == 0,
+        }
+    };
+    streams.iter().filter(|stream| is_closed(stream)).count()
+}
+
+/// Guards against new connections that are refused anyway and still close idle ones.
+#[test]
+fn a_crowd_closes_no_more_idle_connections_than_it_takes() {
+    actix_rt::System::new().block_on(async {
+        // 80 connections.
+        let limits = test_limits(None, Some(360));
+        let port = open_limited_port(Duration::ZERO, limits).await;
+        let connect = |_| connect(port.address, b"");
+        let idle: Vec<TcpStream> = (0..80).map(connect).collect();
+        actix_rt::time::sleep(Duration::from_millis(700)).await;
+        let crowd: Vec<TcpStream> = (0..70).map(connect).collect();
+        actix_rt::time::sleep(Duration::from_millis(300)).await;
+        assert_eq!(closed_count(&idle), crowd.len() - closed_count(&crowd));
+    });
+}
+
--- a/crates/balsamd/src/limits.rs
+++ b/crates/balsamd/src/limits.rs
@@ -273,14 +273,15 @@
 /// Admits a connection at once if there is room, so that connections that have to wait delay no
 /// others.
 pub fn admit(limits: &Limits, stream: TcpStream) -> Admission {
-    let verdict = intake::open(&mut limits.0.account.borrow_mut(), true, Instant::now());
+    let waiting = &limits.0.waiting;
+    let can_wait = waiting.get() < WAITING_MAX_COUNT;
+    let verdict = intake::open(&mut limits.0.account.borrow_mut(), can_wait, Instant::now());
     match verdict {
         Verdict::Granted(key) => return Admission::Admitted(open(limits, key, stream)),
         Verdict::Shed(key) => shed(limits, key),
         Verdict::Refused => {}
     }
-    let waiting = &limits.0.waiting;
-    if waiting.get() >= WAITING_MAX_COUNT {
+    if !can_wait {
         report(limits, Cause::Connections);
         return Admission::Refused;
     }
