Wake requests that wait for memory when it is released

Requests that wait up to 0.1 s for memory were woken only when a connection closed. A client that is shed within its body releases it at once, but its connection stays open for up to 1 s to deliver the refusal, so the waiting request got 503 although the memory was free.

The release of memory wakes them now. The test failed before and passes.

--- a/crates/balsamd/src/http/tests.rs
+++ b/crates/balsamd/src/http/tests.rs
@@ -182,3 +182,22 @@
     });
 }
 
+/// Guards against a refusal for lack of memory that a client to be closed has already released, but
+/// whose connection is still open.
+#[test]
+fn memory_of_a_shed_body_serves_the_request_that_waits_for_it() {
+    actix_rt::System::new().block_on(async {
+        // 256 KiB, nearly all of which two bodies without their last byte take.
+        let limits = test_limits(Some(1), None);
+        let port = open_limited_port(Duration::ZERO, limits).await;
+        let mut request = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 30000\r\n\r\n".to_vec();
+        request.resize(request.len() + 29_999, b'a');
+        let _slow = [(); 2].map(|()| connect(port.address, &request));
+        actix_rt::time::sleep(Duration::from_millis(900)).await;
+        request.push(b'a');
+        let mut stream = connect(port.address, &request);
+        let answered = actix_rt::task::spawn_blocking(move || is_answered(&mut stream));
+        assert!(answered.await.expect("a thread"));
+    });
+}
+
--- a/crates/balsamd/src/limits.rs
+++ b/crates/balsamd/src/limits.rs
@@ -128,7 +128,7 @@
 struct Shared {
     account: RefCell<Account>,
     clients: RefCell<SecondaryMap<ClientKey, Weak<Client>>>,
-    /// Notified when a client closes.
+    /// Notified when a client closes or releases memory.
     freed: Notify,
     /// Connections that wait for others to close.
     waiting: Cell<usize>,
@@ -365,8 +365,12 @@
 /// Releases all but the base memory.
 fn release_all(client: &Client) {
     let bytes = client.reserved_bytes.replace(0);
-    let mut account = client.limits.0.account.borrow_mut();
-    intake::release(&mut account, client.key, bytes);
+    if bytes == 0 {
+        return;
+    }
+    let shared = &client.limits.0;
+    intake::release(&mut shared.account.borrow_mut(), client.key, bytes);
+    shared.freed.notify_waiters();
 }
 
 /// Starts to serve a complete request.
