Keep an account of its own for the operators' port

All HTTP ports shared one account. While callers held all connections, and were served or new, a readiness check waited up to 1.5 s or was refused; a missed check takes the instance out of service.

The operators' port has its own connections and memory, an eighth of the callers'. The test fails with a shared account and passes now.

--- a/crates/balsamd/src/http/tests.rs
+++ b/crates/balsamd/src/http/tests.rs
@@ -201,3 +201,19 @@
     });
 }
 
+/// Guards against a readiness check that callers' connections shut out.
+#[test]
+fn operators_are_served_while_callers_take_all_connections() {
+    actix_rt::System::new().block_on(async {
+        // Two connections.
+        let limits = test_limits(None, Some(204));
+        let operators = limits::for_operators(&limits);
+        let callers = open_limited_port(READ_TIMEOUT, limits).await;
+        let operators = open_limited_port(Duration::ZERO, operators).await;
+        let _served = send_requests(callers.address, 2);
+        actix_rt::time::sleep(Duration::from_millis(100)).await;
+        let mut stream = connect(operators.address, REQUEST);
+        let answered = actix_rt::task::spawn_blocking(move || is_answered(&mut stream));
+        assert!(answered.await.expect("a thread"));
+    });
+}
--- a/crates/balsamd/src/limits.rs
+++ b/crates/balsamd/src/limits.rs
@@ -44,6 +44,13 @@
 const CALLERS_DESCRIPTORS_DIVISOR: u32 = 2;
 /// One in this many of the other descriptors is for connections that other instances open.
 const PEERS_DESCRIPTORS_DIVISOR: u32 = 4;
+/// Operators' connections and memory, beside one in this many of the callers': the platform's checks
+/// and a few operators use one each.
+const OPERATORS_DIVISOR: usize = 8;
+/// Fewest connections for operators: readiness, liveness, metrics and one operator.
+const OPERATORS_MIN_COUNT: usize = 4;
+/// Least memory for operators: that of these connections, and two long heads.
+const OPERATORS_MIN_BYTES: usize = OPERATORS_MIN_COUNT * BASE_BYTES + 2 * HEAD_BYTES;
 
 /// Memory of a connection: read and write buffers of 8 KiB each, the connection's and request's
 /// state.
@@ -126,6 +133,7 @@
 pub struct Limits(Rc<Shared>);
 
 struct Shared {
+    bounds: Bounds,
     account: RefCell<Account>,
     clients: RefCell<SecondaryMap<ClientKey, Weak<Client>>>,
     /// Notified when a client closes or releases memory.
@@ -153,6 +161,7 @@
         base_bytes: BASE_BYTES,
     };
     Limits(Rc::new(Shared {
+        bounds,
         account: RefCell::new(intake::new(bounds)),
         clients: RefCell::default(),
         freed: Notify::new(),
@@ -166,6 +175,31 @@
     }))
 }
 
+/// Returns limits for the operators' port with an account of its own: a readiness check that callers
+/// shut out would take the instance out of service.
+pub fn for_operators(limits: &Limits) -> Limits {
+    let shared = &limits.0;
+    let bounds = shared.bounds;
+    let bounds = Bounds {
+        memory_max_bytes: (bounds.memory_max_bytes / OPERATORS_DIVISOR).max(OPERATORS_MIN_BYTES),
+        clients_max_count: (bounds.clients_max_count / OPERATORS_DIVISOR).max(OPERATORS_MIN_COUNT),
+        ..bounds
+    };
+    Limits(Rc::new(Shared {
+        bounds,
+        account: RefCell::new(intake::new(bounds)),
+        clients: RefCell::default(),
+        freed: Notify::new(),
+        waiting: Cell::new(0),
+        peers: Cell::new(0),
+        peers_max_count: 0,
+        refused: shared.refused.clone(),
+        held: shared.held.clone(),
+        open: shared.open.clone(),
+        logged: RefCell::default(),
+    }))
+}
+
 /// Sets the gauges of the account.
 pub fn set_gauges(limits: &Limits) {
     let account = limits.0.account.borrow();
--- a/crates/balsamd/src/operators.rs
+++ b/crates/balsamd/src/operators.rs
@@ -54,7 +54,7 @@
         limits: limits.clone(),
     };
     let port_limits = PortLimits {
-        limits,
+        limits: limits::for_operators(&limits),
         body_max_bytes: BODY_MAX_BYTES,
     };
     let listener = http::bind("operators", listen.operators).await?;
