Split the limits of clients from the stream that enforces them

It keeps the account, the admission of connections and the state of each client; limited_stream.rs has the stream around the HTTP library and the reader of bodies, and imports limits, not the reverse. Admission no longer handles sockets. No change of behaviour: the tests of the HTTP server pass as before.

--- a/crates/balsamd/src/http.rs
+++ b/crates/balsamd/src/http.rs
@@ -16,7 +16,8 @@
 
 use crate::{
     error::StartError,
-    limits::{self, Admission, Cause, Client, LimitedStream, Limits},
+    limited_stream::{self, LimitedStream},
+    limits::{self, Admission, Cause, Client, Limits},
     supervise,
 };
 
@@ -157,7 +158,8 @@
     let payload = request.take_payload();
     if !matches!(payload, Payload::None) {
         let announced_bytes = announced_bytes(&request);
-        let body = limits::read_body(&client, payload, announced_bytes, body_max_bytes).await;
+        let body =
+            limited_stream::read_body(&client, payload, announced_bytes, body_max_bytes).await;
         let body = match body {
             Ok(body) => body,
             Err(cause) => return refusal(cause).map_body(|_, body| EitherBody::right(body)),
@@ -236,14 +238,18 @@
 where
     S: Service<(LimitedStream, Option<SocketAddr>)> + 'static,
 {
-    match limits::admit(limits, stream) {
-        Admission::Admitted(stream) => spawn_connection(&**service, stream, connections),
-        Admission::Waiting(stream) => {
+    match limits::admit(limits) {
+        Admission::Admitted(client) => {
+            let stream = limited_stream::open(stream, client);
+            spawn_connection(&**service, stream, connections);
+        }
+        Admission::Waiting => {
             let (service, limits) = (service.clone(), limits.clone());
             let connections = connections.clone();
             let tracked = connections.track();
             actix_rt::spawn(async move {
-                if let Some(stream) = limits::await_admission(&limits, stream).await {
+                if let Some(client) = limits::await_admission(&limits).await {
+                    let stream = limited_stream::open(stream, client);
                     spawn_connection(&*service, stream, &connections);
                 }
                 drop(tracked);
--- a/crates/balsamd/src/limits.rs
+++ b/crates/balsamd/src/limits.rs
@@ -1,21 +1,14 @@
-//! Limits for outside clients of the HTTP ports: the account of their memory, deadlines of heads,
-//! the least rate of bodies, and a stream that enforces them around the HTTP library.
+//! Limits for outside clients of all ports: the account of their memory and connections, and what
+//! each of them is doing.
 
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
-    future::poll_fn,
-    io,
-    pin::Pin,
     rc::{Rc, Weak},
-    task::{Context, Poll, Waker},
+    task::Waker,
     time::{Duration, Instant},
 };
 
-use actix_http::Payload;
-use actix_rt::time::{Sleep, sleep};
-use bytes::{Bytes, BytesMut};
-use futures_util::Stream;
 use intake::{Account, Bounds, ClientKey, Phase, Verdict};
 use model::{Level, LogLine};
 use opentelemetry::{
@@ -23,11 +16,7 @@
     metrics::{Counter, Gauge},
 };
 use slotmap::SecondaryMap;
-use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
-    sync::Notify,
-};
+use tokio::sync::Notify;
 
 use crate::metrics::InputMetrics;
 
@@ -55,33 +44,13 @@
 /// Memory of a connection: read and write buffers of 8 KiB each, the connection's and request's
 /// state.
 const BASE_BYTES: usize = 24 * 1024;
-/// Bytes read before the request's task gets a turn to take what was decoded from them.
-const TURN_BYTES: usize = 4 * 1024;
-/// Memory of the list of chunks that are decoded in a turn: 2,048 handles of 32 bytes.
-const CHUNKS_BYTES: usize = 64 * 1024;
-/// Part of a body that the HTTP library decodes ahead: 32 KiB and what it reads at a time.
-const PAYLOAD_BUFFER_BYTES: usize = 40 * 1024;
 /// Upper limit of a head: twice what the platform permits.
-const HEAD_MAX_BYTES: usize = 32 * 1024;
-/// Part of a head, or of requests sent ahead, that the base memory covers.
-const HEAD_BASE_BYTES: usize = 8 * 1024;
+pub const HEAD_MAX_BYTES: usize = 32 * 1024;
 /// Memory reserved for a longer head; its buffer doubles as it grows.
-const HEAD_BYTES: usize = 2 * HEAD_MAX_BYTES;
-/// Copies of a body that exist at the same time: as received, and as passed on.
-const BODY_COPIES_COUNT: usize = 2;
-
-/// Time limit for a head, from its first byte. Callers send theirs within 3 s.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
-/// Time that every body gets, as long as callers keep idle connections open.
-const BODY_GRACE: Duration = Duration::from_secs(15);
-/// Least rate of a body after that; a caller that sends single bytes reaches far more.
-const BODY_MIN_BYTES_PER_S: f64 = 4096.0;
-/// Time limit for a caller to read any part of its response.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(15);
+pub const HEAD_BYTES: usize = 2 * HEAD_MAX_BYTES;
+
 /// Time for which a refused body is still read, so that its refusal reaches the caller.
-const REFUSED_TIMEOUT: Duration = Duration::from_secs(1);
-/// Bytes of a refused body that are still read.
-const REFUSED_MAX_BYTES: usize = 256 * 1024;
+pub const REFUSED_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest wait of a connection for one that closes, which takes up to [`REFUSED_TIMEOUT`].
 const ADMISSION_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Connections that wait for others to close.
@@ -208,7 +177,7 @@
 }
 
 /// Counts a refusal, and logs it if its cause was not logged shortly before.
-fn report(limits: &Limits, cause: Cause) {
+pub fn report(limits: &Limits, cause: Cause) {
     let shared = &limits.0;
     let name = cause_name(cause);
     shared.refused.add(1, &[KeyValue::new("cause", name)]);
@@ -247,7 +216,8 @@
 
 /// State of a client's connection, shared by its stream and its requests.
 pub struct Client {
-    limits: Limits,
+    /// Limits that it is subject to.
+    pub limits: Limits,
     key: ClientKey,
     state: Cell<State>,
     /// Bytes received in the state.
@@ -260,10 +230,12 @@
 
 /// What is read from a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum State {
+pub enum State {
     /// Nothing since the last response.
     Idle,
+    /// A head.
     Head,
+    /// A body.
     Body,
     /// Requests sent ahead of the response.
     Ahead,
@@ -280,36 +252,24 @@
     }
 }
 
-/// Stream of a client's connection.
-pub struct LimitedStream {
-    stream: TcpStream,
-    /// State that the connection's requests share.
-    pub client: Rc<Client>,
-    turn_bytes: usize,
-    /// Whether the timer is that of a refused body.
-    is_refused: bool,
-    read_timer: Option<Pin<Box<Sleep>>>,
-    write_timer: Option<Pin<Box<Sleep>>>,
-}
-
 /// Result of a new connection.
 pub enum Admission {
     /// It is open.
-    Admitted(LimitedStream),
+    Admitted(Rc<Client>),
     /// It waits until another client closes; see [`await_admission`].
-    Waiting(TcpStream),
+    Waiting,
     /// It is closed.
     Refused,
 }
 
 /// Admits a connection at once if there is room, so that connections that have to wait delay no
 /// others.
-pub fn admit(limits: &Limits, stream: TcpStream) -> Admission {
+pub fn admit(limits: &Limits) -> Admission {
     let waiting = &limits.0.waiting;
     let can_wait = waiting.get() < WAITING_MAX_COUNT;
     let verdict = intake::open(&mut limits.0.account.borrow_mut(), can_wait, Instant::now());
     match verdict {
-        Verdict::Granted(key) => return Admission::Admitted(open(limits, key, stream)),
+        Verdict::Granted(key) => return Admission::Admitted(open(limits, key)),
         Verdict::Shed(key) => shed(limits, key),
         Verdict::Refused => {}
     }
@@ -318,11 +278,11 @@
         return Admission::Refused;
     }
     waiting.set(waiting.get() + 1);
-    Admission::Waiting(stream)
+    Admission::Waiting
 }
 
 /// Waits until another client closes; returns `None` if none does in time.
-pub async fn await_admission(limits: &Limits, stream: TcpStream) -> Option<LimitedStream> {
+pub async fn await_admission(limits: &Limits) -> Option<Rc<Client>> {
     let deadline = Instant::now() + ADMISSION_TIMEOUT;
     let key = loop {
         let freed = limits.0.freed.notified();
@@ -341,10 +301,10 @@
     if key.is_none() {
         report(limits, Cause::Connections);
     }
-    key.map(|key| open(limits, key, stream))
+    key.map(|key| open(limits, key))
 }
 
-fn open(limits: &Limits, key: ClientKey, stream: TcpStream) -> LimitedStream {
+fn open(limits: &Limits, key: ClientKey) -> Rc<Client> {
     let client = Rc::new(Client {
         limits: limits.clone(),
         key,
@@ -356,14 +316,7 @@
     });
     let weak = Rc::downgrade(&client);
     limits.0.clients.borrow_mut().insert(key, weak);
-    LimitedStream {
-        stream,
-        client,
-        turn_bytes: 0,
-        is_refused: false,
-        read_timer: None,
-        write_timer: None,
-    }
+    client
 }
 
 fn shed(limits: &Limits, key: ClientKey) {
@@ -382,7 +335,8 @@
     }
 }
 
-fn enter(client: &Client, state: State) {
+/// Starts a state of the client's connection.
+pub fn enter(client: &Client, state: State) {
     client.state.set(state);
     client.received_bytes.set(0);
     let phase = match state {
@@ -395,7 +349,7 @@
 }
 
 /// Releases all but the base memory.
-fn release_all(client: &Client) {
+pub fn release_all(client: &Client) {
     let bytes = client.reserved_bytes.replace(0);
     if bytes == 0 {
         return;
@@ -405,6 +359,39 @@
     shared.freed.notify_waiters();
 }
 
+/// Returns what is read from the connection.
+pub fn state(client: &Client) -> State {
+    client.state.get()
+}
+
+/// Returns the bytes received in the state.
+pub fn received_bytes(client: &Client) -> usize {
+    client.received_bytes.get()
+}
+
+/// Returns the memory reserved beyond the base.
+pub fn reserved_bytes(client: &Client) -> usize {
+    client.reserved_bytes.get()
+}
+
+/// Returns whether the connection is to be closed so that others are served.
+pub fn is_shed(client: &Client) -> bool {
+    client.is_shed.get()
+}
+
+/// Has the task woken when the client is shed or its state changes.
+pub fn set_waker(client: &Client, waker: &Waker) {
+    *client.waker.borrow_mut() = Some(waker.clone());
+}
+
+/// Counts received bytes.
+pub fn receive(client: &Client, count: usize) {
+    client
+        .received_bytes
+        .set(client.received_bytes.get() + count);
+    intake::receive(&mut client.limits.0.account.borrow_mut(), client.key, count);
+}
+
 /// Starts to serve a complete request.
 pub fn begin(client: &Client) {
     enter(client, State::Ahead);
@@ -420,7 +407,7 @@
 }
 
 /// Reserves memory at once; a client to be closed for it frees it for a later one.
-fn reserve_now(client: &Client, bytes: usize) -> bool {
+pub fn reserve_now(client: &Client, bytes: usize) -> bool {
     let limits = &client.limits;
     let now = Instant::now();
     let verdict = intake::reserve(&mut limits.0.account.borrow_mut(), client.key, bytes, now);
@@ -440,7 +427,7 @@
 }
 
 /// Reserves memory, and waits shortly for clients that are closed for it.
-async fn reserve(client: &Client, bytes: usize) -> bool {
+pub async fn reserve(client: &Client, bytes: usize) -> bool {
     if reserve_now(client, bytes) {
         return true;
     }
@@ -456,217 +443,3 @@
         }
     }
 }
-
-/// Reads a body whose announced length, if any, is within the limit.
-///
-/// # Errors
-///
-/// Returns the cause for which the request is refused, or `None` if the connection has failed.
-pub async fn read_body(
-    client: &Client,
-    mut payload: Payload,
-    announced_bytes: Option<usize>,
-    max_bytes: usize,
-) -> Result<Bytes, Option<Cause>> {
-    let refuse = |cause| {
-        enter(client, State::Refused);
-        release_all(client);
-        report(&client.limits, cause);
-        Some(cause)
-    };
-    release_all(client);
-    enter(client, State::Body);
-    if announced_bytes.is_some_and(|bytes| bytes > max_bytes) {
-        return Err(refuse(Cause::BodySize));
-    }
-    // Only a body without a length arrives in chunks that are smaller than what is read.
-    let buffered_bytes =
-        announced_bytes.map_or(CHUNKS_BYTES, |bytes| bytes.min(PAYLOAD_BUFFER_BYTES));
-    if !reserve(client, buffered_bytes).await {
-        return Err(refuse(Cause::Memory));
-    }
-    let mut body = BytesMut::new();
-    let start = Instant::now();
-    let mut timer = None;
-    loop {
-        let chunk = match next_chunk(client, &mut payload, &mut timer, start, body.len()).await {
-            Ok(Some(Ok(chunk))) => chunk,
-            Ok(Some(Err(_))) => return Err(None),
-            Ok(None) => return Ok(body.freeze()),
-            Err(cause) => return Err(refuse(cause)),
-        };
-        let length = body.len() + chunk.len();
-        if length > max_bytes {
-            return Err(refuse(Cause::BodySize));
-        }
-        if length > body.capacity() {
-            let whole_bytes = announced_bytes.unwrap_or(max_bytes);
-            let capacity = (2 * body.capacity()).clamp(length, whole_bytes.max(length));
-            let more_bytes = capacity - body.capacity();
-            if !reserve(client, more_bytes * BODY_COPIES_COUNT).await {
-                return Err(refuse(Cause::Memory));
-            }
-            let mut grown = BytesMut::with_capacity(capacity);
-            grown.extend_from_slice(&body);
-            body = grown;
-        }
-        body.extend_from_slice(&chunk);
-    }
-}
-
-/// Waits for the next chunk, until the client is shed or falls below the least rate.
-async fn next_chunk(
-    client: &Client,
-    payload: &mut Payload,
-    timer: &mut Option<Pin<Box<Sleep>>>,
-    start: Instant,
-    received_bytes: usize,
-) -> Result<Option<Result<Bytes, actix_http::error::PayloadError>>, Cause> {
-    let allowance = Duration::from_secs_f64(received_bytes as f64 / BODY_MIN_BYTES_PER_S);
-    let deadline = start + BODY_GRACE + allowance;
-    poll_fn(|context| {
-        if client.is_shed.get() {
-            return Poll::Ready(Err(Cause::Memory));
-        }
-        if let Poll::Ready(chunk) = Pin::new(&mut *payload).poll_next(context) {
-            return Poll::Ready(Ok(chunk));
-        }
-        *client.waker.borrow_mut() = Some(context.waker().clone());
-        // A timer that was set for fewer received bytes ends early, and is set again.
-        loop {
-            let wait = deadline.saturating_duration_since(Instant::now());
-            if wait.is_zero() {
-                return Poll::Ready(Err(Cause::BodyRate));
-            }
-            let sleeping = timer.get_or_insert_with(|| Box::pin(sleep(wait)));
-            match sleeping.as_mut().poll(context) {
-                Poll::Pending => return Poll::Pending,
-                Poll::Ready(()) => *timer = None,
-            }
-        }
-    })
-    .await
-}
-
-/// Polls a timer that starts at the first call; returns whether it has expired.
-fn is_expired(
-    timer: &mut Option<Pin<Box<Sleep>>>,
-    limit: Duration,
-    context: &mut Context<'_>,
-) -> bool {
-    let sleeping = timer.get_or_insert_with(|| Box::pin(sleep(limit)));
-    sleeping.as_mut().poll(context).is_ready()
-}
-
-fn fail(client: &Client, cause: Cause) -> Poll<io::Result<()>> {
-    report(&client.limits, cause);
-    Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()))
-}
-
-/// Checks the limits of the state before more is read; the stream is not read while this is
-/// pending.
-fn check_read(stream: &mut LimitedStream, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-    let client = &stream.client;
-    let received_bytes = client.received_bytes.get();
-    match client.state.get() {
-        State::Idle | State::Head if client.is_shed.get() => {
-            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
-        }
-        State::Head if received_bytes > HEAD_MAX_BYTES => return fail(client, Cause::HeadSize),
-        State::Head
-            if received_bytes > HEAD_BASE_BYTES
-                && client.reserved_bytes.get() == 0
-                && !reserve_now(client, HEAD_BYTES) =>
-        {
-            return fail(client, Cause::Memory);
-        }
-        State::Ahead if received_bytes > HEAD_BASE_BYTES => {
-            *client.waker.borrow_mut() = Some(context.waker().clone());
-            return Poll::Pending;
-        }
-        State::Refused => {
-            if !stream.is_refused {
-                stream.is_refused = true;
-                stream.read_timer = None;
-            }
-            let is_over = received_bytes > REFUSED_MAX_BYTES
-                || is_expired(&mut stream.read_timer, REFUSED_TIMEOUT, context);
-            if is_over {
-                return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
-            }
-        }
-        _ => {}
-    }
-    Poll::Ready(Ok(()))
-}
-
-impl AsyncRead for LimitedStream {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let this = self.get_mut();
-        match check_read(this, context) {
-            Poll::Ready(Ok(())) => {}
-            other => return other,
-        }
-        if this.turn_bytes >= TURN_BYTES {
-            this.turn_bytes = 0;
-            context.waker().wake_by_ref();
-            return Poll::Pending;
-        }
-        let before = buffer.filled().len();
-        let result = Pin::new(&mut this.stream).poll_read(context, buffer);
-        let client = &this.client;
-        if result.is_pending() {
-            this.turn_bytes = 0;
-            *client.waker.borrow_mut() = Some(context.waker().clone());
-            let is_late = client.state.get() == State::Head
-                && is_expired(&mut this.read_timer, HEAD_TIMEOUT, context);
-            return match is_late {
-                true => fail(client, Cause::HeadTime),
-                false => Poll::Pending,
-            };
-        }
-        let count = buffer.filled().len() - before;
-        this.turn_bytes += count;
-        if client.state.get() == State::Idle && count > 0 {
-            this.read_timer = None;
-            enter(client, State::Head);
-        }
-        client
-            .received_bytes
-            .set(client.received_bytes.get() + count);
-        intake::receive(&mut client.limits.0.account.borrow_mut(), client.key, count);
-        result
-    }
-}
-
-impl AsyncWrite for LimitedStream {
-    fn poll_write(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let this = self.get_mut();
-        let result = Pin::new(&mut this.stream).poll_write(context, bytes);
-        if result.is_ready() {
-            this.write_timer = None;
-            return result;
-        }
-        if is_expired(&mut this.write_timer, WRITE_TIMEOUT, context) {
-            report(&this.client.limits, Cause::UnreadResponse);
-            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
-        }
-        Poll::Pending
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_shutdown(context)
-    }
-}
--- a/crates/balsamd/src/main.rs
+++ b/crates/balsamd/src/main.rs
@@ -22,6 +22,7 @@
 mod gateway_messages;
 mod http;
 mod ingress;
+mod limited_stream;
 mod limits;
 mod metrics;
 mod operators;
