Test requests that arrive back to back on one connection

Guards against a limit that a caller within the limits meets: 32 requests without and with bodies, in chunks of one byte, and with heads of 16 KiB.

--- a/crates/balsamd/src/http/tests.rs
+++ b/crates/balsamd/src/http/tests.rs
@@ -35,6 +35,14 @@
 }
 
 async fn open_limited_port(delay: Duration, limits: limits::Limits) -> Port {
+    open_port_with(delay, limits, ConnectionType::Close).await
+}
+
+async fn open_port_with(
+    delay: Duration,
+    limits: limits::Limits,
+    connection_type: ConnectionType,
+) -> Port {
     let listener = bind("test", ([127, 0, 0, 1], 0).into())
         .await
         .expect("a free port");
@@ -49,9 +57,7 @@
             actix_rt::time::sleep(delay).await;
             count.set(count.get() + 1);
             let mut response = Response::with_body(StatusCode::OK, Bytes::from("done"));
-            response
-                .head_mut()
-                .set_connection_type(ConnectionType::Close);
+            response.head_mut().set_connection_type(connection_type);
             Ok::<_, Infallible>(response)
         }
     });
@@ -217,3 +223,41 @@
         assert!(answered.await.expect("a thread"));
     });
 }
+
+/// Guards against limits that requests meet which arrive back to back on one connection: with and
+/// without a body, with a head of 16 KiB, and more bytes than are read ahead.
+#[test]
+fn requests_sent_back_to_back_are_all_answered() {
+    actix_rt::System::new().block_on(async {
+        let delay = Duration::from_millis(20);
+        let port = open_port_with(delay, test_limits(None, None), ConnectionType::KeepAlive).await;
+        let filler = "a".repeat(16_000);
+        let requests = [
+            "GET / HTTP/1.1\r\nhost: a\r\n\r\n".to_owned(),
+            format!("POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 16000\r\n\r\n{filler}"),
+            format!("GET / HTTP/1.1\r\nhost: a\r\nx-filler: {filler}\r\n\r\n"),
+            format!(
+                "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n{}0\r\n\r\n",
+                "1\r\na\r\n".repeat(16_000)
+            ),
+        ];
+        let mut stream = connect(port.address, b"");
+        let mut writer = stream.try_clone().expect("a copy");
+        let sent = requests.concat().repeat(8);
+        let writing =
+            actix_rt::task::spawn_blocking(move || writer.write_all(sent.as_bytes()).is_ok());
+        let reading = actix_rt::task::spawn_blocking(move || {
+            let mut read = Vec::new();
+            let mut buffer = [0; 4096];
+            while read.windows(4).filter(|part| part == b"done").count() < 32 {
+                match stream.read(&mut buffer) {
+                    Ok(count) if count > 0 => read.extend_from_slice(&buffer[..count]),
+                    _ => break,
+                }
+            }
+            read.windows(4).filter(|part| part == b"done").count()
+        });
+        assert!(writing.await.expect("a thread"));
+        assert_eq!(reading.await.expect("a thread"), 32);
+    });
+}
