Let every refusal of an issuer state a wait

The wait then rounds to zero. By reading, an instance that asks its own bucket then repeats the question in a loop without an end, and another holder repeats its question at each answer; the test shows the zero wait, not the loop.

Change: an issuer that refuses states at least 1 ms.

Measured: a_refusal_always_has_a_wait failed before the change and passes with it.

--- a/crates/quota/src/issue.rs
+++ b/crates/quota/src/issue.rs
@@ -14,6 +14,9 @@
 /// Time for which a prefetched permit may be held: the window of the bound, within which the
 /// reserve is counted.
 pub(crate) const PREFETCH_TTL: std::time::Duration = WINDOW;
+/// Shortest wait that an issuer states. Less than a permit may be missing than the resolution of a
+/// duration covers; a wait of zero would have the holder ask again at the same instant.
+const WAIT_MIN: std::time::Duration = std::time::Duration::from_millis(1);
 /// Ratio of the bucket that prefetching leaves for requests that wait.
 const PREFETCH_FLOOR_RATIO: f64 = 0.5;
 
@@ -153,7 +156,7 @@
     let wait = match granted_count < wanted.0 {
         true => {
             let wait_s = (1.0 - bucket.level_count).max(0.0) / limits.per_s;
-            std::time::Duration::from_secs_f64(wait_s.min(SPAN_MAX.as_secs_f64()))
+            std::time::Duration::from_secs_f64(wait_s.min(SPAN_MAX.as_secs_f64())).max(WAIT_MIN)
         }
         false => std::time::Duration::ZERO,
     };
--- a/crates/quota/src/tests/units.rs
+++ b/crates/quota/src/tests/units.rs
@@ -233,3 +233,31 @@
     };
     assert_eq!(answer.granted_count, 11);
 }
+
+/// Guards against a refusal whose wait rounds to zero: the issuer would ask its own bucket again
+/// without an end, and another holder would repeat its question at once.
+#[test]
+fn a_refusal_always_has_a_wait() {
+    let start = Instant::now();
+    let cap = UsageCap {
+        per_s: 10.0,
+        burst_count: 0.0,
+    };
+    let mut quota = alone(start, cap);
+    let question = model::PermitQuestion {
+        question_id: 1,
+        organisation: "acme".to_owned(),
+        wanted_count: 1,
+        prefetch_count: 0,
+    };
+    // Ten times a tenth of a permit adds up to slightly less than one.
+    for step in 0..=10 {
+        let now = start + Duration::from_millis(10) * step;
+        let mut out = Vec::new();
+        on_question(&mut quota, now, OTHER.into(), &question, &mut out);
+        let Some(Output::Answer { answer, .. }) = out.pop() else {
+            panic!("no answer");
+        };
+        assert!(answer.granted_count > 0 || answer.wait > Duration::ZERO);
+    }
+}
