Leave a bucket as it is when other members come and go

Cause: the time since which an instance issues was derived from the members known at the moment (30 ms for each, and those that departed). Each change of their number moved it, and the bucket was replaced by one filled since then, that is by a full one, also 600 s after a departure; the record of prefetched permits was lost with it. An instance that became the issuer by a change of capacity or zone started at once, with all that would have accrued since its process started.

Change: each organisation records since when this instance is its issuer; a bucket accrues from then and is dropped only with the role. An instance that becomes the issuer in place of another waits 3 s in every case.

Measured: both tests failed before the change (a full bucket of 10 after a change of capacity) and pass with it.

--- a/crates/quota/src/hold.rs
+++ b/crates/quota/src/hold.rs
@@ -199,7 +199,7 @@
     let Some(organisation) = quota.organisations.get_mut(name) else {
         return;
     };
-    update_routes(&quota.view, organisation);
+    update_routes(&quota.view, organisation, now);
     let first = out.len();
     let to_ask = serve_or_select(quota.address, &quota.view, organisation, now, out);
     for output in &out[first..] {
--- a/crates/quota/src/issue.rs
+++ b/crates/quota/src/issue.rs
@@ -128,18 +128,8 @@
     let bucket = organisation.bucket.get_or_insert_with(|| Bucket {
         level_count: 0.0,
         at: since,
-        since,
         held: VecDeque::new(),
     });
-    if bucket.since != since {
-        // The issuer has changed in between.
-        *bucket = Bucket {
-            level_count: 0.0,
-            at: since,
-            since,
-            held: VecDeque::new(),
-        };
-    }
     accrue(bucket, &limits, now);
     let available = |level_count: f64| level_count.max(0.0) as u32;
     let granted_count = wanted.0.min(available(bucket.level_count));
--- a/crates/quota/src/state.rs
+++ b/crates/quota/src/state.rs
@@ -45,9 +45,9 @@
     /// Hash of the name.
     #[serde(skip)]
     pub(crate) hash: u64,
-    /// When this instance learned that the organisation has a cap.
+    /// From when on this instance, as the issuer of its zone, may issue; `None` if another is.
     #[serde(skip)]
-    pub(crate) since: Instant,
+    pub(crate) issuer_since: Option<Instant>,
     /// Number of times that the cap was lowered; an answer to a question from before is not used.
     pub(crate) lowered_count: u64,
     /// Zones that have a part, in the order in which this instance asks them.
@@ -161,9 +161,6 @@
     /// Up to when permits have accrued.
     #[serde(skip)]
     pub(crate) at: Instant,
-    /// When this instance became the issuer.
-    #[serde(skip)]
-    pub(crate) since: Instant,
     /// Grants of prefetched permits that may still be held, oldest first.
     #[serde(skip)]
     pub(crate) held: VecDeque<u64>,
@@ -253,18 +250,13 @@
     organisations.map(|(name, organisation)| (&**name, organisation))
 }
 
-pub(crate) fn new_organisation(
-    name: &str,
-    cap: UsageCap,
-    parts_count: usize,
-    now: Instant,
-) -> Organisation {
+pub(crate) fn new_organisation(name: &str, cap: UsageCap, parts_count: usize) -> Organisation {
     Organisation {
         cap,
         limits: limits(&cap, parts_count),
         counts: Counts::default(),
         hash: xxh3_64(name.as_bytes()),
-        since: now,
+        issuer_since: None,
         lowered_count: 0,
         routes: Vec::new(),
         routes_version: 0,
--- a/crates/quota/src/tests/units.rs
+++ b/crates/quota/src/tests/units.rs
@@ -261,3 +261,111 @@
         assert!(answer.granted_count > 0 || answer.wait > Duration::ZERO);
     }
 }
+
+/// Guards against a bucket that is full again whenever the number of known members changes.
+#[test]
+fn a_bucket_stays_as_it_is_when_others_join_or_are_forgotten() {
+    let start = Instant::now();
+    let cap = UsageCap {
+        per_s: 1.0,
+        burst_count: 9.0,
+    };
+    let mut quota = alone(start, cap);
+    let member = |name, port| Candidate {
+        name,
+        zone: "north",
+        address: ([127, 0, 0, 1], port).into(),
+        capacity_millicores: 1,
+    };
+    let own = Candidate {
+        capacity_millicores: 1_000_000,
+        ..member("a", 1)
+    };
+    let others = ["b", "c", "d", "e"].map(|name| member(name, 2));
+    let now = start + Duration::from_secs(100);
+    let mut granted_count = 0;
+    for others_count in [1, 2, 3, 4, 0] {
+        let mut candidates = others[..others_count].to_vec();
+        candidates.push(own);
+        let zones = ["north".to_owned()];
+        let view = FleetView {
+            own_name: "a",
+            own_zone: "north",
+            zones: &zones,
+            started_at: start,
+            is_alone: false,
+            has_heard: true,
+            candidates: &candidates,
+        };
+        // The last view comes after those that departed are forgotten.
+        set_view(&mut quota, now, &view);
+        if others_count == 0 {
+            let later = now + Duration::from_secs(601);
+            set_view(&mut quota, later, &view);
+        }
+        let question = model::PermitQuestion {
+            question_id: 1,
+            organisation: "acme".to_owned(),
+            wanted_count: 100,
+            prefetch_count: 0,
+        };
+        let mut out = Vec::new();
+        on_question(&mut quota, now, OTHER.into(), &question, &mut out);
+        let Some(Output::Answer { answer, .. }) = out.pop() else {
+            panic!("no answer");
+        };
+        assert!(answer.is_issuer);
+        granted_count += answer.granted_count;
+    }
+    assert_eq!(granted_count, 10);
+}
+
+/// Guards against a new issuer that starts with what would have accrued before it was the issuer.
+#[test]
+fn an_issuer_that_takes_over_without_a_departure_starts_empty() {
+    let start = Instant::now();
+    let cap = UsageCap {
+        per_s: 1.0,
+        burst_count: 9.0,
+    };
+    let mut quota = alone(start, cap);
+    let zones = ["north".to_owned()];
+    for (at_s, capacity_millicores, expected) in [
+        (100, 1_000_000, None),
+        (101, 1, None),
+        (104, 1, Some(0)),
+        (106, 1, Some(2)),
+    ] {
+        let now = start + Duration::from_secs(at_s);
+        let candidates = [("a", 1, 1_000), ("b", 2, capacity_millicores)];
+        let candidates = candidates.map(|(name, port, capacity_millicores)| Candidate {
+            name,
+            zone: "north",
+            address: ([127, 0, 0, 1], port).into(),
+            capacity_millicores,
+        });
+        let view = FleetView {
+            own_name: "a",
+            own_zone: "north",
+            zones: &zones,
+            started_at: start,
+            is_alone: false,
+            has_heard: true,
+            candidates: &candidates,
+        };
+        set_view(&mut quota, now, &view);
+        let question = model::PermitQuestion {
+            question_id: 1,
+            organisation: "acme".to_owned(),
+            wanted_count: 100,
+            prefetch_count: 0,
+        };
+        let mut out = Vec::new();
+        on_question(&mut quota, now, OTHER.into(), &question, &mut out);
+        let Some(Output::Answer { answer, .. }) = out.pop() else {
+            panic!("no answer");
+        };
+        let granted_count = answer.is_issuer.then_some(answer.granted_count);
+        assert_eq!(granted_count, expected, "at {at_s} s");
+    }
+}
--- a/crates/quota/src/tick.rs
+++ b/crates/quota/src/tick.rs
@@ -35,13 +35,13 @@
     for (name, cap) in caps {
         let entry = old.remove_entry(name);
         let (name, mut organisation) = entry.unwrap_or_else(|| {
-            let organisation = new_organisation(name, cap, parts_count, now);
+            let organisation = new_organisation(name, cap, parts_count);
             (Arc::from(name), organisation)
         });
         if organisation.cap != cap {
             change_cap(&mut organisation, now, cap);
         }
-        update_routes(&quota.view, &mut organisation);
+        update_routes(&quota.view, &mut organisation, now);
         quota.organisations.insert(name, organisation);
     }
     for organisation in old.into_values() {
--- a/crates/quota/src/view.rs
+++ b/crates/quota/src/view.rs
@@ -128,7 +128,7 @@
     view.ready_at = ready_at(view, fleet);
     if is_changed {
         for organisation in quota.organisations.values_mut() {
-            update_routes(&quota.view, organisation);
+            update_routes(&quota.view, organisation, now);
         }
     }
 }
@@ -178,7 +178,7 @@
 }
 
 /// Selects the zones that have a part of an organisation's cap and their issuers.
-pub(crate) fn update_routes(view: &View, organisation: &mut Organisation) {
+pub(crate) fn update_routes(view: &View, organisation: &mut Organisation, now: Instant) {
     if organisation.routes_version == view.version && !organisation.routes.is_empty() {
         return;
     }
@@ -218,6 +218,14 @@
     organisation.limits = limits(&organisation.cap, parts_count);
     if !is_issuer(view, organisation) {
         organisation.bucket = None;
+        organisation.issuer_since = None;
+    } else if organisation.issuer_since.is_none() {
+        // Another member has been the issuer, unless the cap is new here.
+        let delay = match old.is_empty() {
+            true => Duration::ZERO,
+            false => TAKEOVER_DELAY,
+        };
+        organisation.issuer_since = Some(now + delay);
     }
 }
 
@@ -237,15 +245,14 @@
 
 /// Returns since when this instance issues permits of an organisation; `None` if it does not.
 ///
-/// A member that departed counts for [`TAKEOVER_DELAY`] longer.
+/// A member that departed counts for [`TAKEOVER_DELAY`] longer: where a cap is new to this instance,
+/// it may have been the issuer.
 pub(crate) fn issuing_since(
     view: &View,
     organisation: &Organisation,
     now: Instant,
 ) -> Option<Instant> {
-    if !is_issuer(view, organisation) {
-        return None;
-    }
+    let issuer_since = organisation.issuer_since?;
     let hash = organisation.hash;
     let own_score = score(hash, view.members.get(&view.own_name)?);
     let rivals = view.members.values().filter(|member| {
@@ -254,7 +261,7 @@
             && score(hash, member) < own_score
     });
     let taken_over_at = rivals.filter_map(|member| member.departed_at).max();
-    let since = view.ready_at?.max(organisation.since);
+    let since = view.ready_at?.max(issuer_since);
     let since = taken_over_at.map_or(since, |at| since.max(at + TAKEOVER_DELAY));
     (now >= since).then_some(since)
 }
