Log which organisations an instance issues for and refuses

Cause: the log did not show when an instance started or stopped to issue permits of an organisation, nor when an organisation began or ceased to be refused for its cap; the specification asks for a line per change.

Change: quota::changes compares the state with what was reported; tier::quota logs it at each tick.

--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -18,6 +18,7 @@
 mod hold;
 mod issue;
 mod limits;
+mod report;
 mod state;
 mod tick;
 mod view;
@@ -30,6 +31,7 @@
 };
 pub use issue::{on_question, on_return};
 pub use limits::{Limits, limits};
+pub use report::{Change, changes};
 pub use state::{
     Counts, Organisation, Output, Permit, PermitSource, Quota, Refusal, is_used, new_state,
     organisations,
--- a/crates/quota/src/state.rs
+++ b/crates/quota/src/state.rs
@@ -12,7 +12,7 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{Limits, limits::limits, view::View};
+use crate::{Limits, limits::limits, report::Reported, view::View};
 
 /// Caps of all organisations, with the permits that this instance holds and issues.
 #[derive(Clone, Debug)]
@@ -71,6 +71,9 @@
     pub(crate) arrived_count: u32,
     /// The bucket, while this instance issues.
     pub(crate) bucket: Option<Bucket>,
+    /// What operators have been told.
+    #[serde(skip)]
+    pub(crate) reported: Reported,
 }
 
 /// What an instance counts for an organisation.
@@ -266,5 +269,6 @@
         demand_per_s: 0.0,
         arrived_count: 0,
         bucket: None,
+        reported: Reported::default(),
     }
 }
--- a/crates/quota/src/tests/units.rs
+++ b/crates/quota/src/tests/units.rs
@@ -14,7 +14,7 @@
 const OTHER: ([u8; 4], u16) = ([127, 0, 0, 1], 2);
 const WAIT: Duration = Duration::from_millis(60);
 
-fn alone(now: Instant, cap: UsageCap) -> Quota {
+pub(crate) fn alone(now: Instant, cap: UsageCap) -> Quota {
     let mut quota = new_state(OWN.into(), 1);
     let zones = ["north".to_owned()];
     let candidate = Candidate {
--- a/crates/tier/src/quota.rs
+++ b/crates/tier/src/quota.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Instant};
 
-use ::quota::{Candidate, FleetView};
+use ::quota::{Candidate, Change, FleetView};
 use model::{Effect, Level, LogLine, Message};
 
 use crate::{State, completion, gateway::has_other_seeds};
@@ -45,9 +45,26 @@
     let mut outputs = Vec::new();
     let elapsed = state.settings.fleet.tick;
     ::quota::tick(&mut gateway.quota, now, elapsed, &mut outputs);
+    for (organisation, change) in ::quota::changes(&mut gateway.quota, now) {
+        out.push(Effect::Log(change_log_line(&organisation, change)));
+    }
     ::gateway::process_permits(gateway, now, outputs, out);
 }
 
+fn change_log_line(organisation: &str, change: Change) -> LogLine {
+    let event = match change {
+        Change::IssuingStarted => "permit-issuing-started",
+        Change::IssuingStopped => "permit-issuing-stopped",
+        Change::RefusingStarted => "cap-refusals-started",
+        Change::RefusingEnded { .. } => "cap-refusals-ended",
+    };
+    let line = LogLine::new(Level::Info, event).with("organisation", organisation);
+    match change {
+        Change::RefusingEnded { refused_count } => line.with("refused_count", refused_count),
+        _ => line,
+    }
+}
+
 /// Tells the caps which instances may issue permits.
 pub(crate) fn update_view(state: &mut State, now: Instant) {
     let is_alone = !has_other_seeds(&state.settings);
