Wait for an overdue permit as long as the request can wait

Cause: where the only issuer had not answered after 20 ms, all waiting requests were refused with 503 at once, although its answer is used up to 500 ms and a request may wait 60 ms. An issuer on a machine with a tenth of a core regularly answers later than 20 ms. A wait shorter than 20 ms was never ended in time: its timer came after 20 ms.

Change: where no other issuer can be asked, requests wait for the overdue answer to their limit, at most 60 ms after the question; a failed connection ends the wait. The last timer is at the limit. A request that reaches its limit while the question is open gets 503, not 429 with a wait of zero.

--- a/crates/gateway/src/permit.rs
+++ b/crates/gateway/src/permit.rs
@@ -45,6 +45,9 @@
     /// Its arrival.
     #[serde(skip)]
     pub arrived_at: Instant,
+    /// When it is refused at the latest.
+    #[serde(skip)]
+    pub wait_until: Instant,
     /// Hash of the caller's key.
     #[serde(skip)]
     pub key_hash: Option<KeyHash>,
@@ -81,19 +84,23 @@
         request,
         key_hash,
         arrived_at: now,
+        wait_until: now + wait_max,
         is_quarantined: false,
     };
     gateway.held.insert(caller, held);
     process(gateway, now, outputs, out);
-    if gateway.held.contains_key(&caller) {
-        set_timer(caller, out);
-    }
+    set_timer(gateway, now, caller, out);
 }
 
-fn set_timer(caller: CallerKey, out: &mut Vec<Effect>) {
+/// Has a request that waits looked at again, at its limit at the latest.
+fn set_timer(gateway: &Gateway, now: Instant, caller: CallerKey, out: &mut Vec<Effect>) {
+    let Some(held) = gateway.held.get(&caller) else {
+        return;
+    };
+    let left = held.wait_until.saturating_duration_since(now);
     out.push(Effect::SetTimer {
         timer: Timer::Permit(caller),
-        after: CHECK_INTERVAL,
+        after: CHECK_INTERVAL.min(left),
     });
 }
 
@@ -114,7 +121,7 @@
 ) {
     let mut outputs = Vec::new();
     if quota::on_wait_timer(&mut gateway.quota, now, caller, &mut outputs) {
-        set_timer(caller, out);
+        set_timer(gateway, now, caller, out);
     }
     process(gateway, now, outputs, out);
 }
--- a/crates/gateway/src/tests/permits.rs
+++ b/crates/gateway/src/tests/permits.rs
@@ -6,7 +6,7 @@
 };
 
 use model::{
-    CallerKey, Effect, HttpRequest, HttpResponse, Message, NotRunReason, Outcome, UsageCap,
+    CallerKey, Effect, HttpRequest, HttpResponse, Message, NotRunReason, Outcome, Timer, UsageCap,
 };
 use quota::{Candidate, FleetView};
 use rstest::rstest;
@@ -166,3 +166,23 @@
     assert_eq!(reason, expected);
     assert!(gateway.held.is_empty());
 }
+
+/// Guards against a request that waits for a permit for longer than a quarter of its goal of 100 ms.
+#[test]
+fn the_last_timer_of_a_waiting_request_is_at_its_limit() {
+    let (mut gateway, now) = gateway(&single_service_front(true), "other");
+    let mut callers: SlotMap<CallerKey, ()> = SlotMap::with_key();
+    let caller = callers.insert(());
+    let mut out = send(&mut gateway, now, caller, "acme");
+    let mut waited = Duration::ZERO;
+    while let Some(after) = out.iter().find_map(|effect| match effect {
+        Effect::SetTimer { timer, after } if *timer == Timer::Permit(caller) => Some(*after),
+        _ => None,
+    }) {
+        waited += after;
+        out.clear();
+        on_permit_timer(&mut gateway, now + waited, caller, &mut out);
+    }
+    assert!(refusal(&out).is_some());
+    assert_eq!(waited, Duration::from_millis(25));
+}
--- a/crates/quota/src/hold.rs
+++ b/crates/quota/src/hold.rs
@@ -19,6 +19,10 @@
 /// Time without an answer after which the next zone is asked: a third of the longest wait of a
 /// request, so that three zones can be asked.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(20);
+/// Time after the question up to which requests wait for an overdue answer if no other issuer can be
+/// asked: the longest wait of a request. An issuer whose machine is busy answers after tens of
+/// milliseconds.
+const ANSWER_WAIT: Duration = Duration::from_millis(60);
 /// Time for which an issuer that did not answer, or does not issue, is not asked.
 const UNREACHABLE_BACKOFF: Duration = Duration::from_millis(200);
 /// Most permits of one question.
@@ -101,6 +105,9 @@
     {
         organisation.asked = None;
         set_unreachable(organisation, asked.route_index, now);
+        if let Some(route) = organisation.routes.get_mut(asked.route_index) {
+            route.awaited_until = Some(asked.at + ANSWER_WAIT);
+        }
     }
     advance(quota, now, &name, out);
     quota.waiting.contains_key(&caller)
@@ -110,10 +117,18 @@
 pub fn on_unreachable(quota: &mut Quota, now: Instant, address: SocketAddr, out: &mut Vec<Output>) {
     let organisations = quota.organisations.iter_mut();
     let asked = organisations.filter_map(|(name, organisation)| {
-        let asked = organisation.asked.filter(|asked| asked.issuer == address)?;
-        organisation.asked = None;
-        set_unreachable(organisation, asked.route_index, now);
-        Some(name.clone())
+        let mut is_awaited = false;
+        for route in &mut organisation.routes {
+            if route.issuer == Some(address) {
+                is_awaited |= route.awaited_until.take().is_some();
+            }
+        }
+        let asked = organisation.asked.filter(|asked| asked.issuer == address);
+        if let Some(asked) = asked {
+            organisation.asked = None;
+            set_unreachable(organisation, asked.route_index, now);
+        }
+        (is_awaited || asked.is_some()).then(|| name.clone())
     });
     let names: Vec<Arc<str>> = asked.collect();
     for name in names {
@@ -148,6 +163,7 @@
     }
     let mut routes = organisation.routes.iter_mut();
     if let Some(route) = routes.find(|route| route.zone == question.zone && !is_late) {
+        route.awaited_until = None;
         route.is_unreachable = !answer.is_issuer;
         route.refused_until = if !answer.is_issuer {
             Some(now + UNREACHABLE_BACKOFF)
@@ -279,7 +295,9 @@
     out: &mut Vec<Output>,
 ) -> Option<(usize, SocketAddr)> {
     loop {
-        let refusal = match organisation.routes.iter().any(|route| route.is_unreachable) {
+        let is_unknown = organisation.routes.iter().any(|route| route.is_unreachable)
+            || organisation.asked.is_some();
+        let refusal = match is_unknown {
             true => Refusal::Unreachable,
             false => Refusal::OverCap(shortest_wait(organisation, now)),
         };
@@ -291,6 +309,10 @@
         let mut routes = organisation.routes.iter();
         let askable = routes.position(|route| route.refused_until.is_none_or(|at| now >= at));
         let Some(index) = askable else {
+            let mut awaited = organisation.routes.iter().filter_map(|r| r.awaited_until);
+            if awaited.any(|until| now < until) {
+                return None;
+            }
             let is_unreachable = organisation.routes.iter().any(|route| route.is_unreachable);
             let refusal = match is_unreachable || organisation.routes.is_empty() {
                 true => Refusal::Unreachable,
--- a/crates/quota/src/state.rs
+++ b/crates/quota/src/state.rs
@@ -104,6 +104,9 @@
     /// When the issuer is asked again.
     #[serde(skip)]
     pub(crate) refused_until: Option<Instant>,
+    /// Until when requests wait for an answer that is overdue.
+    #[serde(skip)]
+    pub(crate) awaited_until: Option<Instant>,
     /// Whether it is not asked because it cannot be reached, rather than because it has no permit.
     pub(crate) is_unreachable: bool,
 }
--- a/crates/quota/src/tests/units.rs
+++ b/crates/quota/src/tests/units.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     Candidate, FleetView, Output, Quota, Refusal, limits, new_state, on_answer, on_question,
-    on_return, request, set_caps, set_view, tick,
+    on_return, on_unreachable, on_wait_timer, request, set_caps, set_view, tick,
 };
 
 const OWN: ([u8; 4], u16) = ([127, 0, 0, 1], 1);
@@ -369,3 +369,80 @@
         assert_eq!(granted_count, expected, "at {at_s} s");
     }
 }
+
+/// Guards against a request that is refused while an issuer that answers late may still grant its
+/// permit within the time that the request can wait, and against one that waits for an issuer that
+/// is known to be unreachable.
+#[test]
+fn a_request_waits_its_time_for_a_late_answer() {
+    let start = Instant::now();
+    let cap = UsageCap {
+        per_s: 1.0,
+        burst_count: 5.0,
+    };
+    let caller = CallerKey::default();
+    let at = |ms| start + Duration::from_millis(ms);
+    let asked = || {
+        let mut holder = with_issuer(start, cap);
+        let mut out = Vec::new();
+        request(&mut holder, start, "acme", caller, WAIT, &mut out);
+        let Some(Output::Ask { question, .. }) = out.pop() else {
+            panic!("no question");
+        };
+        assert!(on_wait_timer(&mut holder, at(20), caller, &mut out));
+        assert!(on_wait_timer(&mut holder, at(40), caller, &mut out));
+        assert_eq!(out, []);
+        (holder, question)
+    };
+    let refused = Output::Refused {
+        caller,
+        refusal: Refusal::Unreachable,
+    };
+
+    let (mut holder, question) = asked();
+    let answer = PermitAnswer {
+        question_id: question.question_id,
+        granted_count: 1,
+        prefetched_count: 0,
+        grant_id: 0,
+        wait: Duration::ZERO,
+        is_issuer: true,
+    };
+    let mut out = Vec::new();
+    on_answer(&mut holder, at(50), OTHER.into(), &answer, &mut out);
+    assert!(matches!(out[..], [Output::Admitted { .. }]), "{out:?}");
+
+    let (mut holder, _) = asked();
+    let mut out = Vec::new();
+    assert!(!on_wait_timer(&mut holder, at(60), caller, &mut out));
+    assert_eq!(out, [refused.clone()]);
+    // The issuer has not answered; the next request does not wait for it.
+    let mut out = Vec::new();
+    request(&mut holder, at(61), "acme", caller, WAIT, &mut out);
+    assert_eq!(out, [refused.clone()]);
+
+    let (mut holder, _) = asked();
+    let mut out = Vec::new();
+    on_unreachable(&mut holder, at(45), OTHER.into(), &mut out);
+    assert_eq!(out, [refused]);
+}
+
+/// Guards against a refusal for the cap before any issuer has said that it is used up, where the
+/// time that a request can wait is shorter than the time that an issuer has to answer.
+#[test]
+fn a_request_without_an_answer_is_not_refused_for_its_cap() {
+    let now = Instant::now();
+    let cap = UsageCap {
+        per_s: 1.0,
+        burst_count: 5.0,
+    };
+    let mut holder = with_issuer(now, cap);
+    let caller = CallerKey::default();
+    let wait = Duration::from_millis(10);
+    let mut out = Vec::new();
+    request(&mut holder, now, "acme", caller, wait, &mut out);
+    out.clear();
+    assert!(!on_wait_timer(&mut holder, now + wait, caller, &mut out));
+    let refusal = Refusal::Unreachable;
+    assert_eq!(out, [Output::Refused { caller, refusal }]);
+}
--- a/crates/quota/src/view.rs
+++ b/crates/quota/src/view.rs
@@ -200,17 +200,15 @@
         let present = present.filter(|(_, m)| m.departed_at.is_none() && m.zone == *zone);
         let issuer = present.min_by(|(_, a), (_, b)| score(hash, a).total_cmp(&score(hash, b)));
         let address = issuer.map(|(_, member)| member.address);
-        let old = old.iter();
-        let mut old = old.filter(|old| old.zone == *zone && old.issuer == address);
-        let (refused_until, is_unreachable) = old
-            .next()
-            .map_or((None, false), |old| (old.refused_until, old.is_unreachable));
+        let mut old = old.iter();
+        let old = old.find(|old| old.zone == *zone && old.issuer == address);
         organisation.routes.push(Route {
             zone: zone.clone(),
             issuer: address,
             issuer_name: issuer.map(|(name, _)| name.clone()),
-            refused_until,
-            is_unreachable,
+            refused_until: old.and_then(|old| old.refused_until),
+            awaited_until: old.and_then(|old| old.awaited_until),
+            is_unreachable: old.is_some_and(|old| old.is_unreachable),
         });
     }
     // Indices of routes have changed; a late answer finds its route by the zone.
