--- a/crates/quota/src/tests/units.rs
+++ b/crates/quota/src/tests/units.rs
@@ -415,11 +415,11 @@
     let (mut holder, _) = asked();
     let mut out = Vec::new();
     assert!(!on_wait_timer(&mut holder, at(60), caller, &mut out));
-    assert_eq!(out, [refused.clone()]);
+    assert_eq!(out, std::slice::from_ref(&refused));
     // The issuer has not answered; the next request does not wait for it.
     let mut out = Vec::new();
     request(&mut holder, at(61), "acme", caller, WAIT, &mut out);
-    assert_eq!(out, [refused.clone()]);
+    assert_eq!(out, std::slice::from_ref(&refused));
 
     let (mut holder, _) = asked();
     let mut out = Vec::new();
