Ask no unavailable instance for permits

Change: an instance whose connection fails, or that says that it issues nothing, is asked for no organisation for 0.5 s. One that answers late is not affected.

--- a/crates/quota/src/hold.rs
+++ b/crates/quota/src/hold.rs
@@ -25,6 +25,9 @@
 const ANSWER_WAIT: Duration = Duration::from_millis(60);
 /// Time for which an issuer that did not answer, or does not issue, is not asked.
 const UNREACHABLE_BACKOFF: Duration = Duration::from_millis(200);
+/// Time for which an instance that is gone or issues nothing yet is not asked for any organisation. A
+/// restarted one issues after seconds, and a request has time for few questions.
+const UNAVAILABLE_BACKOFF: Duration = Duration::from_millis(500);
 /// Most permits of one question.
 const WANTED_MAX_COUNT: u32 = 1000;
 /// Demand that prefetched permits cover, in seconds: several round trips between zones.
@@ -115,6 +118,7 @@
 
 /// Handles an instance that cannot be reached: questions to it are not answered.
 pub fn on_unreachable(quota: &mut Quota, now: Instant, address: SocketAddr, out: &mut Vec<Output>) {
+    set_unavailable(quota, now, address);
     let organisations = quota.organisations.iter_mut();
     let asked = organisations.filter_map(|(name, organisation)| {
         let mut is_awaited = false;
@@ -158,6 +162,12 @@
         organisation.asked = None;
     }
     let is_late = now >= question.asked_at + TRANSIT_MAX;
+    if !answer.is_issuer && !is_late {
+        set_unavailable(quota, now, from);
+    }
+    let Some(organisation) = quota.organisations.get_mut(&question.organisation) else {
+        return true;
+    };
     if !is_late && organisation.lowered_count == question.lowered_count {
         add_permits(organisation, from, &question, answer);
     }
@@ -166,7 +176,7 @@
         route.awaited_until = None;
         route.is_unreachable = !answer.is_issuer;
         route.refused_until = if !answer.is_issuer {
-            Some(now + UNREACHABLE_BACKOFF)
+            Some(now + UNAVAILABLE_BACKOFF)
         } else if answer.granted_count < question.wanted_count {
             Some(now + answer.wait)
         } else {
@@ -203,6 +213,16 @@
         .extend((0..prefetched_count).map(|_| permit));
 }
 
+/// Keeps all organisations from asking an instance for a while.
+fn set_unavailable(quota: &mut Quota, now: Instant, address: SocketAddr) {
+    let organisations = quota.organisations.values_mut();
+    let routes = organisations.flat_map(|organisation| &mut organisation.routes);
+    for route in routes.filter(|route| route.issuer == Some(address)) {
+        route.refused_until = Some(now + UNAVAILABLE_BACKOFF);
+        route.is_unreachable = true;
+    }
+}
+
 fn set_unreachable(organisation: &mut Organisation, route_index: usize, now: Instant) {
     if let Some(route) = organisation.routes.get_mut(route_index) {
         route.refused_until = Some(now + UNREACHABLE_BACKOFF);
--- a/crates/quota/src/tests/units.rs
+++ b/crates/quota/src/tests/units.rs
@@ -446,3 +446,40 @@
     let refusal = Refusal::Unreachable;
     assert_eq!(out, [Output::Refused { caller, refusal }]);
 }
+
+/// Guards against each organisation's requests spending their short wait on an instance that has
+/// just shown, for another organisation, that it is gone or issues nothing yet.
+#[test]
+fn an_unavailable_instance_is_asked_for_no_organisation() {
+    let start = Instant::now();
+    let cap = UsageCap {
+        per_s: 1.0,
+        burst_count: 5.0,
+    };
+    let mut holder = with_issuer(start, cap);
+    let caps = [("acme", cap), ("other", cap)];
+    set_caps(&mut holder, start, caps.into_iter(), &mut Vec::new());
+    let mut out = Vec::new();
+    let caller = CallerKey::default();
+    request(&mut holder, start, "acme", caller, WAIT, &mut out);
+    let [Output::Ask { question, .. }] = &out[..] else {
+        panic!("no question: {out:?}");
+    };
+    let answer = PermitAnswer {
+        question_id: question.question_id,
+        granted_count: 0,
+        prefetched_count: 0,
+        grant_id: 0,
+        wait: Duration::ZERO,
+        is_issuer: false,
+    };
+    on_answer(&mut holder, start, OTHER.into(), &answer, &mut out);
+    out.clear();
+    let now = start + Duration::from_millis(300);
+    request(&mut holder, now, "other", caller, WAIT, &mut out);
+    assert!(!out.iter().any(|o| matches!(o, Output::Ask { .. })));
+    out.clear();
+    let now = start + Duration::from_millis(501);
+    request(&mut holder, now, "other", caller, WAIT, &mut out);
+    assert!(out.iter().any(|o| matches!(o, Output::Ask { .. })));
+}
