Predict latency from the work figure that targets state

Cause: the fourth figure of a load report, how long work currently takes, was dropped, and an instance learned the speed of a target from few, noisy replies.

Change: the figure is decoded and bounded. Latency is kept relative to it and predicted from its mean and last value; the age at which it expires follows from its measured autocorrelation. Targets without the figure are selected as before. Dump, status and gauge show the estimates and the observed spread. A simulation compares the selection with three figures, round robin and an oracle.

--- a/crates/balsamd/src/metrics.rs
+++ b/crates/balsamd/src/metrics.rs
@@ -64,7 +64,7 @@
 
 /// Creates the gauges; [`set_gauges`] updates them at each scrape.
 pub fn create_gauges(metrics: &Metrics) -> Gauges {
-    let values: [(&str, ReadStatus); 10] = [
+    let values: [(&str, ReadStatus); 11] = [
         ("revision", |status| status.revision),
         ("confirmed_ms", |status| {
             status.confirmed_ms.unwrap_or(NEVER_CONFIRMED_MS)
@@ -79,6 +79,9 @@
         ("targets_unreachable", |status| {
             status.unreachable_targets_count
         }),
+        ("load_spread_percent", |status| {
+            status.load_spread_percent.unwrap_or(0)
+        }),
     ];
     let gauges = values.map(|(name, value)| {
         let name = format!("balsamd_{name}");
--- a/crates/gateway/src/completion.rs
+++ b/crates/gateway/src/completion.rs
@@ -10,7 +10,7 @@
 use crate::{
     Attempt, Gateway, PartState,
     budget::ExtraCall,
-    health, latency,
+    health, latency, load,
     log_line::{elapsed_ms, target_log_line},
     rate_limit, relay,
     respond::{finish_if_decided, finish_with_reply, remove_exchange},
@@ -153,8 +153,8 @@
     if reply.status != ReplyStatus::Misdirected {
         health.last_reply_at = Some(now);
     }
-    if let Some(load) = reply.report.load {
-        health.load = Some((load, now));
+    if let Some(report) = reply.report.load {
+        load::record_report(&mut health.load, report, now);
     }
     if reply.status != ReplyStatus::Misdirected {
         record_report(gateway, now, attempt, &reply.report, out);
@@ -173,8 +173,12 @@
             if let Some(latency) = health.latency.entry(attempt.front) {
                 latency::observe(latency.or_default(), took);
             }
+            let normal = load::record_latency(&mut health.load, attempt.front, took);
             if let Some(stats) = gateway.front_stats.get_mut(attempt.front) {
                 latency::observe(&mut stats.latency, took);
+                if let Some(normal) = normal {
+                    latency::observe(&mut stats.normal_latency, normal);
+                }
             }
         }
         ReplyStatus::Misdirected => {
--- a/crates/gateway/src/health.rs
+++ b/crates/gateway/src/health.rs
@@ -5,11 +5,11 @@
     time::{Duration, Instant},
 };
 
-use model::{AttemptKey, FrontKey, SlotLoad};
+use model::{AttemptKey, FrontKey};
 use serde::Serialize;
 use slotmap::SecondaryMap;
 
-use crate::{latency::LatencyEstimate, rate_limit::RateLimit};
+use crate::{latency::LatencyEstimate, load::TargetLoad, rate_limit::RateLimit};
 
 /// Weight of an attempt in the moving average of failures; about the last five attempts count.
 const FAILURE_WEIGHT: f64 = 0.2;
@@ -45,9 +45,8 @@
     /// End of the backoff, during which other targets are preferred.
     #[serde(skip)]
     pub backoff_until: Option<Instant>,
-    /// Last load report and when it arrived.
-    #[serde(skip)]
-    pub load: Option<(SlotLoad, Instant)>,
+    /// What it states about its load.
+    pub load: TargetLoad,
     /// Until when it wants no requests from this instance, as it has stated.
     #[serde(skip)]
     pub paused_until: Option<Instant>,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod health;
 mod isolation;
 mod latency;
+mod load;
 mod log_line;
 mod merge;
 mod rate_limit;
@@ -43,6 +44,7 @@
 pub use completion::{on_attempt_failure, on_attempt_reply, on_caller_gone, on_quarantined};
 pub use health::{Health, is_in_backoff};
 pub use latency::LatencyEstimate;
+pub use load::{LoadSummary, TargetLoad, WorkEstimate};
 pub use merge::greatest_records;
 pub use rate_limit::{
     RateLimit, ShareHolder, ShareHolders, mark_rate_limits_sent, merge_rate_limits,
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -6,12 +6,10 @@
 use model::{FrontKey, ServiceKey, TargetKey};
 use rand::RngExt;
 
-use crate::{Gateway, Health, budget, health, rate_limit, stated_backoff};
+use crate::{Gateway, Health, budget, health, load, rate_limit, stated_backoff};
 
 /// Expected latency on a front that has not had a reply yet.
 const DEFAULT_LATENCY_MS: f64 = 50.0;
-/// Age from which on a target's load report is ignored; its weight falls linearly until then.
-const LOAD_REPORT_MAX_AGE_MS: f64 = 200.0;
 /// Penalty for a target with a late reply: about the time that a typical pause of a target still
 /// lasts.
 const SILENCE_PENALTY_MS: f64 = 100.0;
@@ -116,7 +114,8 @@
     front: FrontKey,
     target: TargetKey,
 ) -> f64 {
-    let front_latency = gateway.front_stats.get(front).map(|stats| &stats.latency);
+    let front_stats = gateway.front_stats.get(front);
+    let front_latency = front_stats.map(|stats| &stats.latency);
     let front_ms = match front_latency {
         Some(latency) if latency.replies_count > 0 => latency.mean_ms,
         _ => DEFAULT_LATENCY_MS,
@@ -125,9 +124,12 @@
         return front_ms;
     };
     let target_latency = health.latency.get(front);
-    let reply_ms = target_latency.map_or(front_ms, |latency| latency.mean_ms);
+    let stated_ms = front_stats
+        .and_then(|stats| load::reply_ms(&health.load, now, front, &stats.normal_latency));
+    let reply_ms =
+        stated_ms.unwrap_or_else(|| target_latency.map_or(front_ms, |latency| latency.mean_ms));
     let slots = f64::from(gateway.catalog.targets[target].slots_count);
-    let load = estimated_load(health, now);
+    let load = load::requests_count(health, now);
     let queue_ms = reply_ms * (load + 1.0 - slots).max(0.0) / slots;
     let failure_penalty_ms = health.failures_ratio * reply_ms * FAILURE_PENALTY_FACTOR;
     let backoff_penalty_ms = match health::is_in_backoff(health, now) {
@@ -141,18 +143,6 @@
         + silence_penalty_ms(gateway, health, now)
 }
 
-/// Estimates the number of requests at a target from its last load report and the attempts of this
-/// instance.
-fn estimated_load(health: &Health, now: Instant) -> f64 {
-    let own_count = health.in_flight.len() as f64;
-    let Some((load, at)) = health.load else {
-        return own_count;
-    };
-    let age_ms = now.saturating_duration_since(at).as_secs_f64() * 1000.0;
-    let weight = (1.0 - age_ms / LOAD_REPORT_MAX_AGE_MS).max(0.0);
-    own_count.max(f64::from(load.running_count.saturating_add(load.waiting_count)) * weight)
-}
-
 /// Returns the penalty for late replies of a target; it grows with the lateness of the oldest one.
 fn silence_penalty_ms(gateway: &Gateway, health: &Health, now: Instant) -> f64 {
     let in_flight = health.in_flight.iter();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -47,6 +47,9 @@
     /// Retry budget of each service.
     #[serde(rename = "spending")]
     pub retry_budgets: SecondaryMap<ServiceKey, RetryBudget>,
+    /// Occupancy of the busiest target over the mean of its service, averaged over the services, as
+    /// targets report it to this instance; `None` until enough have.
+    pub load_spread_ratio: Option<f64>,
     /// Recent traffic of each front.
     #[serde(rename = "usage")]
     pub front_stats: SecondaryMap<FrontKey, FrontStats>,
@@ -98,6 +101,8 @@
     pub split_credits: Vec<f64>,
     /// Reply latency over all targets.
     pub latency: LatencyEstimate,
+    /// The same for targets that state their work ratio, as it would be with a ratio of 1.
+    pub normal_latency: LatencyEstimate,
 }
 
 /// A caller's request from arrival to response.
@@ -265,6 +270,7 @@
         unresolved: VecDeque::new(),
         health: SecondaryMap::new(),
         retry_budgets: SecondaryMap::new(),
+        load_spread_ratio: None,
         front_stats: SecondaryMap::new(),
         queued_parts: VecDeque::new(),
         share_ratio: None,
--- a/crates/gateway/src/tests.rs
+++ b/crates/gateway/src/tests.rs
@@ -2,6 +2,7 @@
 //! the attempts at targets are checked.
 
 mod busy_instance;
+mod even_load;
 mod fixture;
 mod gather;
 mod isolation;
--- a/crates/gateway/src/tests/fixture.rs
+++ b/crates/gateway/src/tests/fixture.rs
@@ -365,6 +365,7 @@
                 running_count: 1,
                 waiting_count: 0,
                 slots_count: 2,
+                work_percent: None,
             }),
             ..TargetReport::default()
         },
--- a/crates/gateway/src/tick.rs
+++ b/crates/gateway/src/tick.rs
@@ -10,7 +10,7 @@
 use crate::{
     Gateway,
     completion::send_queued_parts,
-    health, isolation,
+    health, isolation, load,
     log_line::{elapsed_ms, target_log_line},
     rate_limit,
     rate_limit::ShareHolders,
@@ -51,6 +51,7 @@
         drop_attempt(gateway, now, key, out);
     }
     unresolved::expire(gateway, now);
+    load::refresh(gateway, now);
     rate_limit::update_shares(gateway, now);
     isolation::update(gateway, now, out);
     let expired = catalog::remove_expired_targets(&mut gateway.catalog, now);
--- a/crates/model/src/http.rs
+++ b/crates/model/src/http.rs
@@ -46,7 +46,7 @@
 }
 
 /// Load of a target, as its replies report it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct SlotLoad {
     /// Requests that the target is executing.
@@ -55,6 +55,10 @@
     pub waiting_count: u32,
     /// Requests that the target can execute concurrently.
     pub slots_count: u32,
+    /// How long work currently takes on its machine, in percent of the normal time; `None` if the
+    /// target does not state it.
+    #[serde(default)]
+    pub work_percent: Option<u32>,
 }
 
 /// What a target states about itself in a reply.
--- a/crates/tier/src/status.rs
+++ b/crates/tier/src/status.rs
@@ -36,6 +36,9 @@
     pub targets_count: u64,
     /// Unreachable targets; with a gateway, targets that are replaced or in backoff.
     pub unreachable_targets_count: u64,
+    /// Load of the busiest target over the mean of its service as this instance observes it, in
+    /// percent; `None` without a gateway or enough reports.
+    pub load_spread_percent: Option<u64>,
 }
 
 /// Returns the status of an instance.
@@ -64,6 +67,7 @@
         members_count: state.fleet.members.len() as u64,
         targets_count: state.routes.targets.len() as u64,
         unreachable_targets_count: unreachable.count() as u64,
+        load_spread_percent: None,
     }
 }
 
@@ -88,6 +92,10 @@
         members_count: state.fleet.members.len() as u64,
         targets_count: gateway.catalog.targets.len() as u64,
         unreachable_targets_count: unreachable.count() as u64,
+        // Conversion from float to integer saturates.
+        load_spread_percent: gateway
+            .load_spread_ratio
+            .map(|ratio| (ratio * 100.0) as u64),
     }
 }
 
