Add review case 10: small requests sent ahead exceed the memory

Case: 1,200 clients of each of two machines send 8 KiB of small GET requests at once, each within the limits. The process exceeds 260 MB within about a second, again after each restart.

--- a/review/standins-2/src/far_over.rs
+++ b/review/standins-2/src/far_over.rs
@@ -1,4 +1,5 @@
-//! A crowd of outside clients sends bodies far over the limit, in chunks and without announcement.
+//! A crowd of outside clients sends bodies far over the limit, in chunks and without announcement; or
+//! a smaller one sends small requests without waiting for the answers to the ones before.
 //!
 //! Rule Fault: processes don't end by themselves three times on two machines or more; memory over
 //! the limit counts. The driver plays the platform, which kills a process that exceeds `MemoryMb`
@@ -38,7 +39,19 @@
 /// Ends of the processes of a machine that break the rule.
 const ENDS_COUNT: u64 = 3;
 
-pub fn run(context: &Context) -> Verdict {
+/// Clients of each machine that send requests ahead, and the bytes that each sends at once: less than
+/// a head may have.
+const AHEAD_COUNT: usize = 1_200;
+const AHEAD_BYTES: usize = 8 * 1024;
+
+/// What the clients of a crowd send.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Crowd {
+    FarOver,
+    Ahead,
+}
+
+pub fn run(context: &Context, kind: Crowd) -> Verdict {
     let record = &context.record;
     let store = Store::start();
     for index in 0..4 {
@@ -81,14 +94,21 @@
     for machine in &machines {
         for chunk_length in CHUNK_LENGTHS.into_iter().filter(|_| context.has_trouble) {
             let (front, is_over, opened) = (machine.front, is_over.clone(), opened_count.clone());
-            let count = CROWD_COUNT / CHUNK_LENGTHS.len();
+            let (all_count, bytes) = match kind {
+                Crowd::FarOver => (CROWD_COUNT, request(chunk_length)),
+                Crowd::Ahead => (AHEAD_COUNT, requests_ahead()),
+            };
+            let count = all_count / CHUNK_LENGTHS.len();
             threads.push(thread::spawn(move || {
-                crowd(front, chunk_length, count, &is_over, &opened);
+                crowd(front, &bytes, count, &is_over, &opened);
             }));
         }
     }
     record.line(match context.has_trouble {
-        true => "the crowd comes: 1,900 clients of each machine, bodies of 4 MB in chunks",
+        true if kind == Crowd::FarOver => {
+            "the crowd comes: 1,900 clients of each machine, bodies of 4 MB in chunks"
+        }
+        true => "the crowd comes: 1,200 clients of each machine, 8 KiB of small requests each",
         false => "no crowd",
     });
     let watchers = machines.into_iter().map(|machine| {
@@ -222,12 +242,11 @@
 /// Keeps up a number of clients that each send one body; one that is closed comes again.
 fn crowd(
     front: SocketAddr,
-    chunk_length: usize,
+    bytes: &[u8],
     count: usize,
     is_over: &AtomicBool,
     opened_count: &AtomicU64,
 ) {
-    let bytes = request(chunk_length);
     let mut clients: Vec<Client> = Vec::new();
     // When the clients that were closed come again.
     let mut waiting: VecDeque<Instant> = (0..count).map(|_| Instant::now()).collect();
@@ -251,7 +270,7 @@
             });
         }
         let before_count = clients.len();
-        clients.retain_mut(|client| is_open(client, &bytes, &mut buffer));
+        clients.retain_mut(|client| is_open(client, bytes, &mut buffer));
         for _ in clients.len()..before_count {
             waiting.push_back(Instant::now() + RETURN_AFTER);
         }
@@ -287,3 +306,11 @@
     }
     bytes
 }
+
+/// Returns as many small requests as fit, one after the other.
+fn requests_ahead() -> Vec<u8> {
+    let request = format!(
+        "GET /kit/1 HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: crowd\r\nDeadline-Ms: 4000\r\n\r\n"
+    );
+    request.repeat(AHEAD_BYTES / request.len()).into_bytes()
+}
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -20,6 +20,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+use far_over::Crowd;
 use record::Record;
 
 /// How a case ended.
@@ -64,7 +65,8 @@
         has_trouble: env::var("TROUBLE").map_or(true, |value| value != "0"),
     };
     let verdict = match case.as_str() {
-        "far-over" => far_over::run(&context),
+        "far-over" => far_over::run(&context, Crowd::FarOver),
+        "sent-ahead" => far_over::run(&context, Crowd::Ahead),
         "lost-contact" => lost_contact::run(&context),
         "silent-store" => silent_store::run(&context),
         "grey-refusal" => grey_refusal::run(&context),
