Detect dead watches of the store within the deployment's limits

Cause: a watch waited for 5 s and its time limit was 1.5 s longer, so a dead connection was noticed after up to 6.5 s. The limits run at once: a change that is made when the silence begins is due after the longer of them, 4 s on the small deployments. Ruled out: lists (1.5 s), the retry delay (150 ms), and the sharing within zones, which passes changes on within milliseconds. An instance that hears nothing from its zone's reader, however, waits on such a watch of its own.

The wait of a watch is derived from them: 3 s on the small deployments, 4 s on the grown ones, 5 s at most. The reducer now sets the time limit of each read, 0.5 s beyond the wait of a watch while the store answers, and 1.5 s as before after a failure, so that a slow store is not lost.

The reader of the gateway's settings moves to a file of its own.

--- a/crates/balsamd/src/effects.rs
+++ b/crates/balsamd/src/effects.rs
@@ -126,9 +126,10 @@
             // Fails if the caller has closed its connection; the response is then not needed.
             let _ = reply.send(*response);
         }
-        Effect::ReadStore(read) => {
+        Effect::ReadStore { read, timeout } => {
             if let Some(gateway) = &shell.state.settings.gateway {
-                store_reads::spawn_read(address, &shell.connection_config, gateway.store, read);
+                let config = &shell.connection_config;
+                store_reads::spawn_read(address, config, gateway.store, read, timeout);
             }
         }
         Effect::SetTimer { timer, after } => {
--- a/crates/balsamd/src/store_reads.rs
+++ b/crates/balsamd/src/store_reads.rs
@@ -16,15 +16,13 @@
     supervise,
 };
 
-/// Time limit of a read, in addition to the time that a watch waits for a change.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
-
-/// Starts one read, whose end is reported as [`StoreReadEnded`].
+/// Starts one read, whose end is reported as [`StoreReadEnded`]. It fails after `timeout`.
 pub fn spawn_read(
     shell: &Addr<Shell>,
     config: &ClientConfig,
     address: SocketAddr,
     read: StoreRead,
+    timeout: Duration,
 ) {
     let shell = shell.clone();
     let config = config.clone();
@@ -40,10 +38,6 @@
                 });
             }
         });
-        let timeout = match &read {
-            StoreRead::Watch { wait, .. } => *wait + ANSWER_TIMEOUT,
-            StoreRead::List { .. } => ANSWER_TIMEOUT,
-        };
         let answer = actix_rt::time::timeout(timeout, fetch(config, address, &read)).await;
         let (era, result) = match answer {
             Ok(Ok((era, result))) => (era, result),
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -33,6 +33,6 @@
 pub use restore::RestoreMemory;
 pub use sync::{
     FailedRead, SharedChanges, StoreAnswer, is_earlier_era, on_read_failure, on_shared_changes,
-    on_store_answer, start, start_next_read,
+    on_store_answer, start, start_next_read, watch_wait,
 };
 pub use table::{Catalog, Front, Route, Service, Target, find_front, new_catalog};
--- a/crates/catalog/src/progress.rs
+++ b/crates/catalog/src/progress.rs
@@ -1,6 +1,9 @@
 //! Progress of the replication: eras, positions and reads in flight of each area.
 
-use std::{collections::HashSet, time::Instant};
+use std::{
+    collections::HashSet,
+    time::{Duration, Instant},
+};
 
 use model::{StoreArea, StoreRead};
 use serde::Serialize;
@@ -11,6 +14,9 @@
 pub struct SyncState {
     /// Role of this instance in its zone.
     pub role: Role,
+    /// Time after which a watch without changes ends, unless the store was lost or others rely on it.
+    #[serde(skip)]
+    pub watch_wait: Duration,
     /// Progress of the configuration and the evacuated zones.
     pub operators: AreaProgress,
     /// Progress of the registrations of targets.
@@ -108,10 +114,12 @@
     }
 }
 
-/// Returns the initial progress, before any read.
-pub fn new_sync_state() -> SyncState {
+/// Returns the initial progress, before any read; [`watch_wait`](crate::watch_wait) derives the time
+/// after which watches end.
+pub fn new_sync_state(watch_wait: Duration) -> SyncState {
     SyncState {
         role: Role::Alone,
+        watch_wait,
         operators: AreaProgress::default(),
         targets: AreaProgress::default(),
         abandoned_era: None,
--- a/crates/catalog/src/sync.rs
+++ b/crates/catalog/src/sync.rs
@@ -15,14 +15,18 @@
     restore,
 };
 
-/// Time after which the store ends a watch without changes.
-///
-/// A watch on a dead connection is detected after this time plus the shell's margin. That must
-/// leave time to read a change within the platform's bounds: four seconds for machines that were
-/// cut off, and three seconds for configurations.
-const WATCH_WAIT: Duration = Duration::from_secs(5);
-/// Watch time of a zone's reader, short so that followers soon detect that it lost the store.
+/// Maximum time after which the store ends a watch without changes.
+const WATCH_WAIT_MAX: Duration = Duration::from_secs(5);
+/// Maximum watch time of a zone's reader, short so that followers soon detect that it lost the store.
 const READER_WATCH_WAIT: Duration = Duration::from_secs(1);
+/// Time limit of a read, in addition to the time that a watch waits for a change.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The same for a watch while the store answers, which takes milliseconds, or a quarter of a second
+/// under load. A store that exceeds it gets [`ANSWER_TIMEOUT`] with the next read.
+const WATCH_ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time reserved for the read that follows a watch on a dead connection: the retry delay, a new
+/// connection, and the delays of a busy instance.
+const REREAD_RESERVE: Duration = Duration::from_millis(500);
 /// Watch time after a failure, or when this instance has no recent answer of its own. A store that
 /// never answers a watch looks like one without changes until the watch ends, so the first watches
 /// are short to detect that the store is back or has compacted its history.
@@ -57,6 +61,17 @@
 /// Limit of doublings of the retry delay.
 const RETRY_MAX_DOUBLINGS: u32 = 4;
 
+/// Returns the time after which watches without changes have to end for a dead connection to be
+/// detected within the limits of the deployment.
+///
+/// A connection may fall silent at the moment at which a change is made. The change has to be in
+/// force once both limits have passed: `contact` since the silence began, `change` since the change.
+pub fn watch_wait(contact: Duration, change: Duration) -> Duration {
+    let limit = contact.max(change);
+    let wait = limit.saturating_sub(WATCH_ANSWER_TIMEOUT + REREAD_RESERVE);
+    wait.clamp(RECOVERY_WATCH_WAIT, WATCH_WAIT_MAX)
+}
+
 /// Starts the next read of each area unless one is in flight.
 pub fn start(sync: &mut SyncState, now: Instant, out: &mut Vec<Effect>) {
     for area in [StoreArea::Operators, StoreArea::Targets] {
@@ -69,7 +84,7 @@
 /// A follower that watches and has recently received changes from its zone's reader sets a timer
 /// instead.
 pub fn start_next_read(sync: &mut SyncState, now: Instant, area: StoreArea, out: &mut Vec<Effect>) {
-    let role = sync.role;
+    let (role, watch_wait) = (sync.role, sync.watch_wait);
     let progress = area_progress_mut(sync, area);
     if progress.is_reading {
         return;
@@ -92,25 +107,28 @@
         && progress
             .answered_at
             .is_some_and(|at| now < at + RECENT_ANSWER_MAX_AGE);
-    let read = match &progress.stage {
-        Stage::Listing { after, .. } => StoreRead::List {
-            area,
-            era,
-            after: after.clone(),
-        },
-        Stage::Watching { revision } => StoreRead::Watch {
-            area,
-            era,
-            after_revision: *revision,
-            wait: match role {
-                _ if !has_recent_answer => RECOVERY_WATCH_WAIT,
-                Role::Reader => READER_WATCH_WAIT,
-                Role::Alone | Role::Follower => WATCH_WAIT,
-            },
-        },
+    let (read, timeout) = match &progress.stage {
+        Stage::Listing { after, .. } => {
+            let after = after.clone();
+            (StoreRead::List { area, era, after }, ANSWER_TIMEOUT)
+        }
+        Stage::Watching { revision } => {
+            let (wait, answer_timeout) = match role {
+                _ if !has_recent_answer => (RECOVERY_WATCH_WAIT, ANSWER_TIMEOUT),
+                Role::Reader => (READER_WATCH_WAIT.min(watch_wait), WATCH_ANSWER_TIMEOUT),
+                Role::Alone | Role::Follower => (watch_wait, WATCH_ANSWER_TIMEOUT),
+            };
+            let read = StoreRead::Watch {
+                area,
+                era,
+                after_revision: *revision,
+                wait,
+            };
+            (read, wait + answer_timeout)
+        }
     };
     progress.read = Some(read.clone());
-    out.push(Effect::ReadStore(read));
+    out.push(Effect::ReadStore { read, timeout });
 }
 
 /// Starts a new list of each area whose era is earlier than `era`.
--- a/crates/catalog/src/tests/differential.rs
+++ b/crates/catalog/src/tests/differential.rs
@@ -9,7 +9,7 @@
 use model::{Registration, StoreArea, StoreFailure, StoreRead, StoreRecord};
 use proptest::{collection::vec, prelude::*, test_runner::RngSeed};
 
-use super::fixture::{apply_answer, fail_read, registration, removed, target, watch};
+use super::fixture::{WATCH_WAIT, apply_answer, fail_read, registration, removed, target, watch};
 use crate::{
     Catalog, FailedRead, Role, SharedChanges, Stage, SyncState, new_sync_state, on_shared_changes,
     remove_expired_targets,
@@ -167,7 +167,7 @@
     #[test]
     fn catalog_converges_to_store_content(steps in vec(any_step(), 1..60)) {
         let start = Instant::now();
-        let (mut sync, mut catalog) = (new_sync_state(), Catalog::default());
+        let (mut sync, mut catalog) = (new_sync_state(WATCH_WAIT), Catalog::default());
         sync.role = Role::Follower;
         let mut store = ReferenceStore::default();
         for (index, step) in steps.iter().enumerate() {
--- a/crates/catalog/src/tests/fixture.rs
+++ b/crates/catalog/src/tests/fixture.rs
@@ -13,6 +13,9 @@
     Catalog, Change, FailedRead, StoreAnswer, SyncState, on_read_failure, on_store_answer,
 };
 
+/// Watch time of tests in which it does not matter.
+pub(crate) const WATCH_WAIT: Duration = Duration::from_secs(5);
+
 /// Returns the registration of a target of service `shard-1` in zone `kranj`.
 pub(crate) fn registration(port: u16) -> Registration {
     Registration {
--- a/crates/catalog/src/tests/restored_store.rs
+++ b/crates/catalog/src/tests/restored_store.rs
@@ -5,7 +5,9 @@
 use model::{Effect, Registration, StoreArea, StoreFailure, StoreRead, StoreRecord};
 use rstest::rstest;
 
-use super::fixture::{configuration, fail_read, list, registration, removed, target, watch};
+use super::fixture::{
+    WATCH_WAIT, configuration, fail_read, list, registration, removed, target, watch,
+};
 use crate::{
     Catalog, Change, Eligibility, FailedRead, SharedChanges, Stage, StoreAnswer, SyncState,
     apply_due_zones, eligibility, is_earlier_era, mark_leaving, new_sync_state, on_shared_changes,
@@ -32,7 +34,7 @@
 
 fn replica(targets: &[StoreRecord], operators: &[StoreRecord]) -> Replica {
     let mut replica = Replica {
-        sync: new_sync_state(),
+        sync: new_sync_state(WATCH_WAIT),
         catalog: Catalog::default(),
         now: Instant::now(),
         out: Vec::new(),
@@ -159,11 +161,14 @@
     let lists = replica.out.iter().filter(|effect| {
         matches!(
             effect,
-            Effect::ReadStore(StoreRead::List {
-                era: 2,
-                after: None,
+            Effect::ReadStore {
+                read: StoreRead::List {
+                    era: 2,
+                    after: None,
+                    ..
+                },
                 ..
-            })
+            }
         )
     });
     assert_eq!(lists.count(), 2, "{:?}", replica.out);
@@ -261,7 +266,15 @@
 fn first_era_is_no_restore_and_repeats_no_list() {
     let replica = replica(&[target("i-1", registration(80))], &[]);
     let reads = replica.out.iter();
-    let lists = reads.filter(|e| matches!(e, Effect::ReadStore(StoreRead::List { .. })));
+    let lists = reads.filter(|e| {
+        matches!(
+            e,
+            Effect::ReadStore {
+                read: StoreRead::List { .. },
+                ..
+            }
+        )
+    });
     assert_eq!(lists.count(), 2);
     assert_eq!(
         (replica.sync.operators.era, replica.sync.targets.era),
--- a/crates/catalog/src/tests/restored_store_schedules.rs
+++ b/crates/catalog/src/tests/restored_store_schedules.rs
@@ -10,7 +10,7 @@
 use model::{Effect, StoreArea, StoreFailure, StoreRead, StoreRecord};
 use proptest::{collection::vec, prelude::*, test_runner::RngSeed};
 
-use super::fixture::{configuration, fail_read, registration, removed, target};
+use super::fixture::{WATCH_WAIT, configuration, fail_read, registration, removed, target};
 use crate::{
     Catalog, Eligibility, FailedRead, SharedChanges, StoreAnswer, SyncState, apply_due_zones,
     eligibility, is_earlier_era, new_sync_state, on_shared_changes, on_store_answer,
@@ -340,7 +340,7 @@
     }
     start(sync, now, &mut out);
     reads.extend(out.into_iter().filter_map(|effect| match effect {
-        Effect::ReadStore(read) => Some(read),
+        Effect::ReadStore { read, .. } => Some(read),
         _ => None,
     }));
 }
@@ -423,12 +423,12 @@
     ) {
         let begin = Instant::now();
         let mut store = Store { era: u64::from(has_era), ..Store::default() };
-        let (sync, catalog) = (new_sync_state(), Catalog::default());
+        let (sync, catalog) = (new_sync_state(WATCH_WAIT), Catalog::default());
         let mut replica = Replica { sync, catalog, reads: Vec::new(), messages: Vec::new() };
         let mut out = Vec::new();
         start(&mut replica.sync, begin, &mut out);
         replica.reads.extend(out.into_iter().filter_map(|effect| match effect {
-            Effect::ReadStore(read) => Some(read),
+            Effect::ReadStore { read, .. } => Some(read),
             _ => None,
         }));
         let mut ended_processes: BTreeSet<(String, u64)> = BTreeSet::new();
--- a/crates/catalog/src/tests/store_eras.rs
+++ b/crates/catalog/src/tests/store_eras.rs
@@ -5,7 +5,7 @@
 use model::{Effect, StoreArea, StoreFailure, StoreRead, StoreRecord, Timer};
 use rstest::rstest;
 
-use super::fixture::{fail_read, list, registration, removed, target, watch};
+use super::fixture::{WATCH_WAIT, fail_read, list, registration, removed, target, watch};
 use crate::{
     Catalog, FailedRead, SharedChanges, Stage, StoreAnswer, SyncState, is_earlier_era,
     new_sync_state, on_shared_changes, on_store_answer, start, start_next_read,
@@ -24,7 +24,7 @@
 /// Returns an instance that has read the store of era 1 up to revision 100.
 fn replica() -> Replica {
     let mut replica = Replica {
-        sync: new_sync_state(),
+        sync: new_sync_state(WATCH_WAIT),
         catalog: Catalog::default(),
         now: Instant::now(),
         out: Vec::new(),
@@ -99,7 +99,7 @@
 
 fn reads(replica: &Replica) -> Vec<&StoreRead> {
     let reads = replica.out.iter().filter_map(|effect| match effect {
-        Effect::ReadStore(read) => Some(read),
+        Effect::ReadStore { read, .. } => Some(read),
         _ => None,
     });
     reads.collect()
@@ -178,7 +178,7 @@
 fn answer_to_a_watch_from_before_an_era_that_was_given_up_is_ignored() {
     let mut replica = replica();
     let old = replica.out.iter().find_map(|effect| match effect {
-        Effect::ReadStore(read) => Some(read.clone()),
+        Effect::ReadStore { read, .. } => Some(read.clone()),
         _ => None,
     });
     let old = old.expect("a watch is in flight");
--- a/crates/catalog/src/tests/sync.rs
+++ b/crates/catalog/src/tests/sync.rs
@@ -6,18 +6,18 @@
 use rstest::rstest;
 
 use super::fixture::{
-    apply_answer, configuration, fail_read, list, registration, removed, target, watch,
+    WATCH_WAIT, apply_answer, configuration, fail_read, list, registration, removed, target, watch,
 };
 use crate::{
     Catalog, FailedRead, Role, SharedChanges, Stage, StoreAnswer, SyncState, new_sync_state,
-    on_shared_changes, on_store_answer, start, start_next_read,
+    on_shared_changes, on_store_answer, start, start_next_read, watch_wait,
 };
 
 const TARGETS: StoreArea = StoreArea::Targets;
 
 /// Returns a catalog with target `i-1` that watches the targets from revision 10.
 fn watching_catalog(now: Instant) -> (SyncState, Catalog) {
-    let (mut sync, mut catalog) = (new_sync_state(), Catalog::default());
+    let (mut sync, mut catalog) = (new_sync_state(WATCH_WAIT), Catalog::default());
     start(&mut sync, now, &mut Vec::new());
     let records = [target("i-1", registration(80))];
     apply_answer(
@@ -39,7 +39,7 @@
 #[test]
 fn watch_starts_at_revision_of_first_page() {
     let now = Instant::now();
-    let (mut sync, mut catalog) = (new_sync_state(), Catalog::default());
+    let (mut sync, mut catalog) = (new_sync_state(WATCH_WAIT), Catalog::default());
     let first = [target("i-1", registration(80))];
     apply_answer(
         &mut sync,
@@ -95,7 +95,7 @@
 
 #[test]
 fn retry_delay_grows_up_to_its_maximum() {
-    let (mut sync, mut catalog) = (new_sync_state(), Catalog::default());
+    let (mut sync, mut catalog) = (new_sync_state(WATCH_WAIT), Catalog::default());
     let mut delays = Vec::new();
     for _ in 0..8 {
         let mut out = Vec::new();
@@ -189,7 +189,13 @@
         &mut out,
     );
     assert!(
-        matches!(out[..], [Effect::ReadStore(StoreRead::Watch { .. })]),
+        matches!(
+            out[..],
+            [Effect::ReadStore {
+                read: StoreRead::Watch { .. },
+                ..
+            }]
+        ),
         "{out:?}"
     );
 }
@@ -229,7 +235,7 @@
 #[test]
 fn at_most_one_read_per_area_is_in_flight() {
     let now = Instant::now();
-    let mut sync = new_sync_state();
+    let mut sync = new_sync_state(WATCH_WAIT);
     let mut out = Vec::new();
     start(&mut sync, now, &mut out);
     start(&mut sync, now, &mut out);
@@ -239,7 +245,7 @@
 #[test]
 fn unreadable_configuration_keeps_previous_one_in_force() {
     let now = Instant::now();
-    let (mut sync, mut catalog) = (new_sync_state(), Catalog::default());
+    let (mut sync, mut catalog) = (new_sync_state(WATCH_WAIT), Catalog::default());
     let operators = list(StoreArea::Operators, None);
     let records = [configuration(3, &["a"])];
     apply_answer(&mut sync, &mut catalog, now, &operators, &records, 5, None);
@@ -273,7 +279,13 @@
     };
     let mut out = Vec::new();
     on_store_answer(&mut sync, &mut catalog, now, &answer, &mut out);
-    let has_read = matches!(out[..], [Effect::ReadStore(StoreRead::Watch { .. })]);
+    let has_read = matches!(
+        out[..],
+        [Effect::ReadStore {
+            read: StoreRead::Watch { .. },
+            ..
+        }]
+    );
     assert_eq!(has_read, reads_at_once, "{out:?}");
 }
 
@@ -292,7 +304,12 @@
     out.clear();
     start_next_read(&mut sync, now, TARGETS, &mut out);
     let wait_of = |out: &[Effect]| match out {
-        [Effect::ReadStore(StoreRead::Watch { wait, .. })] => *wait,
+        [
+            Effect::ReadStore {
+                read: StoreRead::Watch { wait, .. },
+                ..
+            },
+        ] => *wait,
         other => panic!("expected a watch, got {other:?}"),
     };
     // One second leaves a margin for a slow answer: changes must be known within three seconds
@@ -311,6 +328,63 @@
     assert!(wait_of(&out) > Duration::from_secs(1));
 }
 
+/// Guards against watches that end too late, after which a dead connection keeps an old configuration
+/// in use beyond the limits, and against more calls than the limits ask for.
+#[rstest]
+#[case::small(4_000, 3_000, 3_000)]
+#[case::grown(5_000, 5_000, 4_000)]
+#[case::large(6_000, 5_000, 5_000)]
+#[case::wide(60_000, 60_000, 5_000)]
+#[case::change_limit_is_longer(1_000, 4_000, 3_000)]
+#[case::out_of_reach(200, 100, 500)]
+fn watch_ends_as_late_as_the_limits_permit(
+    #[case] contact_ms: u64,
+    #[case] change_ms: u64,
+    #[case] expected_ms: u64,
+) {
+    let [contact, change, expected] =
+        [contact_ms, change_ms, expected_ms].map(Duration::from_millis);
+    assert_eq!(watch_wait(contact, change), expected);
+}
+
+/// Guards against a store under load that answers every watch after the short time limit, so that no
+/// watch succeeds.
+#[test]
+fn watch_after_a_timeout_gets_more_time() {
+    let now = Instant::now();
+    let (mut sync, mut catalog) = watching_catalog(now);
+    let margin_of = |out: &[Effect]| match out {
+        [
+            Effect::ReadStore {
+                read: StoreRead::Watch { wait, .. },
+                timeout,
+            },
+        ] => *timeout - *wait,
+        other => panic!("expected a watch, got {other:?}"),
+    };
+    let read = watch(TARGETS, 10);
+    let answer = StoreAnswer {
+        read: &read,
+        era: 0,
+        records: &[],
+        revision: 10,
+        is_behind: false,
+        next_page: None,
+    };
+    let mut out = Vec::new();
+    on_store_answer(&mut sync, &mut catalog, now, &answer, &mut out);
+    let usual = margin_of(&out);
+    let failed = FailedRead {
+        read: &read,
+        failure: StoreFailure::Unreachable,
+        era: 0,
+    };
+    fail_read(&mut sync, &mut catalog, now, &failed, &mut Vec::new());
+    out.clear();
+    start_next_read(&mut sync, now, TARGETS, &mut out);
+    assert!(margin_of(&out) > usual * 2);
+}
+
 #[test]
 fn follower_starts_with_short_watch_when_reader_falls_silent() {
     let now = Instant::now();
@@ -335,7 +409,7 @@
     let silent_at = last_shared_at + Duration::from_secs(2);
     let mut out = Vec::new();
     start_next_read(&mut sync, silent_at, TARGETS, &mut out);
-    let [Effect::ReadStore(read)] = &out[..] else {
+    let [Effect::ReadStore { read, .. }] = &out[..] else {
         panic!("expected a watch, got {out:?}");
     };
     let read = read.clone();
@@ -357,7 +431,7 @@
     out.clear();
     let answered_at = silent_at + Duration::from_millis(500);
     on_store_answer(&mut sync, &mut catalog, answered_at, &answer, &mut out);
-    let [Effect::ReadStore(read)] = &out[..] else {
+    let [Effect::ReadStore { read, .. }] = &out[..] else {
         panic!("expected a watch, got {out:?}");
     };
     assert!(wait_of(read) > Duration::from_secs(1));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -63,7 +63,7 @@
 pub use selection::{Choice, choose_target};
 pub use state::{
     Attempt, Exchange, FrontStats, Gateway, Part, PartState, Relay, fingerprint, is_known,
-    new_state,
+    new_state, set_settings,
 };
 pub use tick::{Fleet, on_pause, remove_targets, set_fleet, tick};
 pub use timer::on_exchange_timer;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -282,7 +282,7 @@
     Gateway {
         settings: settings.clone(),
         catalog: catalog::new_catalog(seed),
-        sync: catalog::new_sync_state(),
+        sync: catalog::new_sync_state(watch_wait(settings)),
         exchanges: SlotMap::with_key(),
         relays: pending::new_requests(seed, Table::Relays),
         attempts: SlotMap::with_key(),
@@ -306,6 +306,22 @@
     }
 }
 
+/// Replaces the settings while the process runs.
+pub fn set_settings(gateway: &mut Gateway, settings: &settings::Gateway) {
+    gateway.settings = settings.clone();
+    gateway.sync.watch_wait = watch_wait(settings);
+}
+
+/// Returns the time after which watches of the store end. Configurations, evacuations and drains come
+/// through the same watches, so the shortest of their limits counts.
+fn watch_wait(settings: &settings::Gateway) -> Duration {
+    let change_limit = settings
+        .configuration_limit
+        .min(settings.evacuation_limit)
+        .min(settings.drain_limit);
+    catalog::watch_wait(settings.contact_limit, change_limit)
+}
+
 /// Returns whether a configuration and the targets have been read from the store.
 pub fn is_known(gateway: &Gateway) -> bool {
     gateway.catalog.version > 0 && gateway.sync.targets.is_known
--- a/crates/model/src/effect.rs
+++ b/crates/model/src/effect.rs
@@ -197,7 +197,12 @@
         response: Box<HttpResponse>,
     },
     /// List or watch an area of the metadata store.
-    ReadStore(StoreRead),
+    ReadStore {
+        /// The read.
+        read: StoreRead,
+        /// Time after which it fails without an answer.
+        timeout: Duration,
+    },
     /// Deliver a timer event after a delay.
     SetTimer {
         /// The timer, which the event repeats.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -4,6 +4,7 @@
 //! - settings returned by [`read()`] are complete and within their bounds;
 //! - an invalid file yields all its findings at once and no settings.
 
+mod gateway;
 mod read;
 mod sections;
 
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -1,10 +1,12 @@
 //! Reads and validates a settings file.
 
-use std::{net::SocketAddr, time::Duration};
+use std::time::Duration;
 
 use findings::{Fields, Findings, Node, with_document};
 
-use crate::{Admit, Fleet, Gateway, Instance, Listen, Once, Platform, Query, Route, Settings};
+use crate::{
+    Admit, Fleet, Instance, Listen, Once, Platform, Query, Route, Settings, gateway::read_gateway,
+};
 
 const MAX_DURATION_MS: u64 = 3_600_000;
 const MAX_COUNT: u32 = 1_000_000;
@@ -158,95 +160,6 @@
     })
 }
 
-fn read_gateway(
-    node: Node<'_>,
-    peers: Option<SocketAddr>,
-    findings: &mut Findings,
-) -> Option<Gateway> {
-    let mut fields = node.fields(findings)?;
-    let listen = fields.required("listen", findings);
-    let listen = listen.and_then(|node| node.address(findings));
-    let store = fields.required("store", findings);
-    let store = store.and_then(|node| node.address(findings));
-    let seeds = fields.optional("seeds");
-    let seeds = seeds.map(|node| read_seeds(&node, findings));
-    let seeds = seeds.unwrap_or_default();
-    let mut section = Gateway {
-        listen: listen?,
-        store: store?,
-        peers: peers?,
-        seeds,
-        ..Gateway::default()
-    };
-    let section = &mut section;
-    set_count(
-        &mut section.body_max_bytes,
-        &mut fields,
-        "body_max_bytes",
-        findings,
-    );
-    set_millis(
-        &mut section.answer_reserve,
-        &mut fields,
-        "answer_reserve_ms",
-        findings,
-    );
-    set_decimal(
-        &mut section.retry_ratio,
-        &mut fields,
-        "retry_ratio",
-        findings,
-    );
-    set_clamped_count(
-        &mut section.retry_constant_count,
-        &mut fields,
-        "retry_constant_count",
-        findings,
-    );
-    set_seconds(
-        &mut section.retry_window,
-        &mut fields,
-        "retry_window_s",
-        findings,
-    );
-    set_decimal(
-        &mut section.cold_factor,
-        &mut fields,
-        "cold_factor",
-        findings,
-    );
-    set_clamped_count(
-        &mut section.cold_constant_count,
-        &mut fields,
-        "cold_constant_count",
-        findings,
-    );
-    set_seconds(
-        &mut section.shutdown_limit,
-        &mut fields,
-        "shutdown_limit_s",
-        findings,
-    );
-    fields.report_unread(findings);
-    Some(section.clone())
-}
-
-/// Reads the addresses of other instances. An unusable one is ignored: any of them is enough, and
-/// the others also find this instance.
-fn read_seeds(node: &Node<'_>, findings: &mut Findings) -> Vec<SocketAddr> {
-    if node.is_null() {
-        return Vec::new();
-    }
-    let items = node.items(findings);
-    let addresses = items.iter().filter_map(|item| {
-        let mut faults = Findings::default();
-        let address = item.address(&mut faults);
-        findings.notices.append(&mut faults.list);
-        address
-    });
-    addresses.collect()
-}
-
 /// Most zones of a deployment that are read.
 const ZONES_MAX_COUNT: usize = 1_000;
 
@@ -399,7 +312,12 @@
 }
 
 /// Replaces the default in `value` with the number of milliseconds in a field, if there is one.
-fn set_millis(value: &mut Duration, fields: &mut Fields<'_>, name: &str, findings: &mut Findings) {
+pub(crate) fn set_millis(
+    value: &mut Duration,
+    fields: &mut Fields<'_>,
+    name: &str,
+    findings: &mut Findings,
+) {
     let Some(node) = fields.optional(name) else {
         return;
     };
@@ -410,7 +328,12 @@
 }
 
 /// Replaces the default in `value` with the whole number in a field, if there is one.
-fn set_count(value: &mut u32, fields: &mut Fields<'_>, name: &str, findings: &mut Findings) {
+pub(crate) fn set_count(
+    value: &mut u32,
+    fields: &mut Fields<'_>,
+    name: &str,
+    findings: &mut Findings,
+) {
     let Some(node) = fields.optional(name) else {
         return;
     };
@@ -422,7 +345,7 @@
 
 /// Replaces the default in `value` with the whole number in a field that a platform fills in.
 /// Decimals are cut off, and a number out of range is moved to the nearest bound.
-fn set_clamped_count(
+pub(crate) fn set_clamped_count(
     value: &mut u32,
     fields: &mut Fields<'_>,
     name: &str,
@@ -440,7 +363,12 @@
 
 /// Replaces the default in `value` with the number of seconds in a field that a platform fills in.
 /// It may have decimals, and a number out of range is moved to the nearest bound.
-fn set_seconds(value: &mut Duration, fields: &mut Fields<'_>, name: &str, findings: &mut Findings) {
+pub(crate) fn set_seconds(
+    value: &mut Duration,
+    fields: &mut Fields<'_>,
+    name: &str,
+    findings: &mut Findings,
+) {
     let Some(node) = fields.optional(name) else {
         return;
     };
@@ -451,9 +379,31 @@
     *value = Duration::from_secs_f64(seconds);
 }
 
+/// Replaces the default in `value` with the number of milliseconds in a field that a platform fills
+/// in. It may have decimals, and a number out of range is moved to the nearest bound.
+pub(crate) fn set_clamped_millis(
+    value: &mut Duration,
+    fields: &mut Fields<'_>,
+    name: &str,
+    findings: &mut Findings,
+) {
+    let Some(node) = fields.optional(name) else {
+        return;
+    };
+    let Some(millis) = node.clamped_decimal(1.0..=MAX_DURATION_MS as f64, findings) else {
+        return;
+    };
+    *value = Duration::from_secs_f64(millis / 1000.0);
+}
+
 /// Replaces the default in `value` with the number in a field that a platform fills in. It may have
 /// decimals, and a number out of range is moved to the nearest bound.
-fn set_decimal(value: &mut f64, fields: &mut Fields<'_>, name: &str, findings: &mut Findings) {
+pub(crate) fn set_decimal(
+    value: &mut f64,
+    fields: &mut Fields<'_>,
+    name: &str,
+    findings: &mut Findings,
+) {
     let Some(node) = fields.optional(name) else {
         return;
     };
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -58,6 +58,15 @@
     pub cold_constant_count: u32,
     /// Time after a shutdown request at which the host kills the process.
     pub shutdown_limit: Duration,
+    /// Time after a disturbance of its connections from which on an instance has to act on the store
+    /// as usual.
+    pub contact_limit: Duration,
+    /// Time after which a configuration has to be in force.
+    pub configuration_limit: Duration,
+    /// Time after which a zone that was taken out of service receives nothing.
+    pub evacuation_limit: Duration,
+    /// Time after which a target that is draining or was removed receives nothing.
+    pub drain_limit: Duration,
 }
 
 /// Identity and capacity of the instance.
@@ -260,6 +269,10 @@
             cold_factor: 1.0,
             cold_constant_count: 1,
             shutdown_limit: Duration::from_secs(6),
+            contact_limit: Duration::from_secs(4),
+            configuration_limit: Duration::from_secs(3),
+            evacuation_limit: Duration::from_secs(5),
+            drain_limit: Duration::from_secs(3),
         }
     }
 }
--- a/crates/tier/src/reload.rs
+++ b/crates/tier/src/reload.rs
@@ -32,7 +32,7 @@
         .with("needs_restart", u64::from(needs_restart));
     out.push(Effect::Log(line));
     if let (Some(gateway), Some(settings)) = (&mut state.gateway, &read.gateway) {
-        gateway.settings = settings.clone();
+        gateway::set_settings(gateway, settings);
     }
     state.settings = read;
 }
--- a/crates/tier/src/tests.rs
+++ b/crates/tier/src/tests.rs
@@ -25,6 +25,7 @@
 mod reload;
 mod replay;
 mod shutdown;
+mod silent_connections;
 mod simulation;
 mod snapshot;
 mod store_era;
--- a/crates/tier/src/tests/gateway_fleet.rs
+++ b/crates/tier/src/tests/gateway_fleet.rs
@@ -4,7 +4,7 @@
 
 use std::{
     borrow::Cow,
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -12,7 +12,8 @@
 use bytes::Bytes;
 use model::{
     AttemptCall, AttemptKey, AttemptReply, CallFailure, CallerKey, Effect, Event, HttpRequest,
-    HttpResponse, Message, ReplyStatus, StoreRead, StoreRecord, TargetReport, Timer,
+    HttpResponse, Message, ReplyStatus, StoreBody, StoreFailure, StoreRead, StoreRecord,
+    TargetReport, Timer,
 };
 use rand::{RngExt, SeedableRng, seq::IndexedRandom};
 use rand_chacha::ChaCha8Rng;
@@ -20,7 +21,8 @@
 
 use super::fixture::settings;
 use crate::{State, new_state, reduce};
-use store::{publish, read_store, registration};
+use store::{end_watch, publish, read_store, registration};
+pub(crate) use store::{publish_configuration, publish_draining, publish_evacuation};
 
 /// Path of the request that crashes its targets, and prefix of others that do.
 pub(crate) const CRASHING_PATH: &str = "/crash";
@@ -84,7 +86,19 @@
     /// When it was started, resumed, cut off or connected again, oldest first.
     pub(crate) disturbances: Vec<Instant>,
     run: u64,
-    watches: Vec<StoreRead>,
+    /// Reads of the store in flight, by number.
+    reads: BTreeMap<u64, InFlightRead>,
+    /// Number of reads of the store.
+    pub(crate) reads_count: u64,
+}
+
+/// A read of the store that has not ended.
+struct InFlightRead {
+    read: StoreRead,
+    /// Whether the store has sent its answer.
+    is_answered: bool,
+    /// Whether nothing arrives on its connection any more.
+    is_silent: bool,
 }
 
 pub(crate) struct Target {
@@ -132,7 +146,11 @@
     Timer(Timer),
     Message(Message),
     PeerUnreachable(SocketAddr),
-    Store(StoreRead, Vec<StoreRecord>, u64),
+    /// The answer of the store to a read, with its revision.
+    StoreAnswer(u64, Vec<StoreRecord>, u64),
+    /// The store ends a watch without changes.
+    WatchEnd(u64),
+    ReadTimeout(u64),
     Arrive(AttemptCall),
     Reply(AttemptKey, ReplyStatus, TargetAnswer),
     Fail(AttemptKey, CallFailure),
@@ -163,14 +181,20 @@
     /// Request identifier of each caller's request.
     pub(crate) request_ids: HashMap<CallerKey, String>,
     layout: Layout,
+    limits: Limits,
     services_count: usize,
     attempts_max_count: u32,
     history: Vec<(u64, StoreRecord)>,
+    /// Connections between instances, as sender and receiver, on which nothing arrives.
+    silent_connections: BTreeSet<(usize, usize)>,
     queue: BTreeMap<(Instant, u64), (usize, u64, Scheduled)>,
     queued_count: u64,
     requests_count: u64,
 }
 
+/// Limits of a deployment: contact, configuration, evacuation and drain.
+pub(crate) type Limits = [Duration; 4];
+
 /// Size of a fleet and its targets.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Size {
@@ -190,6 +214,19 @@
 
 /// Returns a fleet whose instances know their configuration and each other.
 pub(crate) fn fleet_with_layout(size: Size, layout: Layout, seed: u64) -> Fleet {
+    let defaults = settings::Gateway::default();
+    let limits = [
+        defaults.contact_limit,
+        defaults.configuration_limit,
+        defaults.evacuation_limit,
+        defaults.drain_limit,
+    ];
+    fleet_with_limits(size, layout, limits, seed)
+}
+
+/// Returns a fleet with the limits of a deployment, whose instances know their configuration and each
+/// other.
+pub(crate) fn fleet_with_limits(size: Size, layout: Layout, limits: Limits, seed: u64) -> Fleet {
     let Size {
         instances_count,
         services_count,
@@ -198,13 +235,14 @@
     } = size;
     let now = Instant::now();
     let instances = (0..instances_count).map(|index| Instance {
-        state: instance_state(layout, instances_count, index, 1, seed),
+        state: instance_state(layout, limits, instances_count, index, 1, seed),
         is_up: true,
         partition: 0,
         paused_until: None,
         disturbances: vec![now],
         run: 1,
-        watches: Vec::new(),
+        reads: BTreeMap::new(),
+        reads_count: 0,
     });
     let targets = (0..services_count * targets_count).map(|index| Target {
         service: service_name(index % services_count),
@@ -229,13 +267,16 @@
         },
         request_ids: HashMap::new(),
         layout,
+        limits,
         services_count,
         attempts_max_count,
         history: Vec::new(),
+        silent_connections: BTreeSet::new(),
         queue: BTreeMap::new(),
         queued_count: 0,
         requests_count: 0,
     };
+    publish_configuration(&mut fleet, 1);
     for index in 0..fleet.targets.len() {
         publish(&mut fleet, registration(index, 1));
     }
@@ -250,13 +291,20 @@
 pub(crate) fn restart_instance(fleet: &mut Fleet, index: usize) {
     let run = fleet.instances[index].run + 1;
     let seed = fleet.rng.random();
-    let state = instance_state(fleet.layout, fleet.instances.len(), index, run, seed);
+    let state = instance_state(
+        fleet.layout,
+        fleet.limits,
+        fleet.instances.len(),
+        index,
+        run,
+        seed,
+    );
     let instance = &mut fleet.instances[index];
     instance.state = state;
     instance.run = run;
     instance.is_up = true;
     instance.disturbances.push(fleet.now);
-    instance.watches.clear();
+    instance.reads.clear();
     for target in &mut fleet.targets {
         target.running.retain(|(owner, _)| *owner != index);
     }
@@ -276,6 +324,22 @@
     fleet.instances[index].disturbances.push(fleet.now);
 }
 
+/// Makes the open connections of some instances to the store fall silent; new ones work.
+pub(crate) fn silence_store(fleet: &mut Fleet, instances: impl Iterator<Item = usize>) {
+    for index in instances {
+        for read in fleet.instances[index].reads.values_mut() {
+            read.is_silent = true;
+        }
+    }
+}
+
+/// Makes all open connections between instances fall silent; new ones work.
+pub(crate) fn silence_peers(fleet: &mut Fleet) {
+    let count = fleet.instances.len();
+    let pairs = (0..count).flat_map(|from| (0..count).map(move |to| (from, to)));
+    fleet.silent_connections.extend(pairs);
+}
+
 /// Sends a caller's request to an instance.
 pub(crate) fn send_request(fleet: &mut Fleet, index: usize, path: &str) -> CallerKey {
     fleet.requests_count += 1;
@@ -353,6 +417,7 @@
 
 fn instance_state(
     layout: Layout,
+    limits: Limits,
     instances_count: usize,
     index: usize,
     run: u64,
@@ -370,11 +435,21 @@
     settings.listen.peers = peer_address(index);
     settings.once.strikes_max_count = 3;
     let seeds_count = instances_count.min(SEEDS_MAX_COUNT);
+    let [
+        contact_limit,
+        configuration_limit,
+        evacuation_limit,
+        drain_limit,
+    ] = limits;
     settings.gateway = Some(settings::Gateway {
         peers: peer_address(index),
         seeds: (0..seeds_count).map(peer_address).collect(),
         retry_ratio: 0.2,
         retry_constant_count: 52,
+        contact_limit,
+        configuration_limit,
+        evacuation_limit,
+        drain_limit,
         ..settings::Gateway::default()
     });
     new_state(settings, run, seed ^ (run << 16 | index as u64))
@@ -409,6 +484,7 @@
     match event {
         Scheduled::Arrive(call) => return arrive(fleet, index, run, &call),
         Scheduled::Crash(target, target_run) => return crash(fleet, target, target_run),
+        Scheduled::WatchEnd(number) => return end_watch(fleet, index, number),
         Scheduled::Lapse(target, target_run) => {
             let target_id = target_id(target, target_run);
             return publish(fleet, |_| StoreRecord::TargetRemoved {
@@ -440,6 +516,21 @@
         }
         Scheduled::Leave(caller) => step(fleet, index, Event::CallerGone { caller }),
         Scheduled::Timer(timer) => step(fleet, index, Event::Timer(timer)),
+        Scheduled::Message(Message::StoreChanges(shared)) => {
+            let body = &shared.body;
+            let records: Vec<StoreRecord> = match body.is_empty() {
+                true => Vec::new(),
+                false => serde_json::from_slice(body).expect("the sender encoded records"),
+            };
+            let event = Event::SharedStoreChanges {
+                area: shared.area,
+                era: shared.era,
+                after_revision: shared.after_revision,
+                revision: shared.revision,
+                records: Cow::Owned(records),
+            };
+            step(fleet, index, event);
+        }
         Scheduled::Message(message) => {
             let message = Cow::Owned(message);
             step(fleet, index, Event::Peer { message });
@@ -447,7 +538,15 @@
         Scheduled::PeerUnreachable(address) => {
             step(fleet, index, Event::PeerUnreachable { address });
         }
-        Scheduled::Store(read, records, revision) => {
+        Scheduled::StoreAnswer(number, records, revision) => {
+            let reads = &mut fleet.instances[index].reads;
+            if reads.get(&number).is_none_or(|read| read.is_silent) {
+                return;
+            }
+            let Some(InFlightRead { read, .. }) = reads.remove(&number) else {
+                return;
+            };
+            let published = serde_json::to_vec(&records).expect("records are plain data");
             let event = Event::StoreAnswered {
                 read,
                 era: 0,
@@ -455,10 +554,17 @@
                 revision,
                 is_behind: false,
                 next_page: None,
-                published: model::StoreBody(Bytes::new()),
+                published: StoreBody(Bytes::from(published)),
             };
             step(fleet, index, event);
         }
+        Scheduled::ReadTimeout(number) => {
+            if let Some(InFlightRead { read, .. }) = fleet.instances[index].reads.remove(&number) {
+                let failure = StoreFailure::Unreachable;
+                let era = 0;
+                step(fleet, index, Event::StoreFailed { read, failure, era });
+            }
+        }
         Scheduled::Reply(attempt, status, answer) => {
             let reply = AttemptReply {
                 status,
@@ -477,6 +583,7 @@
             step(fleet, index, Event::AttemptFailed { attempt, failure });
         }
         Scheduled::Arrive(_)
+        | Scheduled::WatchEnd(_)
         | Scheduled::Crash(..)
         | Scheduled::Lapse(..)
         | Scheduled::Restart(_) => {}
@@ -496,7 +603,11 @@
     match effect {
         Effect::Send { address, message } => send_message(fleet, index, address, message),
         Effect::SetTimer { timer, after } => schedule(fleet, after, index, Scheduled::Timer(timer)),
-        Effect::ReadStore(read) => read_store(fleet, index, read),
+        Effect::ReadStore { read, timeout } => read_store(fleet, index, read, timeout),
+        Effect::Reconnect { address } => {
+            let to = usize::from(address.port() - FIRST_PEER_PORT);
+            fleet.silent_connections.remove(&(index, to));
+        }
         Effect::Attempt(call) => schedule(fleet, TARGET_DELAY, index, Scheduled::Arrive(call)),
         Effect::DropAttempt { attempt, .. } => {
             for target in &mut fleet.targets {
@@ -527,6 +638,9 @@
     if fleet.instances[to].partition != fleet.instances[from].partition {
         return;
     }
+    if fleet.silent_connections.contains(&(from, to)) {
+        return;
+    }
     let Link {
         delay_max,
         duplicate_ratio,
--- a/crates/tier/src/tests/store_era.rs
+++ b/crates/tier/src/tests/store_era.rs
@@ -130,7 +130,8 @@
 #[test]
 fn request_before_the_catalog_is_known_is_counted() {
     let mut instance = start(0, true);
-    instance.state.gateway.as_mut().expect("a gateway").sync = catalog::new_sync_state();
+    let sync = &mut instance.state.gateway.as_mut().expect("a gateway").sync;
+    *sync = catalog::new_sync_state(sync.watch_wait);
     instance.state.catch_up = Default::default();
     let event = Event::HttpRequest {
         caller: CallerKey::default(),
