Bind another address for other instances than the one they reach

An instance stated the address that it bound as its own. `listen.peers_bind` names the address to bind; without it nothing changes.

Test: tests::bound_address_is_apart_from_the_stated_one.

--- a/crates/balsamd/src/shell.rs
+++ b/crates/balsamd/src/shell.rs
@@ -118,9 +118,10 @@
         .disable_redirects()
         .add_default_header((USER_AGENT, user_agent))
         .finish();
-    let peers = TcpListener::bind(listen.peers)
+    let peers_address = listen.peers_bind.unwrap_or(listen.peers);
+    let peers = TcpListener::bind(peers_address)
         .await
-        .map_err(|error| StartError::Listen("peers", listen.peers, error))?;
+        .map_err(|error| StartError::Listen("peers", peers_address, error))?;
     let is_draining = Arc::new(AtomicBool::new(false));
     let (close_listeners, close_signal) = watch::channel(false);
     let connections = ConnectionTracker::open();
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -133,11 +133,14 @@
     let peers = fields
         .required("peers", findings)
         .and_then(|node| node.address(findings));
+    let peers_bind = fields.optional("peers_bind");
+    let peers_bind = peers_bind.and_then(|node| node.address(findings));
     fields.report_unread(findings);
     Some(Listen {
         callers,
         operators: operators?,
         peers: peers?,
+        peers_bind,
     })
 }
 
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -93,8 +93,10 @@
     pub callers: Option<SocketAddr>,
     /// HTTP port for operators.
     pub operators: SocketAddr,
-    /// Port for other instances.
+    /// Port for other instances, under the address at which they reach it.
     pub peers: SocketAddr,
+    /// Address to bind for other instances if it differs from `peers`, as behind a port forwarding.
+    pub peers_bind: Option<SocketAddr>,
 }
 
 /// The platform's configuration service.
--- a/crates/settings/src/tests.rs
+++ b/crates/settings/src/tests.rs
@@ -35,6 +35,22 @@
     assert_eq!(settings.query, crate::Query::default());
 }
 
+/// Guards against an instance behind a port forwarding that states the address that it binds to the
+/// others, who cannot reach it there.
+#[test]
+fn bound_address_is_apart_from_the_stated_one() {
+    let peers = r#""peers": "127.0.0.1:3""#;
+    let document = COMPLETE.replace(
+        peers,
+        r#""peers": "127.0.0.1:3", "peers_bind": "127.0.0.2:3""#,
+    );
+    let settings = read(&document, &mut Findings::default()).expect("no findings");
+    assert_eq!(settings.listen.peers, ([127, 0, 0, 1], 3).into());
+    assert_eq!(settings.listen.peers_bind, Some(([127, 0, 0, 2], 3).into()));
+    let settings = read(COMPLETE, &mut Findings::default()).expect("no findings");
+    assert_eq!(settings.listen.peers_bind, None);
+}
+
 #[rstest]
 #[case::unknown_section("\"fleet\"", "\"fleat\"", "5:5: $.fleat: unknown or repeated field")]
 #[case::unknown_key("gone_after_ms", "gone_after", "5:41: $.fleet.gone_after: unknown")]
