Let open connections fall silent in the soak

The soak's proxies stood only in front of targets, so no run had a silent connection to the store or between instances, and no check compared executions with the configuration that is due.

--- a/xtask/src/check.rs
+++ b/xtask/src/check.rs
@@ -23,7 +23,7 @@
 /// Seed of the soak run that is part of CI.
 const SOAK_SEED: &str = "1";
 /// Options that select the layouts of the soak that is part of CI.
-const SOAK_LAYOUTS: [&[&str]; 2] = [&[], &["--relays"]];
+const SOAK_LAYOUTS: [&[&str]; 3] = [&[], &["--relays"], &["--silences"]];
 
 /// Checks formatting, generated code, protocol names and lints, then runs tests and a short soak.
 pub fn ci() -> Result<(), TaskError> {
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -137,7 +137,7 @@
     };
     let soak = {
         let arguments = any::<OsString, _, _>("ARGUMENT", Some)
-            .help("`--seed N` of the faults, `--seconds N` with faults, `--relays` for unequal instances")
+            .help("`--seed N` of the faults, `--seconds N` with faults, `--relays` for unequal instances, `--silences` for silent connections alone")
             .many();
         construct!(Task::Soak { arguments })
             .to_options()
