Replace dead connections between instances within the limit

After the open connections between instances had fallen silent, a zone's reader no longer reached the others of its zone, queries to a relay and questions for permits went unanswered, and all of them fell back on slower ways until membership happened to probe the pair: every half minute in a fleet of 195.

Cause: only a probe that stays unanswered replaces a connection, and only the one of the instance that sent it. A reply that is lost on a dead connection of the other side changed nothing there.

Change: a repeated probe says that it is one, and the instance that receives it opens a new connection as well. An instance that leaves a request unanswered (the confirmation of a relay, permits, the messages of the zone's reader) is probed with the next tick. An instance of an earlier version ignores the field.

--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -32,7 +32,7 @@
 };
 pub use restore::RestoreMemory;
 pub use sync::{
-    FailedRead, SharedChanges, StoreAnswer, is_earlier_era, on_read_failure, on_shared_changes,
-    on_store_answer, start, start_next_read, watch_wait,
+    FailedRead, SharedChanges, StoreAnswer, has_lost_reader, is_earlier_era, on_read_failure,
+    on_shared_changes, on_store_answer, start, start_next_read, watch_wait,
 };
 pub use table::{Catalog, Front, Route, Service, Target, find_front, new_catalog};
--- a/crates/catalog/src/sync.rs
+++ b/crates/catalog/src/sync.rs
@@ -131,6 +131,16 @@
     out.push(Effect::ReadStore { read, timeout });
 }
 
+/// Returns whether a follower has not heard its zone's reader for so long that it reads the store
+/// itself.
+pub fn has_lost_reader(sync: &SyncState, now: Instant) -> bool {
+    let is_lost = |area| {
+        let shared_at = area_progress(sync, area).shared_at;
+        shared_at.is_none_or(|at| now >= at + SHARED_MAX_AGE)
+    };
+    sync.role == Role::Follower && (is_lost(StoreArea::Operators) || is_lost(StoreArea::Targets))
+}
+
 /// Starts a new list of each area whose era is earlier than `era`.
 fn begin_era(
     sync: &mut SyncState,
--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -151,6 +151,7 @@
     let mut digest = build(fleet, now, &recipient.name, observations);
     digest.sequence = sequence;
     digest.wants_reply = recipient.wants_reply;
+    digest.is_repeated = recipient.first_sent_at.is_some();
     digest
 }
 
@@ -180,6 +181,7 @@
         from: member::own_row(fleet),
         sequence: 0,
         wants_reply: false,
+        is_repeated: false,
         revision: fleet.revision(),
         version_in_force: fleet.version_in_force,
         freshness_age: freshness::freshness_age(fleet, now),
--- a/crates/fleet/src/gossip.rs
+++ b/crates/fleet/src/gossip.rs
@@ -31,6 +31,7 @@
         address: recipient.address,
     }));
     recipients.extend(retries);
+    recipients.extend(suspicion::select_requested_probes(fleet));
     recipients.extend(digest::select_seed(fleet, settings));
     for recipient in recipients {
         let digest = digest::build_outgoing(fleet, now, &recipient, observations);
@@ -106,6 +107,11 @@
     if digest.revision > fleet.revision() {
         request_note(fleet, settings, now, digest, out);
     }
+    if digest.is_repeated {
+        out.push(Effect::Reconnect {
+            address: digest.from.address,
+        });
+    }
     // A sender with an older revision gets a reply even if it did not request one.
     if digest.wants_reply || digest.revision < fleet.revision() {
         let reply = digest::build_reply(fleet, now, digest, observations);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -36,7 +36,7 @@
 pub use platform_reads::{
     READS_PER_READER_MAX_PER_S, on_read_failure, start_due_reads, start_join,
 };
-pub use readers::is_reader;
+pub use readers::{is_reader, zone_reader_address};
 pub use share::{
     capacity_ratio, capacity_shares, connection_holder_rank, connection_holders_count,
     has_heard_another, is_in_minority, known_zones, larger_in_zone, other_zones_last_contact_at,
@@ -45,4 +45,4 @@
 pub use state::{
     FleetState, FreshnessSource, JoinState, Member, PlatformReadState, Probe, new_state,
 };
-pub use suspicion::on_peer_unreachable;
+pub use suspicion::{on_peer_unreachable, request_probe};
--- a/crates/fleet/src/readers.rs
+++ b/crates/fleet/src/readers.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cmp::Reverse,
+    net::SocketAddr,
     time::{Duration, Instant},
 };
 
@@ -41,6 +42,18 @@
     before.count()
 }
 
+/// Returns the address of the other instance that is the first reader of the zone, if there is one.
+pub fn zone_reader_address(fleet: &FleetState) -> Option<SocketAddr> {
+    let members = fleet.members.values();
+    let in_zone = members
+        .filter(|member| member.row.state == MemberState::Alive && member.row.zone == fleet.zone);
+    let reader = in_zone.min_by_key(|member| {
+        let row = &member.row;
+        reader_order(row.capacity_millicores, &row.id.name)
+    });
+    reader.map(|reader| reader.row.address)
+}
+
 /// Returns the sort key by which readers are selected.
 fn reader_order(capacity_millicores: u32, name: &str) -> (Reverse<u32>, u64, &str) {
     (Reverse(capacity_millicores), xxh3_64(name.as_bytes()), name)
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -1,6 +1,10 @@
 //! State of the configuration and the membership.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Instant};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Instant,
+};
 
 use bytes::Bytes;
 use findings::Findings;
@@ -77,6 +81,9 @@
     /// Probes that have not been answered.
     #[serde(skip)]
     pub probes: Requests<Probe>,
+    /// Addresses of the instances to probe with the next tick.
+    #[serde(skip)]
+    pub(crate) requested_probes: BTreeSet<SocketAddr>,
     /// Ticks since the start.
     pub ticks_count: u64,
     /// Random number generator for jitter and the selection of peers.
@@ -221,6 +228,7 @@
         is_stale: false,
         platform_reads: PlatformReadState::default(),
         probes: pending::new_requests(seed, Table::Probes),
+        requested_probes: BTreeSet::new(),
         ticks_count: 0,
         rng: ChaCha8Rng::seed_from_u64(jitter_seed),
     }
--- a/crates/fleet/src/suspicion.rs
+++ b/crates/fleet/src/suspicion.rs
@@ -94,6 +94,32 @@
     retries
 }
 
+/// Probes an instance with the next tick, because it has not answered a request in time: it may only
+/// be busy, but the connection to it or the one from it may also be dead.
+pub fn request_probe(fleet: &mut FleetState, address: SocketAddr) {
+    fleet.requested_probes.insert(address);
+}
+
+/// Selects the members to probe by request, except those whose reply is awaited already.
+pub(crate) fn select_requested_probes(fleet: &mut FleetState) -> Vec<Recipient> {
+    let requested = std::mem::take(&mut fleet.requested_probes);
+    let members = fleet.members.values();
+    let members = members.filter(|member| {
+        let name = &member.row.id.name;
+        let mut awaited = pending::values(&fleet.probes);
+        requested.contains(&member.row.address)
+            && member.is_present()
+            && !awaited.any(|probe| probe.name == *name)
+    });
+    let recipients = members.map(|member| Recipient {
+        name: member.row.id.name.clone(),
+        address: member.row.address,
+        wants_reply: true,
+        first_sent_at: None,
+    });
+    recipients.collect()
+}
+
 fn is_heard_since(member: &Member, since: Instant) -> bool {
     member.heard_at.is_some_and(|heard_at| heard_at > since)
 }
--- a/crates/gateway/src/permit.rs
+++ b/crates/gateway/src/permit.rs
@@ -157,6 +157,9 @@
             Output::Ask { issuer, question } => {
                 questions.entry(issuer).or_default().push(question);
             }
+            Output::Unanswered { issuer } => {
+                gateway.unanswered_peers.insert(issuer);
+            }
             Output::Answer { holder, answer } => answers.entry(holder).or_default().push(answer),
             Output::Return { issuer, permits } => returns.entry(issuer).or_default().push(permits),
             Output::Admitted { caller, permit } => admit(gateway, now, caller, permit, out),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -195,6 +195,7 @@
     out: &mut Vec<Effect>,
 ) {
     back_off(gateway, now, address, "not-taken", out);
+    gateway.unanswered_peers.insert(address);
     reclaim(gateway, now, key, false, out);
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,7 +1,7 @@
 //! State of the gateway.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{BTreeSet, HashMap, VecDeque},
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -75,6 +75,9 @@
     /// Relay candidates in backoff after they failed to run a query, with the end of the backoff.
     #[serde(skip)]
     pub relay_backoffs: HashMap<SocketAddr, Instant>,
+    /// Instances that have not answered a request in time since the last tick.
+    #[serde(skip)]
+    pub unanswered_peers: BTreeSet<SocketAddr>,
     /// When the process last resumed from a pause. If a request was sent before, its missing reply
     /// says nothing about the target: it may have arrived but not been read.
     #[serde(skip)]
@@ -298,6 +301,7 @@
         is_isolated: false,
         relay_candidates: Vec::new(),
         relay_backoffs: HashMap::new(),
+        unanswered_peers: BTreeSet::new(),
         resumed_at: None,
         timer_lateness: Duration::ZERO,
         quota: quota::new_state(settings.peers, seed),
--- a/crates/gateway/src/tests/relay.rs
+++ b/crates/gateway/src/tests/relay.rs
@@ -104,6 +104,21 @@
     assert_eq!(sim.attempts.len(), 20);
 }
 
+/// Guards against a dead connection to a relay, on which every query waits in vain for its
+/// confirmation.
+#[test]
+fn relay_that_does_not_confirm_is_reported_as_unanswered() {
+    let mut sim = simulation(&gathering_front(30), |_, _| {
+        (5, CallResult::Done(record(1)))
+    });
+    sim.gateway.relay_candidates = vec![relay_address()];
+    sim.send_request();
+    assert!(sim.gateway.unanswered_peers.is_empty());
+    sim.advance(40);
+    let unanswered = sim.gateway.unanswered_peers.iter();
+    assert_eq!(unanswered.collect::<Vec<_>>(), [&relay_address()]);
+}
+
 #[test]
 fn unconfirmed_query_runs_locally_and_its_relay_backs_off() {
     let mut sim = simulation(&gathering_front(30), |_, _| {
--- a/crates/model/src/message.rs
+++ b/crates/model/src/message.rs
@@ -117,6 +117,9 @@
     pub sequence: u64,
     /// Whether the receiver should reply with a digest of its own.
     pub wants_reply: bool,
+    /// Whether an earlier probe was not answered: the reply may have been lost on a dead connection
+    /// of the receiver.
+    pub is_repeated: bool,
     /// Highest configuration revision that the sender has accepted.
     pub revision: Revision,
     /// Version of the store's configuration that the sender has in force; 0 if there is none, or the
--- a/crates/quota/src/hold.rs
+++ b/crates/quota/src/hold.rs
@@ -106,6 +106,8 @@
         && let Some(asked) = organisation.asked
         && now >= asked.at + ANSWER_TIMEOUT
     {
+        let issuer = asked.issuer;
+        out.push(Output::Unanswered { issuer });
         organisation.asked = None;
         set_unreachable(organisation, asked.route_index, now);
         if let Some(route) = organisation.routes.get_mut(asked.route_index) {
--- a/crates/quota/src/state.rs
+++ b/crates/quota/src/state.rs
@@ -201,6 +201,11 @@
         /// The question.
         question: PermitQuestion,
     },
+    /// An issuer has not answered a question in time.
+    Unanswered {
+        /// Its peer address.
+        issuer: SocketAddr,
+    },
     /// Answer a holder.
     Answer {
         /// Its peer address.
--- a/crates/quota/src/tests/simulation.rs
+++ b/crates/quota/src/tests/simulation.rs
@@ -359,6 +359,8 @@
             };
             send(sim, index, issuer, message);
         }
+        // The simulation has no connections that could be dead.
+        Output::Unanswered { .. } => {}
         Output::Answer { holder, answer } => {
             let message = Message::PermitsGranted {
                 answered_by: own,
--- a/crates/tier/src/gateway.rs
+++ b/crates/tier/src/gateway.rs
@@ -342,6 +342,23 @@
     };
     gateway::set_fleet(gateway, fleet);
     gateway::tick(gateway, now, out);
+    probe_unanswered_peers(state, now);
+}
+
+/// Has the instances probed that have not answered requests in time, the reader of the zone among
+/// them. Membership alone probes each pair of instances of a large fleet twice a minute.
+fn probe_unanswered_peers(state: &mut State, now: Instant) {
+    let Some(gateway) = &mut state.gateway else {
+        return;
+    };
+    for address in std::mem::take(&mut gateway.unanswered_peers) {
+        fleet::request_probe(&mut state.fleet, address);
+    }
+    if catalog::has_lost_reader(&gateway.sync, now)
+        && let Some(address) = fleet::zone_reader_address(&state.fleet)
+    {
+        fleet::request_probe(&mut state.fleet, address);
+    }
 }
 
 /// Returns the instances that share the rate limits of targets; none while their number is unknown.
--- a/crates/tier/src/tests/extreme_messages.rs
+++ b/crates/tier/src/tests/extreme_messages.rs
@@ -113,6 +113,7 @@
             from,
             sequence,
             wants_reply,
+            is_repeated: wants_reply,
             revision,
             version_in_force: revision,
             freshness_age,
--- a/crates/tier/src/tests/fixture.rs
+++ b/crates/tier/src/tests/fixture.rs
@@ -172,6 +172,7 @@
         },
         sequence: 0,
         wants_reply: false,
+        is_repeated: false,
         revision: 0,
         version_in_force: 0,
         freshness_age: Duration::ZERO,
--- a/crates/tier/src/tests/silent_connections.rs
+++ b/crates/tier/src/tests/silent_connections.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use catalog::Role;
+use model::StoreArea;
 use rstest::rstest;
 
 use super::gateway_fleet::{
@@ -38,6 +39,9 @@
 /// an instance gives its reader up.
 const UNTIL_STORE_SILENCE: Duration = Duration::from_secs(2);
 
+/// Longest time between two messages of a reader: its watch, and the transfer.
+const READER_INTERVAL: Duration = Duration::from_millis(1_100);
+
 /// Target that starts to drain, and zone that is taken out of service.
 const DRAINING: usize = 1;
 const ZONE: &str = "west";
@@ -134,3 +138,29 @@
         }
     }
 }
+
+/// Guards against connections between instances that stay dead until membership happens to probe
+/// them, which takes half a minute in a large fleet: readers of the store no longer reach the others.
+#[rstest]
+fn readers_reach_their_zone_again_within_the_limit(#[values(1, 2, 3)] seed: u64) {
+    let limits = GROWN.map(Duration::from_millis);
+    let mut fleet = fleet_with_limits(size(WITH_READERS), Layout::Equal, limits, seed);
+    assert!(has_readers(&fleet));
+    silence_peers(&mut fleet);
+    let [contact, ..] = limits;
+    run_for(&mut fleet, contact);
+    for (index, instance) in fleet.instances.iter().enumerate() {
+        let gateway = instance.state.gateway.as_ref().expect("a gateway");
+        if gateway.sync.role != Role::Follower {
+            continue;
+        }
+        for area in [StoreArea::Operators, StoreArea::Targets] {
+            let shared_at = catalog::area_progress(&gateway.sync, area).shared_at;
+            let age = shared_at.map(|at| fleet.now - at);
+            assert!(
+                age.is_some_and(|age| age < READER_INTERVAL),
+                "instance {index} last heard its reader {age:?} ago"
+            );
+        }
+    }
+}
--- a/crates/wire/src/decode.rs
+++ b/crates/wire/src/decode.rs
@@ -187,6 +187,7 @@
         wants_reply: digest.wants_reply,
         revision: digest.revision,
         version_in_force: digest.version_in_force,
+        is_repeated: digest.is_repeated,
         freshness_age: clamped_span_from_ms(digest.freshness_age_ms),
         members: members?,
         observations: Observations {
--- a/crates/wire/src/encode.rs
+++ b/crates/wire/src/encode.rs
@@ -186,6 +186,7 @@
         wants_reply: digest.wants_reply,
         revision: digest.revision,
         version_in_force: digest.version_in_force,
+        is_repeated: digest.is_repeated,
         freshness_age_ms: to_ms(digest.freshness_age),
         members: digest.members.iter().map(encode_member).collect(),
         quarantine: observations
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -112,6 +112,9 @@
     /// Absent from an instance of an earlier version.
     #[prost(uint64, tag = "9")]
     pub version_in_force: u64,
+    /// Whether an earlier probe was not answered; absent from an instance of an earlier version.
+    #[prost(bool, tag = "10")]
+    pub is_repeated: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct RateLimit {
--- a/crates/wire/src/tests.rs
+++ b/crates/wire/src/tests.rs
@@ -431,7 +431,7 @@
     (
         any_member(),
         any::<u64>(),
-        any::<bool>(),
+        (any::<bool>(), any::<bool>()),
         (any::<u64>(), any::<u64>()),
         any_duration(),
         vec(any_member(), 0..4),
@@ -441,7 +441,7 @@
             |(
                 from,
                 sequence,
-                wants_reply,
+                (wants_reply, is_repeated),
                 (revision, version_in_force),
                 freshness_age,
                 members,
@@ -451,6 +451,7 @@
                     from,
                     sequence,
                     wants_reply,
+                    is_repeated,
                     revision,
                     version_in_force,
                     freshness_age,
--- a/xtask/src/slopes/peers.rs
+++ b/xtask/src/slopes/peers.rs
@@ -91,6 +91,7 @@
         from: member_row(peer_index),
         sequence,
         wants_reply,
+        is_repeated: false,
         revision: 1,
         version_in_force: 0,
         freshness_age: Duration::from_millis(100),
